--- /dev/null
+++ b/trefoilhitch/__init__.py
@@ -0,0 +1,1 @@
+"""Database proxy with session consistency."""
--- /dev/null
+++ b/trefoilhitch/cli.py
@@ -0,0 +1,382 @@
+"""`trefoilhitch`: the operators' tool."""
+
+import secrets
+import sys
+from dataclasses import dataclass, field
+from functools import partial
+from getpass import getuser
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+from msgspec import Struct, to_builtins
+from msgspec.json import encode
+from msgspec.json import format as format_json
+from trio import run
+
+from trefoilhitch._generated.peer import NodeStatus, SwitchOrder
+from trefoilhitch._generated.store import Bundle
+from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.daemon import load_settings
+from trefoilhitch.declaration import Change, differences, read_declaration
+from trefoilhitch.errors import RefusalError, StoreError, TrefoilhitchError
+from trefoilhitch.exit_code import ExitCode
+from trefoilhitch.ini import IniFile
+from trefoilhitch.keyring import create_key
+from trefoilhitch.peer_auth import PeerAuth
+from trefoilhitch.peer_client import PeerClient
+from trefoilhitch.publisher import OutcomeUnknownError, Published, Publisher
+from trefoilhitch.setting_error import SettingErrorGroup
+from trefoilhitch.store import HttpObjectStore
+from trefoilhitch.trace import first_difference
+
+CALL_TIMEOUT_MS = 5000
+KEY_NAME_BYTES = 4
+KEY_SECRET_BYTES = 24
+KEY_SALT_BYTES = 16
+StoreArg = Annotated[
+    str,
+    cappa.Arg(long='--store', help='ADDRESS:PORT of the object API'),
+]
+FileArg = Annotated[Path, cappa.Arg(help='INI file with declarations')]
+JsonArg = Annotated[bool, cappa.Arg(long='--json', help='print JSON')]
+
+
+@cappa.command(name='check')
+@dataclass(frozen=True)
+class Check:
+    """Check a declaration; every fault is printed."""
+
+    file: FileArg
+
+    def __call__(self) -> None:
+        """Check the file."""
+        bundle = load_declaration(self.file)
+        print(
+            f'{len(bundle.services)} services, {len(bundle.endpoints)} endpoints, '
+            f'{len(bundle.organisations)} organisations, {len(bundle.keys)} keys',
+        )
+
+
+@cappa.command(name='diff')
+@dataclass(frozen=True)
+class Diff:
+    """Show what a declaration would change."""
+
+    file: FileArg
+    store: StoreArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the changes."""
+        bundle = load_declaration(self.file)
+        published = _ask(Publisher(HttpObjectStore(self.store)).current)
+        changes = differences(published.bundle, bundle)
+        if self.json:
+            _print_json(
+                {'revision': published.head.revision, 'changes': changes}
+            )
+            return
+        print(f'revision {published.head.revision}')
+        for change in changes:
+            print(_change_line(change))
+
+
+@cappa.command(name='apply')
+@dataclass(frozen=True)
+class Apply:
+    """Put a declaration in force, all of it or nothing."""
+
+    file: FileArg
+    store: StoreArg
+    base: Annotated[
+        int | None,
+        cappa.Arg(
+            long='--base', help='revision that you looked at; default: now'
+        ),
+    ] = None
+    operator: Annotated[
+        str,
+        cappa.Arg(long='--operator', help='who applies it'),
+    ] = field(default_factory=getuser)
+
+    def __call__(self) -> None:
+        """Apply the file."""
+        bundle = load_declaration(self.file)
+        publisher = Publisher(HttpObjectStore(self.store))
+        base = self.base
+        if base is None:
+            base = _ask(publisher.current).head.revision
+        head = _ask(
+            partial(publisher.apply, bundle, base=base, operator=self.operator),
+        )
+        print(f'revision {head.revision} is in force')
+
+
+@cappa.command(name='show')
+@dataclass(frozen=True)
+class Show:
+    """Show the configuration that is in force."""
+
+    store: StoreArg
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the configuration."""
+        published: Published = _ask(
+            Publisher(HttpObjectStore(self.store)).current
+        )
+        if self.json:
+            _print_json({'head': published.head, 'bundle': published.bundle})
+            return
+        print(
+            f'revision {published.head.revision} by {published.head.operator}'
+        )
+        for change in differences(Bundle(), published.bundle):
+            print(f'{change.kind} {change.name}')
+
+
+@cappa.command(name='status')
+@dataclass(frozen=True)
+class Status:
+    """Show every node that a node knows, with its revision."""
+
+    settings: Annotated[
+        Path,
+        cappa.Arg(long='--settings', help='settings of any node of the fleet'),
+    ]
+    node: Annotated[
+        str | None,
+        cappa.Arg(long='--node', help='ADDRESS:PEER_PORT; default: that node'),
+    ] = None
+    json: JsonArg = False
+
+    def __call__(self) -> None:
+        """Print the status."""
+        client = _peer(self.settings, self.node)
+        status: NodeStatus = _ask(partial(_status, client))
+        if self.json:
+            _print_json(status)
+            return
+        newest = max(beat.revision for beat in status.members)
+        print(
+            f'{status.node} {status.state} revision {status.revision}: '
+            f'{status.connections} connections, {status.requests} requests, '
+            f'{status.refusals} refusals, p50 {status.p50_ms} ms, '
+            f'p99 {status.p99_ms} ms',
+        )
+        for beat in status.members:
+            lag = '' if beat.revision == newest else f' lags behind {newest}'
+            print(
+                f'{beat.node} {beat.data_centre} {beat.state} {beat.revision}{lag}'
+            )
+
+
+@cappa.command(name='switch')
+@dataclass(frozen=True)
+class Switch:
+    """Hand a service's primary over to another endpoint, as planned."""
+
+    service: Annotated[str, cappa.Arg(help='name of the service')]
+    primary: Annotated[
+        str, cappa.Arg(help='endpoint that shall become primary')
+    ]
+    settings: Annotated[
+        Path,
+        cappa.Arg(long='--settings', help='settings of any node of the fleet'),
+    ]
+    node: Annotated[
+        str | None,
+        cappa.Arg(long='--node', help='ADDRESS:PEER_PORT of a monitor'),
+    ] = None
+
+    def __call__(self) -> None:
+        """Order the switch-over."""
+        order = SwitchOrder(service=self.service, primary=self.primary)
+        _ask(partial(_switch, _peer(self.settings, self.node), order))
+        print(f'{self.service}: switch-over to {self.primary} ordered')
+
+
+@cappa.command(name='new')
+@dataclass(frozen=True)
+class KeyNew:
+    """Make a key: its text for the caller, its section for the declaration."""
+
+    organisation: Annotated[str, cappa.Arg(help='whom the key belongs to')]
+
+    def __call__(self) -> None:
+        """Print the key once; only its hash is kept."""
+        made = create_key(
+            self.organisation,
+            name=secrets.token_hex(KEY_NAME_BYTES),
+            secret=secrets.token_hex(KEY_SECRET_BYTES),
+            salt=secrets.token_hex(KEY_SALT_BYTES),
+        )
+        print(f'; for the caller, shown only now: {made.text}')
+        print(f'[key {made.key.name}]')
+        print(f'organisation = {made.key.organisation}')
+        print(f'salt = {made.key.salt}')
+        print(f'digest = {made.key.digest}')
+
+
+@cappa.command(name='withdraw')
+@dataclass(frozen=True)
+class KeyWithdraw:
+    """Withdraw a key in the configuration that is in force."""
+
+    name: Annotated[str, cappa.Arg(help='public name of the key')]
+    store: StoreArg
+    operator: Annotated[
+        str,
+        cappa.Arg(long='--operator', help='who withdraws it'),
+    ] = field(default_factory=getuser)
+
+    def __call__(self) -> None:
+        """Withdraw the key."""
+        publisher = Publisher(HttpObjectStore(self.store))
+        published: Published = _ask(publisher.current)
+        kept = [key for key in published.bundle.keys if key.name != self.name]
+        if len(kept) == len(published.bundle.keys):
+            raise cappa.Exit(
+                f'no key {self.name} is in force', code=ExitCode.REFUSED
+            )
+        bundle = _with_keys(published.bundle, kept)
+        base = published.head.revision
+        head = _ask(
+            partial(publisher.apply, bundle, base=base, operator=self.operator),
+        )
+        print(f'revision {head.revision} is in force without key {self.name}')
+
+
+@cappa.command(name='key')
+@dataclass(frozen=True)
+class KeyCommand:
+    """Make and withdraw keys."""
+
+    command: cappa.Subcommands[KeyNew | KeyWithdraw]
+
+
+@cappa.command(name='replay')
+@dataclass(frozen=True)
+class TraceReplay:
+    """Decide a recorded trace again and print the first difference."""
+
+    file: Annotated[Path, cappa.Arg(help='JSON lines, as the log writes them')]
+
+    def __call__(self) -> None:
+        """Replay the trace."""
+        with self.file.open() as lines:
+            found = _refusing(partial(first_difference, lines))
+        if found is None:
+            print('no difference')
+            return
+        raise cappa.Exit(
+            f'line {found.line}: recorded {found.recorded!r}, '
+            f'now {found.replayed!r}: {encode(found.record).decode()}',
+            code=ExitCode.REFUSED,
+        )
+
+
+@cappa.command(name='trace')
+@dataclass(frozen=True)
+class TraceCommand:
+    """Work with recorded decisions."""
+
+    command: cappa.Subcommands[TraceReplay]
+
+
+@cappa.command(name='trefoilhitch')
+@dataclass(frozen=True)
+class Tool:
+    """Operate a trefoilhitch fleet."""
+
+    command: cappa.Subcommands[
+        Check
+        | Diff
+        | Apply
+        | Show
+        | Status
+        | Switch
+        | KeyCommand
+        | TraceCommand
+    ]
+
+
+def main() -> None:
+    """Run the tool's command line."""
+    cappa.invoke(Tool)
+
+
+def load_declaration(path: Path) -> Bundle:
+    """Read a declaration, or end the program with all its faults.
+
+    Args:
+        path: the file.
+
+    Returns:
+        The bundle.
+
+    Raises:
+        Exit: the file cannot be read or has faults.
+
+    """
+    try:
+        return read_declaration(IniFile.from_text(str(path), path.read_text()))
+    except OSError as exc:
+        raise cappa.Exit(str(exc), code=ExitCode.USAGE) from exc
+    except SettingErrorGroup as group:
+        lines = '\n'.join(str(exc) for exc in group.exceptions)
+        raise cappa.Exit(lines, code=ExitCode.REFUSED) from group
+
+
+def _ask(call: Any) -> Any:
+    return _refusing(partial(run, call))
+
+
+def _refusing(call: Any) -> Any:
+    try:
+        return call()
+    except OutcomeUnknownError as exc:
+        raise cappa.Exit(
+            f'outcome unknown: {exc}', code=ExitCode.UNKNOWN
+        ) from exc
+    except (StoreError, RefusalError, TrefoilhitchError) as exc:
+        kind = type(exc).__name__
+        raise cappa.Exit(f'{kind}: {exc}', code=ExitCode.REFUSED) from exc
+
+
+def _peer(settings: Path, address: str | None) -> PeerClient:
+    cfg = load_settings(settings)
+    auth = PeerAuth.from_secrets(cfg.fleet.secret, cfg.fleet.previous_secret)
+    own = f'{cfg.node.address}:{cfg.node.peer_port}'
+    return PeerClient(address or own, auth=auth)
+
+
+async def _status(client: PeerClient) -> NodeStatus:
+    return await client.status(deadline_after_ms(CALL_TIMEOUT_MS))
+
+
+async def _switch(client: PeerClient, order: SwitchOrder) -> SwitchOrder:
+    deadline = deadline_after_ms(CALL_TIMEOUT_MS)
+    return await client.ask('/peer/v1/switch', order, SwitchOrder, deadline)
+
+
+def _with_keys(bundle: Bundle, keys: list[Any]) -> Bundle:
+    return Bundle(
+        services=bundle.services,
+        endpoints=bundle.endpoints,
+        organisations=bundle.organisations,
+        keys=keys,
+    )
+
+
+def _change_line(change: Change) -> str:
+    return f'{change.action} {change.kind} {change.name}'
+
+
+def _print_json(message: Struct | dict[str, Any]) -> None:
+    sys.stdout.write(format_json(encode(to_builtins(message))).decode() + '\n')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/trefoilhitch/config.py
@@ -0,0 +1,134 @@
+"""The configuration in force, with the look-ups that requests need."""
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Self
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+
+from trefoilhitch._generated.record import PlacementNode
+from trefoilhitch._generated.store import (
+    Bundle,
+    Endpoint,
+    Organisation,
+    Service,
+)
+from trefoilhitch.errors import TrefoilhitchError
+from trefoilhitch.keyring import KeyRing
+
+
+class BundleError(TrefoilhitchError):
+    """A stored bundle cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A declared configuration.
+
+    Args:
+        revision: number of the configuration; 0 before the first.
+        body: the bundle as stored.
+        services: services by name.
+        endpoints: endpoints by name.
+        groups: endpoints by service.
+        organisations: organisations by name.
+        keyring: keys in force.
+
+    """
+
+    revision: int = 0
+    body: str = '{}'
+    services: Mapping[str, Service] = field(default_factory=dict)
+    endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
+    groups: Mapping[str, Sequence[Endpoint]] = field(default_factory=dict)
+    organisations: Mapping[str, Organisation] = field(default_factory=dict)
+    keyring: KeyRing = field(default_factory=lambda: KeyRing({}))
+
+    @classmethod
+    def from_body(cls, revision: int, body: str) -> Self:
+        """Build a configuration from a stored bundle.
+
+        Args:
+            revision: its number.
+            body: JSON of the bundle.
+
+        Returns:
+            The configuration.
+
+        Raises:
+            BundleError: the bundle is not one.
+
+        """
+        try:
+            bundle = decode(body, type=Bundle)
+        except (DecodeError, ValidationError) as exc:
+            raise BundleError(f'revision {revision}: {exc}') from exc
+        return cls(
+            revision=revision,
+            body=body,
+            services={service.name: service for service in bundle.services},
+            endpoints={
+                endpoint.name: endpoint for endpoint in bundle.endpoints
+            },
+            groups=_group(bundle.endpoints),
+            organisations={each.name: each for each in bundle.organisations},
+            keyring=KeyRing.from_keys(bundle.keys),
+        )
+
+    def weights(self) -> dict[str, float]:
+        """Return each organisation's share of a contended slot.
+
+        Returns:
+            Rates by organisation.
+
+        """
+        return {each.name: each.rate for each in self.organisations.values()}
+
+
+class ConfigHolder:
+    """Holds the newest configuration; it never goes back to an earlier one."""
+
+    def __init__(self) -> None:
+        """Start with the empty configuration."""
+        self.current = Config()
+
+    def advance(self, offered: Config) -> bool:
+        """Put a configuration in force if it is newer.
+
+        Args:
+            offered: a configuration from the store or from a peer.
+
+        Returns:
+            True if it is now in force.
+
+        """
+        if offered.revision <= self.current.revision:
+            return False
+        self.current = offered
+        return True
+
+
+def place_of(endpoint: Endpoint) -> PlacementNode:
+    """Return where an endpoint is.
+
+    Args:
+        endpoint: the declared endpoint.
+
+    Returns:
+        Its name, region and data centre.
+
+    """
+    return PlacementNode(
+        name=endpoint.name,
+        region=endpoint.region,
+        data_centre=endpoint.data_centre,
+    )
+
+
+def _group(endpoints: Sequence[Endpoint]) -> dict[str, list[Endpoint]]:
+    groups: defaultdict[str, list[Endpoint]] = defaultdict(list)
+    for endpoint in endpoints:
+        groups[endpoint.service].append(endpoint)
+    return dict(groups)
--- /dev/null
+++ b/trefoilhitch/config_sync.py
@@ -0,0 +1,143 @@
+"""Brings the configuration in force to this node: from the store, or from peers."""
+
+from random import Random
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+from trio import sleep
+
+from trefoilhitch._generated.peer import ConfigQuery
+from trefoilhitch._generated.store import Head, StoredObject
+from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.config import BundleError, Config, ConfigHolder
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.errors import RefusalError, StoreError
+from trefoilhitch.fleet import Fleet
+from trefoilhitch.peer_client import PeerClients
+from trefoilhitch.retry import MAX_DELAY_S, backoff
+from trefoilhitch.store import ObjectStore
+
+HEAD_OBJECT = 'config/head'
+BUNDLE_OBJECT = 'config/bundles/{digest}'
+READ_TIMEOUT_MS = 2000
+WATCH_TIMEOUT_MS = 25000
+PEER_TIMEOUT_MS = 2000
+PEER_INTERVAL_S = 0.25
+MAX_ATTEMPT = 6
+
+
+class ConfigSync:
+    """Keeps a node's configuration at the newest revision it hears of.
+
+    Args:
+        holder: the configuration in force here.
+        store: keeps head and bundles.
+        fleet: tells who is at which revision.
+        peers: offer newer configurations.
+        log: takes note of changes.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: ConfigHolder,
+        store: ObjectStore,
+        fleet: Fleet,
+        peers: PeerClients,
+        log: DecisionLog,
+    ) -> None:
+        """Start without knowledge of the store."""
+        self._holder = holder
+        self._store = store
+        self._fleet = fleet
+        self._peers = peers
+        self._log = log
+        self._head_version = 0
+
+    async def watch_store(self, random: Random) -> None:
+        """Follow the store while this node is a watcher, for ever.
+
+        Args:
+            random: jitters the retries.
+
+        """
+        failures = 0
+        while True:
+            if not self._must_read():
+                await sleep(PEER_INTERVAL_S)
+                continue
+            try:
+                await self._read_store()
+            except (StoreError, BundleError, RefusalError) as exc:
+                failures = min(failures + 1, MAX_ATTEMPT)
+                self._log.event('store_unavailable', detail=str(exc))
+                await sleep(backoff(failures, random.random()) + MAX_DELAY_S)
+            else:
+                failures = 0
+
+    async def follow_peers(self) -> None:
+        """Fetch a newer configuration from any peer that has one, for ever."""
+        while True:
+            await sleep(PEER_INTERVAL_S)
+            revision, address = self._fleet.newest_revision()
+            if revision > self._holder.current.revision:
+                await self._fetch(address)
+
+    def _must_read(self) -> bool:
+        return not self._holder.current.revision or self._fleet.is_watcher()
+
+    async def _read_store(self) -> None:
+        stored = await self._store.watch(
+            HEAD_OBJECT,
+            self._head_version,
+            deadline_after_ms(WATCH_TIMEOUT_MS),
+        )
+        head = read_head(stored)
+        if head.revision > self._holder.current.revision:
+            bundle = await self._store.get(
+                BUNDLE_OBJECT.format(digest=head.bundle),
+                deadline_after_ms(READ_TIMEOUT_MS),
+            )
+            self._adopt(Config.from_body(head.revision, bundle.body), 'store')
+        self._head_version = stored.version
+
+    async def _fetch(self, address: str) -> None:
+        query = ConfigQuery(revision=self._holder.current.revision)
+        try:
+            offer = await self._peers.at(address).config(
+                query,
+                deadline_after_ms(PEER_TIMEOUT_MS),
+            )
+        except RefusalError as exc:
+            self._log.event(
+                'peer_config_failed', address=address, code=exc.code
+            )
+            return
+        if offer.body:
+            self._adopt(Config.from_body(offer.revision, offer.body), address)
+
+    def _adopt(self, offered: Config, source: str) -> None:
+        if self._holder.advance(offered):
+            self._log.event('config', revision=offered.revision, source=source)
+
+
+def read_head(stored: StoredObject) -> Head:
+    """Read the head object.
+
+    Args:
+        stored: the object.
+
+    Returns:
+        The head; revision 0 if there is none yet.
+
+    Raises:
+        BundleError: it cannot be read.
+
+    """
+    if not stored.version:
+        return Head(revision=0, bundle='')
+    try:
+        return decode(stored.body, type=Head)
+    except (DecodeError, ValidationError) as exc:
+        raise BundleError(f'unreadable head: {exc}') from exc
--- /dev/null
+++ b/trefoilhitch/declaration.py
@@ -0,0 +1,178 @@
+"""Declarations: services, endpoints, organisations and keys in INI."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import convert
+from msgspec.json import encode
+
+from trefoilhitch._generated.store import Bundle
+from trefoilhitch.ini import IniFile, check_fields
+from trefoilhitch.schema import load_schema
+from trefoilhitch.setting_error import SettingError, SettingErrorGroup
+
+MAX_BUNDLE_BYTES = 1_000_000
+_LISTS = {
+    'service': 'services',
+    'endpoint': 'endpoints',
+    'organisation': 'organisations',
+    'key': 'keys',
+}
+_KINDS = {
+    'service': 'Service',
+    'endpoint': 'Endpoint',
+    'organisation': 'Organisation',
+    'key': 'Key',
+}
+_REFERENCES = (
+    ('endpoint', 'service', 'service'),
+    ('key', 'organisation', 'organisation'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A difference between two configurations.
+
+    Args:
+        action: `add`, `remove` or `change`.
+        kind: kind of the declared thing.
+        name: its name.
+        before: its fields before; None if it was not declared.
+        after: its fields after; None if it is not declared.
+
+    """
+
+    action: str
+    kind: str
+    name: str
+    before: Mapping[str, Any] | None
+    after: Mapping[str, Any] | None
+
+
+def read_declaration(ini: IniFile) -> Bundle:
+    """Read a whole declaration.
+
+    Args:
+        ini: the parsed file; its sections are named `KIND NAME`.
+
+    Returns:
+        The bundle.
+
+    Raises:
+        SettingErrorGroup: every fault of the file.
+
+    """
+    schema = load_schema('store')
+    errors = list(ini.errors)
+    declared: dict[str, list[dict[str, Any]]] = {kind: [] for kind in _KINDS}
+    for section in ini.sections:
+        kind, _, name = section.partition(' ')
+        if kind not in _KINDS or not name:
+            errors.append(_unknown_section(ini, section))
+            continue
+        fields = {'name': name, **ini.sections[section]}
+        checked = check_fields(
+            ini, section, fields, schema.definition(_KINDS[kind])
+        )
+        errors.extend(checked.errors)
+        declared[kind].append(checked.fields)
+    errors.extend(_dangling(ini, declared))
+    errors.extend(_too_large(ini, declared))
+    if errors:
+        raise SettingErrorGroup.from_errors(errors)
+    return convert(
+        {_LISTS[kind]: found for kind, found in declared.items()}, Bundle
+    )
+
+
+def differences(before: Bundle, after: Bundle) -> list[Change]:
+    """Return what differs between two configurations.
+
+    Args:
+        before: the one in force.
+        after: the one declared.
+
+    Returns:
+        Changes by kind and name.
+
+    """
+    changes: list[Change] = []
+    for kind, listed in _LISTS.items():
+        old = _by_name(getattr(before, listed))
+        new = _by_name(getattr(after, listed))
+        for name in sorted(old.keys() | new.keys()):
+            if old.get(name) != new.get(name):
+                changes.append(
+                    _change(kind, name, old.get(name), new.get(name))
+                )
+    return changes
+
+
+def _change(
+    kind: str,
+    name: str,
+    before: Mapping[str, Any] | None,
+    after: Mapping[str, Any] | None,
+) -> Change:
+    if before is None:
+        return Change('add', kind, name, before, after)
+    action = 'remove' if after is None else 'change'
+    return Change(action, kind, name, before, after)
+
+
+def _by_name(listed: list[Any]) -> dict[str, dict[str, Any]]:
+    return {
+        each.name: {
+            field: getattr(each, field) for field in each.__struct_fields__
+        }
+        for each in listed
+    }
+
+
+def _unknown_section(ini: IniFile, section: str) -> SettingError:
+    return SettingError(
+        source=ini.source,
+        section=section,
+        key='',
+        found=section,
+        allowed=f'a section named KIND NAME, with KIND one of {", ".join(_KINDS)}',
+    )
+
+
+def _dangling(
+    ini: IniFile,
+    declared: Mapping[str, list[dict[str, Any]]],
+) -> list[SettingError]:
+    return [
+        SettingError(
+            source=ini.source,
+            section=f'{kind} {each["name"]}',
+            key=key,
+            found=str(each[key]),
+            allowed=f'the name of a declared {target}',
+        )
+        for kind, key, target in _REFERENCES
+        for each in declared[kind]
+        if key in each
+        and each[key] not in {other['name'] for other in declared[target]}
+    ]
+
+
+def _too_large(
+    ini: IniFile,
+    declared: Mapping[str, list[dict[str, Any]]],
+) -> list[SettingError]:
+    size = len(encode(declared))
+    if size <= MAX_BUNDLE_BYTES:
+        return []
+    return [
+        SettingError(
+            source=ini.source,
+            section='',
+            key='',
+            found=f'{size} bytes',
+            allowed=f'at most {MAX_BUNDLE_BYTES} bytes in all',
+        ),
+    ]
--- /dev/null
+++ b/trefoilhitch/endpoint_client.py
@@ -0,0 +1,289 @@
+"""The platform's database endpoints: statement connections and control."""
+
+from typing import Protocol, Self
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+
+from trefoilhitch._generated.endpoint import (
+    BeginRequest,
+    CommitRequest,
+    ConfirmReply,
+    ConfirmRequest,
+    ConnectReply,
+    ConnectRequest,
+    EndpointError,
+    FenceReply,
+    FenceRequest,
+    PromoteRequest,
+    RecordReply,
+    RecordRequest,
+    RunReply,
+    RunRequest,
+    StatusReply,
+)
+from trefoilhitch._generated.store import Endpoint
+from trefoilhitch.errors import (
+    BadRequestError,
+    ConnectionLostError,
+    InternalError,
+    RefusalError,
+    SlotsExhaustedError,
+    SqlRejectedError,
+    StaleTermError,
+    TransactionLostError,
+    UnreachableError,
+)
+from trefoilhitch.http_client import HttpClient, HttpConnection
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.json_client import JsonClient
+
+_ERRORS: dict[str, type[RefusalError]] = {
+    'slots_exhausted': SlotsExhaustedError,
+    'not_primary': StaleTermError,
+    'stale_term': StaleTermError,
+    'sql_rejected': SqlRejectedError,
+    'no_transaction': TransactionLostError,
+    'not_connected': UnreachableError,
+    'leaving': UnreachableError,
+    'bad_request': BadRequestError,
+}
+
+
+class EndpointConnection(Protocol):
+    """A connection that holds one of an endpoint's slots."""
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection can be used no more."""
+
+    async def run(self, req: RunRequest, deadline: float) -> RunReply:
+        """Run a statement."""
+
+    async def begin(self, req: BeginRequest, deadline: float) -> RunReply:
+        """Open a transaction."""
+
+    async def commit(self, req: CommitRequest, deadline: float) -> RunReply:
+        """Commit the open transaction."""
+
+    async def rollback(self, req: BeginRequest, deadline: float) -> RunReply:
+        """Roll the open transaction back."""
+
+    def has_ended(self) -> bool:
+        """Tell whether the endpoint closed the idle connection."""
+
+    def close(self) -> None:
+        """Close at once; an open transaction is rolled back."""
+
+
+class EndpointControl(Protocol):
+    """An endpoint's control address, which takes no slot."""
+
+    async def status(self, deadline: float) -> StatusReply:
+        """Ask for role, term and log positions."""
+
+    async def fence(self, req: FenceRequest, deadline: float) -> FenceReply:
+        """Have the endpoint take a term for a claimant."""
+
+    async def promote(
+        self, req: PromoteRequest, deadline: float
+    ) -> StatusReply:
+        """Make a fenced endpoint the primary of its term."""
+
+    async def confirm(
+        self, req: ConfirmRequest, deadline: float
+    ) -> ConfirmReply:
+        """Ask the primary who holds a position, in a round that starts now."""
+
+    async def record(self, req: RecordRequest, deadline: float) -> RecordReply:
+        """Ask the primary for the stored outcome of a request."""
+
+
+class EndpointPlatform(Protocol):
+    """Opens connections to endpoints."""
+
+    async def connect(
+        self, endpoint: Endpoint, deadline: float
+    ) -> EndpointConnection:
+        """Open a statement connection, which takes a slot."""
+
+    def control(self, endpoint: Endpoint) -> EndpointControl:
+        """Return the control client of an endpoint."""
+
+
+class HttpEndpointConnection:
+    """A statement connection over HTTP.
+
+    Args:
+        conn: the open connection.
+
+    """
+
+    def __init__(self, conn: HttpConnection) -> None:
+        """Keep the connection."""
+        self._conn = conn
+        self._client = JsonClient(
+            exchanger=self, error_reader=read_endpoint_error
+        )
+
+    @classmethod
+    async def open(cls, address: str, client: str, deadline: float) -> Self:
+        """Connect and take a slot.
+
+        Args:
+            address: statement address of the endpoint.
+            client: name of this node.
+            deadline: monotonic time.
+
+        Returns:
+            The open connection.
+
+        Raises:
+            RefusalError: no slot was taken.
+
+        """
+        conn = cls(await HttpConnection.open(address, deadline))
+        taken = None
+        try:
+            taken = await conn.connect(ConnectRequest(client=client), deadline)
+        except ConnectionLostError as exc:
+            raise UnreachableError(exc.detail) from exc
+        finally:
+            if taken is None:
+                conn.close()
+        return conn
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the connection can be used no more."""
+        return self._conn.closed
+
+    async def request(self, req: HttpRequest, deadline: float) -> HttpResponse:
+        """Exchange on this connection only."""
+        return await self._conn.exchange(req, deadline)
+
+    async def connect(
+        self, req: ConnectRequest, deadline: float
+    ) -> ConnectReply:
+        """Take a slot."""
+        return await self._client.post(
+            '/v1/connect', req, ConnectReply, deadline
+        )
+
+    async def run(self, req: RunRequest, deadline: float) -> RunReply:
+        """Run a statement."""
+        return await self._client.post('/v1/run', req, RunReply, deadline)
+
+    async def begin(self, req: BeginRequest, deadline: float) -> RunReply:
+        """Open a transaction."""
+        return await self._client.post('/v1/begin', req, RunReply, deadline)
+
+    async def commit(self, req: CommitRequest, deadline: float) -> RunReply:
+        """Commit the open transaction."""
+        return await self._client.post('/v1/commit', req, RunReply, deadline)
+
+    async def rollback(self, req: BeginRequest, deadline: float) -> RunReply:
+        """Roll the open transaction back."""
+        return await self._client.post('/v1/rollback', req, RunReply, deadline)
+
+    def has_ended(self) -> bool:
+        """Tell whether the endpoint closed the idle connection."""
+        return self._conn.has_ended()
+
+    def close(self) -> None:
+        """Close at once; an open transaction is rolled back."""
+        self._conn.close()
+
+
+class HttpEndpointControl:
+    """An endpoint's control address over HTTP.
+
+    Args:
+        address: control address of the endpoint.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet."""
+        self._client = JsonClient(
+            exchanger=HttpClient(address),
+            error_reader=read_endpoint_error,
+        )
+
+    async def status(self, deadline: float) -> StatusReply:
+        """Ask for role, term and log positions."""
+        return await self._client.get('/v1/status', StatusReply, deadline)
+
+    async def fence(self, req: FenceRequest, deadline: float) -> FenceReply:
+        """Have the endpoint take a term for a claimant."""
+        return await self._client.post('/v1/fence', req, FenceReply, deadline)
+
+    async def promote(
+        self, req: PromoteRequest, deadline: float
+    ) -> StatusReply:
+        """Make a fenced endpoint the primary of its term."""
+        return await self._client.post(
+            '/v1/promote', req, StatusReply, deadline
+        )
+
+    async def confirm(
+        self, req: ConfirmRequest, deadline: float
+    ) -> ConfirmReply:
+        """Ask the primary who holds a position, in a round that starts now."""
+        return await self._client.post(
+            '/v1/confirm', req, ConfirmReply, deadline
+        )
+
+    async def record(self, req: RecordRequest, deadline: float) -> RecordReply:
+        """Ask the primary for the stored outcome of a request."""
+        return await self._client.post('/v1/record', req, RecordReply, deadline)
+
+
+class HttpEndpointPlatform:
+    """Reaches endpoints over HTTP.
+
+    Args:
+        client: name of this node.
+
+    """
+
+    def __init__(self, client: str) -> None:
+        """Open nothing yet."""
+        self._name = client
+        self._controls: dict[str, HttpEndpointControl] = {}
+
+    async def connect(
+        self,
+        endpoint: Endpoint,
+        deadline: float,
+    ) -> HttpEndpointConnection:
+        """Open a statement connection, which takes a slot."""
+        return await HttpEndpointConnection.open(
+            endpoint.address, self._name, deadline
+        )
+
+    def control(self, endpoint: Endpoint) -> HttpEndpointControl:
+        """Return the control client of an endpoint."""
+        control = self._controls.get(endpoint.control)
+        if control is None:
+            control = HttpEndpointControl(endpoint.control)
+            self._controls[endpoint.control] = control
+        return control
+
+
+def read_endpoint_error(body: bytes) -> RefusalError:
+    """Build the failure that an endpoint's error stands for.
+
+    Args:
+        body: JSON of an EndpointError.
+
+    Returns:
+        A typed failure.
+
+    """
+    try:
+        error = decode(body, type=EndpointError)
+    except (DecodeError, ValidationError) as exc:
+        return ConnectionLostError(f'unreadable error: {exc}')
+    kind = _ERRORS.get(error.code, InternalError)
+    return kind(error.detail or error.code, run=error.run)
--- /dev/null
+++ b/trefoilhitch/entry.py
@@ -0,0 +1,308 @@
+"""The callers' interface: HTTP with JSON in, typed answers and refusals out."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import Decoder, Encoder
+from trio import current_time
+
+from trefoilhitch._generated.messages import (
+    LogPosition,
+    OutcomeReply,
+    StatementReply,
+    StatementRequest,
+    TransactionReply,
+    TransactionRequest,
+)
+from trefoilhitch._generated.peer import Caller, OwnerReply
+from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.config import ConfigHolder
+from trefoilhitch.dispatcher import Call, Dispatcher
+from trefoilhitch.errors import (
+    BadRequestError,
+    NotFoundError,
+    RefusalError,
+    UnauthorisedError,
+    UnknownServiceError,
+)
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.position import ORIGIN, merge
+from trefoilhitch.token import TokenSigner
+
+OPEN_ORGANISATION = ''
+LOOKUP_TIMEOUT_MS = 5000
+REQUEST_SEPARATOR = ':'
+_SCHEME = 'bearer '
+_ENCODER = Encoder()
+_EMPTY = b'{}'
+BodyT = TypeVar('BodyT', bound=Struct)
+
+
+@dataclass(frozen=True, slots=True)
+class Codecs:
+    """Decoders of the bodies that callers send."""
+
+    statement: Decoder[StatementRequest]
+    transaction: Decoder[TransactionRequest]
+
+
+_CODECS = Codecs(Decoder(StatementRequest), Decoder(TransactionRequest))
+
+
+class Entry:
+    """Answers callers.
+
+    Args:
+        config: declares services and keys.
+        dispatcher: runs calls.
+        signer: signs session tokens.
+        metrics: counts and measures requests.
+        new_id: returns a fresh idempotency key.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        config: ConfigHolder,
+        dispatcher: Dispatcher,
+        signer: TokenSigner,
+        metrics: Metrics,
+        new_id: Callable[[], str],
+    ) -> None:
+        """Keep the collaborators."""
+        self._config = config
+        self._dispatcher = dispatcher
+        self._signer = signer
+        self._metrics = metrics
+        self._new_id = new_id
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a caller's request.
+
+        Args:
+            req: the whole request.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            RefusalError: there is none.
+
+        """
+        began = current_time()
+        self._metrics.count('requests')
+        try:
+            reply = await self._reply(req)
+        except RefusalError as exc:
+            self._metrics.count('refusals', exc.code)
+            raise
+        self._metrics.observe(current_time() - began)
+        return HttpResponse(body=_ENCODER.encode(reply))
+
+    async def _reply(self, req: HttpRequest) -> Struct:
+        match (req.method, *req.path.strip('/').split('/')):
+            case ('POST', 'v1', 'services', service, 'statements'):
+                return await self._statement(req, service)
+            case ('POST', 'v1', 'services', service, 'transactions'):
+                return await self._begin(req, service)
+            case (
+                'POST',
+                'v1',
+                'services',
+                service,
+                'transactions',
+                name,
+                verb,
+            ):
+                return await self._continue(req, service, (name, verb))
+            case ('GET', 'v1', 'requests', request):
+                return await self._outcome(req, request)
+        raise NotFoundError(f'{req.method} {req.path}')
+
+    async def _statement(
+        self, req: HttpRequest, service: str
+    ) -> StatementReply:
+        caller = self._admit(req, service)
+        body = _decode(_CODECS.statement, req.body)
+        seen = self._signer.read(body.session)
+        call = self._call(
+            caller, service, body.idempotency_key, body.timeout_ms
+        )
+        minimum = seen.get(service, ORIGIN)
+        answered = await self._dispatcher.statement(call, body, minimum)
+        return StatementReply(
+            columns=answered.reply.columns,
+            rows=answered.reply.rows,
+            changed=answered.reply.changed,
+            request=call.request if body.access == 'write' else '',
+            session=self._session(seen, service, answered.reply),
+            endpoint=answered.endpoint,
+            role=answered.reply.role,
+        )
+
+    async def _begin(self, req: HttpRequest, service: str) -> TransactionReply:
+        caller = self._admit(req, service)
+        body = _decode(_CODECS.transaction, req.body or _EMPTY)
+        call = self._call(
+            caller, service, body.idempotency_key, body.timeout_ms
+        )
+        reply = await self._dispatcher.begin(call)
+        return TransactionReply(
+            transaction=reply.transaction, request=call.request
+        )
+
+    async def _continue(
+        self,
+        req: HttpRequest,
+        service: str,
+        step: tuple[str, str],
+    ) -> StatementReply:
+        caller = self._admit(req, service)
+        name, verb = step
+        if verb == 'statements':
+            return await self._transaction_statement(req, caller, service, name)
+        if verb in {'commit', 'rollback'}:
+            return await self._end(req, caller, service, step)
+        raise NotFoundError(f'{req.method} {req.path}')
+
+    async def _transaction_statement(
+        self,
+        req: HttpRequest,
+        caller: Caller,
+        service: str,
+        name: str,
+    ) -> StatementReply:
+        body = _decode(_CODECS.statement, req.body)
+        call = self._call(
+            caller, service, body.idempotency_key, body.timeout_ms
+        )
+        answered = await self._dispatcher.in_transaction(call, name, body)
+        return StatementReply(
+            columns=answered.reply.columns,
+            rows=answered.reply.rows,
+            changed=answered.reply.changed,
+            request='',
+            session=body.session,
+            endpoint='',
+            role='primary',
+        )
+
+    async def _end(
+        self,
+        req: HttpRequest,
+        caller: Caller,
+        service: str,
+        step: tuple[str, str],
+    ) -> StatementReply:
+        name, verb = step
+        body = _decode(_CODECS.transaction, req.body or _EMPTY)
+        seen = self._signer.read(body.session)
+        call = self._call(
+            caller, service, body.idempotency_key, body.timeout_ms
+        )
+        reply = await self._dispatcher.end(call, name, commit=verb == 'commit')
+        return StatementReply(
+            columns=[],
+            rows=[],
+            changed=reply.changed,
+            request=call.request if verb == 'commit' else '',
+            session=self._session(seen, service, reply),
+            endpoint='',
+            role='primary',
+        )
+
+    async def _outcome(self, req: HttpRequest, request: str) -> OutcomeReply:
+        service, separator, key = request.partition(REQUEST_SEPARATOR)
+        if not (separator and key):
+            raise BadRequestError('a request id has the form SERVICE:KEY')
+        caller = self._admit(req, service)
+        call = self._call(caller, service, key, LOOKUP_TIMEOUT_MS)
+        reply = await self._dispatcher.lookup(call)
+        return OutcomeReply(
+            request=request,
+            state='committed' if reply.found else 'absent',
+            changed=reply.changed,
+            session=self._session({}, service, reply),
+        )
+
+    def _admit(self, req: HttpRequest, service: str) -> Caller:
+        cfg = self._config.current
+        declared = cfg.services.get(service)
+        if declared is None:
+            raise UnknownServiceError(service)
+        presented = req.headers.get('authorization', '')
+        if declared.open and not presented:
+            return Caller(
+                organisation=OPEN_ORGANISATION,
+                key='',
+                revision=cfg.revision,
+            )
+        if not presented.lower().startswith(_SCHEME):
+            raise UnauthorisedError(
+                'send the header "Authorization: Bearer KEY"'
+            )
+        key = cfg.keyring.check(presented[len(_SCHEME) :].strip())
+        return Caller(
+            organisation=key.organisation,
+            key=key.name,
+            revision=cfg.revision,
+        )
+
+    def _call(
+        self,
+        caller: Caller,
+        service: str,
+        key: str,
+        timeout_ms: int,
+    ) -> Call:
+        request = f'{service}{REQUEST_SEPARATOR}{key or self._new_id()}'
+        return Call(caller, service, request, deadline_after_ms(timeout_ms))
+
+    def _session(
+        self,
+        seen: dict[str, LogPosition],
+        service: str,
+        reply: OwnerReply,
+    ) -> str:
+        reached = LogPosition(term=reply.term, position=reply.position)
+        return self._signer.sign(merge(seen, {service: reached}))
+
+
+class PublicAnswerer:
+    """Adds the health check to the callers' interface.
+
+    Args:
+        entry: answers callers.
+        is_ready: tells whether the node can serve.
+
+    """
+
+    def __init__(self, *, entry: Entry, is_ready: Callable[[], bool]) -> None:
+        """Keep the collaborators."""
+        self._entry = entry
+        self._is_ready = is_ready
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a caller or the balancer.
+
+        Args:
+            req: the whole request.
+
+        Returns:
+            The whole answer.
+
+        """
+        if req.path == '/healthz':
+            return HttpResponse(200 if self._is_ready() else 503, _EMPTY)
+        return await self._entry.answer(req)
+
+
+def _decode(decoder: Decoder[BodyT], body: bytes) -> BodyT:
+    try:
+        return decoder.decode(body)
+    except (DecodeError, ValidationError) as exc:
+        raise BadRequestError(str(exc)) from exc
--- /dev/null
+++ b/trefoilhitch/fleet.py
@@ -0,0 +1,245 @@
+"""What a node knows of the fleet: itself, its peers, and who owns what."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from trefoilhitch._generated.peer import Heartbeat, MemberBeat
+from trefoilhitch._generated.record import PlacementNode, PlacementRecord
+from trefoilhitch._generated.store import Endpoint, VmList
+from trefoilhitch.config import place_of
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.membership import Membership
+from trefoilhitch.placement import monitors, owner
+
+MONITORS = 2
+WATCHERS = 2
+AVOID_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who and where a node is.
+
+    Args:
+        node: its name.
+        address: its `ADDRESS:PEER_PORT`.
+        region: its region.
+        data_centre: its data centre.
+        incarnation: number that is higher after each start.
+
+    """
+
+    node: str
+    address: str
+    region: str
+    data_centre: str
+    incarnation: int
+
+    @property
+    def place(self) -> PlacementNode:
+        """Return where the node is."""
+        return PlacementNode(
+            name=self.node,
+            region=self.region,
+            data_centre=self.data_centre,
+        )
+
+
+class Fleet:
+    """Tracks live nodes, and places endpoints and monitors on them.
+
+    Args:
+        identity: this node.
+        clock: returns monotonic time.
+        log: takes note of placements.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        clock: Callable[[], float],
+        log: DecisionLog,
+    ) -> None:
+        """Start alone."""
+        self.identity = identity
+        self.state = 'live'
+        self._clock = clock
+        self._log = log
+        self._membership = Membership()
+        self._counter = 0
+        self._listed: dict[str, str] = {}
+        self._avoided: dict[str, float] = {}
+        self._placed: dict[str, str] = {}
+        self.beat(0)
+
+    def beat(self, revision: int) -> Heartbeat:
+        """Advance this node's heartbeat.
+
+        Args:
+            revision: configuration that is in force here.
+
+        Returns:
+            All heartbeats known, this node's first.
+
+        """
+        self._counter += 1
+        own = MemberBeat(
+            node=self.identity.node,
+            address=self.identity.address,
+            region=self.identity.region,
+            data_centre=self.identity.data_centre,
+            incarnation=self.identity.incarnation,
+            counter=self._counter,
+            state=self.state,
+            revision=revision,
+        )
+        self.observe(Heartbeat(beats=[own]))
+        others = [beat for beat in self.reachable() if beat.node != own.node]
+        return Heartbeat(beats=[own, *others])
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """Take heartbeats that were heard.
+
+        Args:
+            heartbeat: heartbeats of any nodes.
+
+        """
+        now = self._clock()
+        self._membership = self._membership.observe(
+            heartbeat.beats, now
+        ).forget(now)
+
+    def listed(self, vms: VmList) -> None:
+        """Take the platform's list of VMs.
+
+        Args:
+            vms: the list, which may lag.
+
+        """
+        self._listed = {vm.name: vm.address for vm in vms.vms}
+
+    def avoid(self, node: str) -> None:
+        """Give a node no work for a while, because it refused a connection.
+
+        Args:
+            node: its name.
+
+        """
+        self._avoided[node] = self._clock() + AVOID_S
+
+    def reachable(self) -> list[MemberBeat]:
+        """Return the newest heartbeats of all nodes that answer."""
+        return self._membership.reachable(self._clock())
+
+    def contacts(self) -> list[str]:
+        """Return the addresses of all other nodes, heard or only listed."""
+        heard = {beat.node: beat.address for beat in self.reachable()}
+        known = {**self._listed, **heard}
+        known.pop(self.identity.node, None)
+        return [address for _, address in sorted(known.items())]
+
+    def newest_revision(self) -> tuple[int, str]:
+        """Return the highest revision heard of, and who has it."""
+        newest = max(self.reachable(), key=lambda beat: beat.revision)
+        return newest.revision, newest.address
+
+    def address_of(self, node: str) -> str | None:
+        """Return a node's address.
+
+        Args:
+            node: its name.
+
+        Returns:
+            `ADDRESS:PEER_PORT`, or None if it is not known.
+
+        """
+        member = self._membership.members.get(node)
+        return member.beat.address if member else self._listed.get(node)
+
+    def incarnation_of(self, node: str) -> int | None:
+        """Return the incarnation of a node that was last heard.
+
+        Args:
+            node: its name.
+
+        Returns:
+            The incarnation, or None if it is not known.
+
+        """
+        member = self._membership.members.get(node)
+        return member.beat.incarnation if member else None
+
+    def owner_of(self, endpoint: Endpoint) -> str:
+        """Return the node that owns an endpoint's slots.
+
+        Args:
+            endpoint: the declared endpoint.
+
+        Returns:
+            The owner's name.
+
+        """
+        nodes = self._workers()
+        chosen = owner(place_of(endpoint), nodes) or self.identity.node
+        if self._placed.get(endpoint.name) != chosen:
+            self._placed[endpoint.name] = chosen
+            self._note_placement(endpoint, nodes, chosen)
+        return chosen
+
+    def monitors_of(self, service: str) -> list[str]:
+        """Return the nodes that monitor a service's group, by rank.
+
+        Args:
+            service: its name.
+
+        Returns:
+            Node names.
+
+        """
+        return monitors(service, self._workers(), MONITORS)
+
+    def is_watcher(self) -> bool:
+        """Tell whether this node watches the store for its data centre.
+
+        Returns:
+            True if it is one of the chosen few.
+
+        """
+        here = [
+            node
+            for node in self._workers()
+            if node.data_centre == self.identity.data_centre
+        ]
+        return self.identity.node in monitors('watcher', here, WATCHERS)
+
+    def _workers(self) -> list[PlacementNode]:
+        now = self._clock()
+        return [
+            PlacementNode(
+                name=beat.node,
+                region=beat.region,
+                data_centre=beat.data_centre,
+            )
+            for beat in self._membership.live(now)
+            if self._avoided.get(beat.node, 0) <= now
+        ]
+
+    def _note_placement(
+        self,
+        endpoint: Endpoint,
+        nodes: list[PlacementNode],
+        chosen: str,
+    ) -> None:
+        self._log.decision(
+            PlacementRecord(
+                kind='placement',
+                at=self._clock(),
+                endpoint=endpoint.name,
+                region=endpoint.region,
+                data_centre=endpoint.data_centre,
+                nodes=nodes,
+                owner=chosen,
+            ),
+        )
--- /dev/null
+++ b/trefoilhitch/group_state.py
@@ -0,0 +1,136 @@
+"""What an entry knows of a database group, and how old that knowledge is."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch._generated.peer import EndpointView, GroupView, OwnerReply
+from trefoilhitch.position import at_least
+
+MARKS_KEPT = 256
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Mark:
+    """A primary position that a majority confirmed.
+
+    Args:
+        proved_at: monotonic time; the position was the latest then or later.
+        position: the position.
+
+    """
+
+    proved_at: float
+    position: LogPosition
+
+
+@dataclass(slots=True)
+class GroupState:
+    """The newest view of a group and the marks that prove ages.
+
+    Args:
+        view: newest view; None before the first.
+        expires_at: monotonic time from which the view wants a refresh.
+
+    """
+
+    view: GroupView | None = None
+    expires_at: float = 0
+    _marks: deque[Mark] = field(
+        default_factory=lambda: deque(maxlen=MARKS_KEPT)
+    )
+
+    @property
+    def term(self) -> int:
+        """Return the term of the newest view."""
+        return self.view.term if self.view else 0
+
+    @property
+    def primary(self) -> str:
+        """Return the primary of the newest view; empty if there is none."""
+        return self.view.primary if self.view else ''
+
+    @property
+    def endpoints(self) -> list[EndpointView]:
+        """Return the endpoints of the newest view."""
+        return self.view.endpoints if self.view else []
+
+    def adopt(
+        self, view: GroupView, *, asked_at: float, expires_at: float
+    ) -> None:
+        """Take a monitor's view, unless its term is older.
+
+        Args:
+            view: the view.
+            asked_at: monotonic time at which it was asked for.
+            expires_at: monotonic time from which it wants a refresh.
+
+        """
+        if view.term < self.term:
+            return
+        self.view = view
+        self.expires_at = expires_at
+        if view.proved_age_ms is not None:
+            proved_at = asked_at - view.proved_age_ms / _MS_PER_S
+            position = LogPosition(
+                term=view.proved_term,
+                position=view.proved_position,
+            )
+            self._marks.append(Mark(proved_at, position))
+
+    def learn(self, endpoint: str, reply: OwnerReply) -> None:
+        """Take the position that an answer was read at.
+
+        Args:
+            endpoint: who answered.
+            reply: the answer.
+
+        """
+        if self.view is None or reply.role != 'replica':
+            return
+        self.view = replace(
+            self.view,
+            endpoints=[
+                _advanced(each, reply) if each.name == endpoint else each
+                for each in self.view.endpoints
+            ],
+        )
+
+    def needed_for_age(self, since: float) -> LogPosition | None:
+        """Return a position that proves rows to be no older than a time.
+
+        A log that has reached a position which was the primary's latest at some
+        time holds every write that was acknowledged before that time.
+
+        Args:
+            since: monotonic time.
+
+        Returns:
+            The earliest position proved at that time or later; None if there is
+            no proof.
+
+        """
+        proved = [mark for mark in self._marks if mark.proved_at >= since]
+        if not proved:
+            return None
+        earliest = proved[0]
+        for mark in proved:
+            if at_least(earliest.position, mark.position):
+                earliest = mark
+        return earliest.position
+
+
+def _advanced(view: EndpointView, reply: OwnerReply) -> EndpointView:
+    if (view.applied_term, view.applied_position) >= (
+        reply.term,
+        reply.position,
+    ):
+        return view
+    return replace(
+        view,
+        applied_term=reply.term,
+        applied_position=reply.position,
+    )
--- /dev/null
+++ b/trefoilhitch/http_message.py
@@ -0,0 +1,137 @@
+"""HTTP messages as the rest of the package sees them."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Protocol
+from urllib.parse import parse_qsl
+
+JSON_TYPE = 'application/json'
+_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds on what a server reads.
+
+    Args:
+        body_bytes: longest body.
+        header_bytes: longest request line and headers together.
+        connections: most open connections.
+        request_read_s: longest time from the first byte of a request to its last.
+
+    """
+
+    body_bytes: int = 262144
+    header_bytes: int = 16384
+    connections: int = 10000
+    request_read_s: float = 10
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request.
+
+    Args:
+        method: upper-case method.
+        target: path and query as sent.
+        headers: last text by lower-case name.
+        body: the body.
+
+    """
+
+    method: str
+    target: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+    @property
+    def path(self) -> str:
+        """Return the path without the query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the query's fields."""
+        return dict(parse_qsl(self.target.partition('?')[2]))
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response.
+
+    Args:
+        status: status code.
+        body: the body.
+        headers: text by name.
+        close: whether the connection closes after it.
+
+    """
+
+    status: int = HTTPStatus.OK
+    body: bytes = b''
+    headers: Mapping[str, str] = field(default_factory=dict)
+    close: bool = False
+
+
+class Answerer(Protocol):
+    """Answers the requests of one connection after the other."""
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a request.
+
+        Args:
+            req: a whole request.
+
+        Returns:
+            The whole response.
+
+        """
+
+
+def encode_request(req: HttpRequest, host: str) -> bytes:
+    """Return the bytes of a request.
+
+    Args:
+        req: the request.
+        host: address that it goes to.
+
+    Returns:
+        Head and body.
+
+    """
+    head = [
+        f'{req.method} {req.target} HTTP/1.1',
+        f'host: {host}',
+        *_header_lines(req.headers, req.body),
+    ]
+    return _join(head, req.body)
+
+
+def encode_response(resp: HttpResponse) -> bytes:
+    """Return the bytes of a response.
+
+    Args:
+        resp: the response.
+
+    Returns:
+        Head and body.
+
+    """
+    head = [f'HTTP/1.1 {resp.status} {_PHRASES[resp.status]}']
+    head.extend(_header_lines(resp.headers, resp.body))
+    if resp.close:
+        head.append('connection: close')
+    return _join(head, resp.body)
+
+
+def _header_lines(headers: Mapping[str, str], body: bytes) -> list[str]:
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    if 'content-type' not in headers:
+        lines.append(f'content-type: {JSON_TYPE}')
+    lines.append(f'content-length: {len(body)}')
+    return lines
+
+
+def _join(head: list[str], body: bytes) -> bytes:
+    return '\r\n'.join((*head, '', '')).encode('latin-1') + body
--- /dev/null
+++ b/trefoilhitch/http_server.py
@@ -0,0 +1,402 @@
+"""HTTP/1.1 server on trio: httptools parses, this module reads and writes."""
+
+import math
+from collections import deque
+from typing import Protocol
+
+from httptools import HttpParserError, HttpRequestParser
+from msgspec.json import encode
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    Nursery,
+    SocketListener,
+    SocketStream,
+    aclose_forcefully,
+    current_time,
+    open_nursery,
+    open_tcp_listeners,
+    sleep_forever,
+)
+
+from trefoilhitch.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    ConnectionLimitError,
+    HeadersTooLargeError,
+    InternalError,
+    RefusalError,
+    RequestTimeoutError,
+)
+from trefoilhitch.http_message import (
+    Answerer,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    encode_response,
+)
+
+RECEIVE_BYTES = 16384
+BACKLOG = 1024
+
+
+class ErrorReporter(Protocol):
+    """Takes note of failures that a server did not expect."""
+
+    def report(self, exc: Exception) -> None:
+        """Take note of a failure.
+
+        Args:
+            exc: what was raised.
+
+        """
+
+
+class AnswererFactory(Protocol):
+    """Makes the answerer of each new connection."""
+
+    def connect(self) -> Answerer:
+        """Return the answerer for a new connection."""
+
+    def disconnect(self, answerer: Answerer) -> None:
+        """Release the answerer of a connection that closed.
+
+        Args:
+            answerer: what `connect` returned.
+
+        """
+
+
+class SharedAnswerer:
+    """Gives every connection the same answerer.
+
+    Args:
+        answerer: answers all requests.
+
+    """
+
+    def __init__(self, answerer: Answerer) -> None:
+        """Keep the answerer."""
+        self._answerer = answerer
+
+    def connect(self) -> Answerer:
+        """Return the shared answerer."""
+        return self._answerer
+
+    def disconnect(self, answerer: Answerer) -> None:
+        """Release nothing: the answerer is shared.
+
+        Args:
+            answerer: the shared answerer.
+
+        """
+
+
+class RequestReader:
+    """Collects whole requests from the bytes of one connection.
+
+    Args:
+        limits: bounds on what is read.
+
+    """
+
+    def __init__(self, limits: HttpLimits) -> None:
+        """Start at the beginning of a connection."""
+        self.partial = False
+        self._limits = limits
+        self._parser = HttpRequestParser(self)
+        self._whole: deque[HttpRequest | RefusalError] = deque()
+        self._reset()
+
+    def feed(self, chunk: bytes) -> None:
+        """Take received bytes.
+
+        Args:
+            chunk: bytes in the order of their arrival.
+
+        Raises:
+            BadRequestError: they are not HTTP.
+            HeadersTooLargeError: the head of a request is over the limit.
+
+        """
+        try:
+            self._parser.feed_data(chunk)
+        except HttpParserError as exc:
+            raise BadRequestError('not an HTTP/1.1 request') from exc
+        if self.partial and not self._in_body:
+            self._count_head(len(chunk))
+
+    def next_request(self) -> HttpRequest | None:
+        """Return the next whole request.
+
+        Returns:
+            The request, or None if more bytes are needed.
+
+        Raises:
+            BodyTooLargeError: the request's body was over the limit.
+
+        """
+        if not self._whole:
+            return None
+        taken = self._whole.popleft()
+        if isinstance(taken, RefusalError):
+            raise taken
+        return taken
+
+    def on_message_begin(self) -> None:
+        """Note the first byte of a request."""
+        self._reset()
+        self.partial = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the request target.
+
+        Args:
+            url: the part.
+
+        """
+        self._target += url
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect a header.
+
+        Args:
+            name: its name.
+            text: its text.
+
+        """
+        self._headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the head."""
+        self._in_body = True
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body; what exceeds the limit is dropped.
+
+        Args:
+            body: the part.
+
+        """
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._limits.body_bytes:
+            self._body += body
+
+    def on_message_complete(self) -> None:
+        """Note the last byte of a request."""
+        self.partial = False
+        if self._body_bytes > self._limits.body_bytes:
+            refused = BodyTooLargeError(
+                f'at most {self._limits.body_bytes} bytes'
+            )
+            self._whole.append(refused)
+            return
+        self._whole.append(
+            HttpRequest(
+                self._parser.get_method().decode('latin-1'),
+                self._target.decode('latin-1'),
+                self._headers,
+                bytes(self._body),
+            ),
+        )
+
+    def _reset(self) -> None:
+        self._target = b''
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._in_body = False
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._limits.header_bytes:
+            raise HeadersTooLargeError(
+                f'at most {self._limits.header_bytes} bytes'
+            )
+
+
+class HttpServer:
+    """Serves HTTP on one address until it is told to drain.
+
+    Args:
+        factory: makes an answerer for each connection.
+        reporter: takes note of unexpected failures.
+        limits: bounds on what is read.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        factory: AnswererFactory,
+        reporter: ErrorReporter,
+        limits: HttpLimits | None = None,
+    ) -> None:
+        """Start without connections."""
+        self.connections = 0
+        self._factory = factory
+        self._reporter = reporter
+        self._limits = limits or HttpLimits()
+        self._draining = False
+        self._stopping = False
+        self._waiting: set[CancelScope] = set()
+        self._accepting = CancelScope()
+
+    async def listen(self, nursery: Nursery, address: str, port: int) -> int:
+        """Open the listener and serve it in the background.
+
+        Args:
+            nursery: runs the connections.
+            address: IPv4 address.
+            port: TCP port; 0 for any.
+
+        Returns:
+            The port.
+
+        """
+        listeners = await open_tcp_listeners(
+            port, host=address, backlog=BACKLOG
+        )
+        nursery.start_soon(self._accept, listeners[0])
+        return int(listeners[0].socket.getsockname()[1])
+
+    def drain(self) -> None:
+        """Answer every request as before, but close its connection afterwards."""
+        self._draining = True
+
+    def stop(self) -> None:
+        """Stop accepting, close idle connections, let running requests finish."""
+        self._draining = True
+        self._stopping = True
+        self._accepting.cancel()
+        for scope in self._waiting:
+            scope.cancel()
+
+    async def _accept(self, listener: SocketListener) -> None:
+        async with listener, open_nursery() as nursery:
+            with self._accepting:
+                while not self._stopping:
+                    nursery.start_soon(self._serve, await listener.accept())
+
+    async def _serve(self, stream: SocketStream) -> None:
+        self.connections += 1
+        answerer = self._factory.connect()
+        try:
+            await self._converse(stream, answerer)
+        except (BrokenResourceError, ClosedResourceError):
+            return
+        finally:
+            self.connections -= 1
+            self._factory.disconnect(answerer)
+            await aclose_forcefully(stream)
+
+    async def _converse(self, stream: SocketStream, answerer: Answerer) -> None:
+        if self.connections > self._limits.connections:
+            await _send(stream, _refuse(ConnectionLimitError(), close=True))
+            return
+        reader = RequestReader(self._limits)
+        keep = True
+        while keep and not self._stopping:
+            keep = await self._exchange(stream, reader, answerer)
+
+    async def _exchange(
+        self,
+        stream: SocketStream,
+        reader: RequestReader,
+        answerer: Answerer,
+    ) -> bool:
+        try:
+            req = await self._receive(stream, reader)
+        except BodyTooLargeError as too_large:
+            await _send(stream, _refuse(too_large))
+            return True
+        except RefusalError as exc:
+            await _send(stream, _refuse(exc, close=True))
+            return False
+        if req is None:
+            return False
+        resp = await self._answer(answerer, req)
+        keep = not (resp.close or self._draining or _wants_close(req))
+        if not keep:
+            resp = HttpResponse(
+                resp.status, resp.body, resp.headers, close=True
+            )
+        await _send(stream, resp)
+        return keep
+
+    async def _answer(
+        self, answerer: Answerer, req: HttpRequest
+    ) -> HttpResponse:
+        try:
+            return await answerer.answer(req)
+        except RefusalError as refused:
+            return _refuse(refused)
+        except Exception as exc:
+            self._reporter.report(exc)
+            return _refuse(InternalError('see the log of this node'))
+
+    async def _receive(
+        self,
+        stream: SocketStream,
+        reader: RequestReader,
+    ) -> HttpRequest | None:
+        req = reader.next_request()
+        if req is not None:
+            return req
+        with CancelScope() as scope:
+            self._waiting.add(scope)
+            try:
+                return await self._read(stream, reader, scope)
+            finally:
+                self._waiting.discard(scope)
+        if reader.partial:
+            raise RequestTimeoutError('the request did not arrive in time')
+        return None
+
+    async def _read(
+        self,
+        stream: SocketStream,
+        reader: RequestReader,
+        scope: CancelScope,
+    ) -> HttpRequest | None:
+        req = None
+        while req is None:
+            chunk = await stream.receive_some(RECEIVE_BYTES)
+            if not chunk:
+                return None
+            reader.feed(chunk)
+            req = reader.next_request()
+            if reader.partial and scope.deadline == math.inf:
+                scope.deadline = current_time() + self._limits.request_read_s
+                self._waiting.discard(scope)
+        return req
+
+
+async def serve_until_cancelled(
+    server: HttpServer, address: str, port: int
+) -> None:
+    """Serve an address until the task is cancelled.
+
+    Args:
+        server: the server.
+        address: IPv4 address.
+        port: TCP port.
+
+    """
+    async with open_nursery() as nursery:
+        await server.listen(nursery, address, port)
+        await sleep_forever()
+
+
+def _wants_close(req: HttpRequest) -> bool:
+    return req.headers.get('connection', '').lower() == 'close'
+
+
+def _refuse(exc: RefusalError, *, close: bool = False) -> HttpResponse:
+    return HttpResponse(exc.status, encode(exc.refusal()), close=close)
+
+
+async def _send(stream: SocketStream, resp: HttpResponse) -> None:
+    await stream.send_all(encode_response(resp))
--- /dev/null
+++ b/trefoilhitch/keyring.py
@@ -0,0 +1,118 @@
+"""Callers' keys: creation, salted hashes and checking."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from hmac import compare_digest
+from typing import Self
+
+from trefoilhitch._generated.store import Key
+from trefoilhitch.errors import UnauthorisedError
+
+_PREFIX = 'th'
+_SEPARATOR = '_'
+_PARTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class NewKey:
+    """A key that was just made.
+
+    Args:
+        text: what the caller presents; it is not stored anywhere.
+        key: what the declaration keeps.
+
+    """
+
+    text: str
+    key: Key
+
+
+def create_key(
+    organisation: str, *, name: str, secret: str, salt: str
+) -> NewKey:
+    """Make a key from random text.
+
+    Args:
+        organisation: whom the key belongs to.
+        name: public name of the key.
+        secret: random text of at least 128 bits.
+        salt: random hexadecimal text.
+
+    Returns:
+        The text for the caller and the hash for the declaration.
+
+    """
+    key = Key(
+        name=name,
+        organisation=organisation,
+        salt=salt,
+        digest=_hash(salt, secret),
+    )
+    return NewKey(_SEPARATOR.join((_PREFIX, name, secret)), key)
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRing:
+    """The keys that are in force.
+
+    Args:
+        keys: stored keys by name.
+
+    """
+
+    keys: Mapping[str, Key]
+
+    @classmethod
+    def from_keys(cls, keys: Iterable[Key]) -> Self:
+        """Build a key ring.
+
+        Args:
+            keys: stored keys.
+
+        Returns:
+            The key ring.
+
+        """
+        return cls({key.name: key for key in keys})
+
+    def check(self, presented: str) -> Key:
+        """Return the stored key that a caller presents.
+
+        Args:
+            presented: text from the caller.
+
+        Returns:
+            The stored key, which names the organisation.
+
+        Raises:
+            UnauthorisedError: the key is malformed, unknown or wrong.
+
+        """
+        parts = presented.split(_SEPARATOR)
+        if len(parts) != _PARTS or parts[0] != _PREFIX:
+            raise UnauthorisedError('a key has the form th_NAME_SECRET')
+        key = self.keys.get(parts[1])
+        if key is None or not compare_digest(
+            _hash(key.salt, parts[2]), key.digest
+        ):
+            raise UnauthorisedError('the key is unknown, wrong or withdrawn')
+        return key
+
+    def holds(self, name: str, organisation: str) -> bool:
+        """Tell whether a key that was checked earlier is still in force.
+
+        Args:
+            name: public name of the key.
+            organisation: whom it belonged to.
+
+        Returns:
+            True if the key is still declared for that organisation.
+
+        """
+        key = self.keys.get(name)
+        return key is not None and key.organisation == organisation
+
+
+def _hash(salt: str, secret: str) -> str:
+    return sha256(f'{salt}:{secret}'.encode()).hexdigest()
--- /dev/null
+++ b/trefoilhitch/metrics.py
@@ -0,0 +1,97 @@
+"""Metrics: counters and latency histograms, in the Prometheus text format."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+_US_PER_S = 1_000_000
+_US_PER_MS = 1000
+_PERCENT = 100
+
+
+class Metrics:
+    """Counts requests and measures how long they take."""
+
+    def __init__(self) -> None:
+        """Start from zero."""
+        self._counters: Counter[tuple[str, str]] = Counter()
+        self._latency = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+    def count(self, name: str, label: str = '') -> None:
+        """Add one to a counter.
+
+        Args:
+            name: name of the counter.
+            label: what is counted apart.
+
+        """
+        self._counters[name, label] += 1
+
+    def observe(self, seconds: float) -> None:
+        """Record how long a request took.
+
+        Args:
+            seconds: from the whole request to the whole answer.
+
+        """
+        self._latency.record_value(max(LOWEST_US, int(seconds * _US_PER_S)))
+
+    def total(self, name: str) -> int:
+        """Return the sum of a counter over its labels.
+
+        Args:
+            name: name of the counter.
+
+        Returns:
+            The sum.
+
+        """
+        return sum(
+            count
+            for (counted, _), count in self._counters.items()
+            if counted == name
+        )
+
+    def latency_ms(self, quantile: float) -> float:
+        """Return a quantile of the latency.
+
+        Args:
+            quantile: between 0 and 1.
+
+        Returns:
+            Milliseconds.
+
+        """
+        return (
+            self._latency.get_value_at_percentile(quantile * _PERCENT)
+            / _US_PER_MS
+        )
+
+    def render(self) -> str:
+        """Return all metrics in the Prometheus text format.
+
+        Returns:
+            Lines, each with its end.
+
+        """
+        return ''.join(f'{line}\n' for line in self._lines())
+
+    def _lines(self) -> Iterator[str]:
+        seen = ''
+        for (name, label), count in sorted(self._counters.items()):
+            if name != seen:
+                yield f'# TYPE trefoilhitch_{name}_total counter'
+                seen = name
+            labels = f'{{kind="{label}"}}' if label else ''
+            yield f'trefoilhitch_{name}_total{labels} {count}'
+        yield '# TYPE trefoilhitch_request_seconds summary'
+        for quantile in QUANTILES:
+            seconds = self.latency_ms(quantile) / _US_PER_MS
+            yield f'trefoilhitch_request_seconds{{quantile="{quantile}"}} {seconds}'
+        total = self._latency.get_total_count()
+        yield f'trefoilhitch_request_seconds_count {total}'
--- /dev/null
+++ b/trefoilhitch/peer_auth.py
@@ -0,0 +1,104 @@
+"""Authentication between nodes: requests signed with the fleet's secret."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hmac import compare_digest, digest
+from typing import Self
+
+from trefoilhitch.errors import UnauthorisedError
+from trefoilhitch.http_message import HttpRequest
+
+SIGNATURE_HEADER = 'trefoilhitch-signature'
+TIME_HEADER = 'trefoilhitch-time'
+MAX_SKEW_S = 300
+_DIGEST = 'sha256'
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAuth:
+    """Signs requests between nodes and checks them.
+
+    Args:
+        secrets: secrets that are accepted; the first one signs.
+
+    """
+
+    secrets: tuple[bytes, ...]
+
+    @classmethod
+    def from_secrets(cls, current: str, previous: str = '') -> Self:
+        """Build from the fleet's secrets.
+
+        Args:
+            current: secret that signs and is accepted.
+            previous: secret that is accepted only; empty for none.
+
+        Returns:
+            The authenticator.
+
+        """
+        return cls(
+            tuple(
+                digest(secret.encode(), b'peer', _DIGEST)
+                for secret in (current, previous)
+                if secret
+            )
+        )
+
+    def sign(self, req: HttpRequest, unix_time: float) -> HttpRequest:
+        """Return a request with its signature.
+
+        Args:
+            req: the request.
+            unix_time: seconds.
+
+        Returns:
+            The same request with two more headers.
+
+        """
+        sent_at = str(int(unix_time))
+        signature = _signature(self.secrets[0], req, sent_at)
+        headers = {TIME_HEADER: sent_at, SIGNATURE_HEADER: signature}
+        return HttpRequest(req.method, req.target, headers, req.body)
+
+    def check(self, req: HttpRequest, unix_time: float) -> None:
+        """Check the signature of a request.
+
+        Args:
+            req: the request.
+            unix_time: seconds.
+
+        Raises:
+            UnauthorisedError: the fleet did not sign it, or not recently.
+
+        """
+        sent_at = _sent_at(req.headers)
+        if abs(unix_time - int(sent_at)) > MAX_SKEW_S:
+            raise UnauthorisedError('signed too long ago, or the clocks differ')
+        signature = req.headers.get(SIGNATURE_HEADER, '')
+        if not _matches(self.secrets, req, sent_at, signature):
+            raise UnauthorisedError('not signed by a node of this fleet')
+
+
+def _sent_at(headers: Mapping[str, str]) -> str:
+    sent_at = headers.get(TIME_HEADER, '')
+    if not (sent_at.isascii() and sent_at.isdigit()):
+        raise UnauthorisedError('not signed')
+    return sent_at
+
+
+def _matches(
+    secrets: Iterable[bytes],
+    req: HttpRequest,
+    sent_at: str,
+    signature: str,
+) -> bool:
+    return any(
+        compare_digest(_signature(secret, req, sent_at), signature)
+        for secret in secrets
+    )
+
+
+def _signature(secret: bytes, req: HttpRequest, sent_at: str) -> str:
+    head = f'{req.method} {req.target} {sent_at}\n'.encode()
+    return digest(secret, head + req.body, _DIGEST).hex()
--- /dev/null
+++ b/trefoilhitch/peer_server.py
@@ -0,0 +1,136 @@
+"""The interface between nodes, and the operators' view of a node."""
+
+from collections.abc import Awaitable, Callable
+from time import time
+from typing import Generic, TypeVar
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode, encode
+
+from trefoilhitch._generated.peer import (
+    ConfigOffer,
+    ConfigQuery,
+    ForwardBegin,
+    ForwardEnd,
+    ForwardLookup,
+    ForwardStatement,
+    GroupQuery,
+    Heartbeat,
+    NodeStatus,
+    SwitchOrder,
+)
+from trefoilhitch.config import ConfigHolder
+from trefoilhitch.dispatcher import OwnerService
+from trefoilhitch.errors import BadRequestError, NotFoundError
+from trefoilhitch.fleet import Fleet
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.monitor import Monitors
+from trefoilhitch.peer_auth import PeerAuth
+
+MessageT = TypeVar('MessageT', bound=Struct)
+_TEXT_TYPE = 'text/plain; version=0.0.4'
+
+
+class PeerAnswerer:
+    """Answers other nodes, operators and the metrics collector.
+
+    Args:
+        auth: checks signatures.
+        owner: runs forwarded requests.
+        fleet: takes heartbeats.
+        config: offered to nodes that lag.
+        monitors: answer for the groups that this node watches.
+        metrics: rendered for the collector.
+        status: returns what the node says of itself.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        auth: PeerAuth,
+        owner: OwnerService,
+        fleet: Fleet,
+        config: ConfigHolder,
+        monitors: Monitors,
+        metrics: Metrics,
+        status: Callable[[], NodeStatus],
+    ) -> None:
+        """Keep the collaborators."""
+        self._auth = auth
+        self._fleet = fleet
+        self._config = config
+        self._monitors = monitors
+        self._metrics = metrics
+        self._status = status
+        self._routes: dict[str, Callable[[bytes], Awaitable[Struct]]] = {
+            '/peer/v1/statement': _Route(ForwardStatement, owner.statement),
+            '/peer/v1/begin': _Route(ForwardBegin, owner.begin),
+            '/peer/v1/end': _Route(ForwardEnd, owner.end),
+            '/peer/v1/lookup': _Route(ForwardLookup, owner.lookup),
+            '/peer/v1/heartbeat': _Route(Heartbeat, self._heartbeat),
+            '/peer/v1/group': _Route(GroupQuery, self._group),
+            '/peer/v1/config': _Route(ConfigQuery, self._offer),
+            '/peer/v1/switch': _Route(SwitchOrder, self._switch),
+        }
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a request.
+
+        Args:
+            req: the whole request.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            RefusalError: it is not signed, not known, or refused.
+
+        """
+        if req.path == '/metrics':
+            text = self._metrics.render().encode()
+            return HttpResponse(body=text, headers={'content-type': _TEXT_TYPE})
+        self._auth.check(req, time())
+        if req.path == '/peer/v1/status':
+            return HttpResponse(body=encode(self._status()))
+        route = self._routes.get(req.path)
+        if route is None:
+            raise NotFoundError(req.path)
+        return HttpResponse(body=encode(await route(req.body)))
+
+    async def _heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
+        self._fleet.observe(heartbeat)
+        return Heartbeat(beats=self._fleet.reachable())
+
+    async def _group(self, query: GroupQuery) -> Struct:
+        return self._monitors.view(query)
+
+    async def _offer(self, query: ConfigQuery) -> ConfigOffer:
+        current = self._config.current
+        newer = current.revision > query.revision
+        return ConfigOffer(
+            revision=current.revision,
+            body=current.body if newer else '',
+        )
+
+    async def _switch(self, order: SwitchOrder) -> Struct:
+        self._monitors.order_switch(order.service, order.primary)
+        return order
+
+
+class _Route(Generic[MessageT]):
+    def __init__(
+        self,
+        message_type: type[MessageT],
+        answer: Callable[[MessageT], Awaitable[Struct]],
+    ) -> None:
+        self._message_type = message_type
+        self._answer = answer
+
+    async def __call__(self, body: bytes) -> Struct:
+        try:
+            message = decode(body, type=self._message_type)
+        except (DecodeError, ValidationError) as exc:
+            raise BadRequestError(str(exc)) from exc
+        return await self._answer(message)
--- /dev/null
+++ b/trefoilhitch/placement.py
@@ -0,0 +1,112 @@
+"""Placement: which node owns an endpoint, and which nodes monitor a group."""
+
+from collections.abc import Iterable, Sequence
+from hashlib import blake2b
+
+from trefoilhitch._generated.record import PlacementNode, PlacementRecord
+
+SAME_DATA_CENTRE = 0
+SAME_REGION = 1
+OTHER_REGION = 2
+_WEIGHT_BYTES = 8
+
+
+def distance(first: PlacementNode, second: PlacementNode) -> int:
+    """Return how far two places lie apart.
+
+    Args:
+        first: a place.
+        second: a place.
+
+    Returns:
+        0 in the same data centre, 1 in the same region, 2 otherwise.
+
+    """
+    if first.region != second.region:
+        return OTHER_REGION
+    if first.data_centre != second.data_centre:
+        return SAME_REGION
+    return SAME_DATA_CENTRE
+
+
+def owner(place: PlacementNode, nodes: Iterable[PlacementNode]) -> str | None:
+    """Return the node that owns an endpoint.
+
+    The nearest nodes compete by rendezvous hashing, so that a node which joins or
+    leaves moves only its own share of endpoints.
+
+    Args:
+        place: name, region and data centre of the endpoint.
+        nodes: nodes that are live and not leaving.
+
+    Returns:
+        The owner's name, or None if there are no nodes.
+
+    """
+    ranked = ranking(place, nodes)
+    return ranked[0] if ranked else None
+
+
+def ranking(place: PlacementNode, nodes: Iterable[PlacementNode]) -> list[str]:
+    """Return the nodes in the order in which they would own an endpoint.
+
+    Args:
+        place: name, region and data centre of the endpoint.
+        nodes: nodes that are live and not leaving.
+
+    Returns:
+        Node names, the owner first.
+
+    """
+    ordered = sorted(
+        nodes,
+        key=lambda node: (
+            distance(place, node),
+            -_weight(place.name, node.name),
+        ),
+    )
+    return [node.name for node in ordered]
+
+
+def monitors(
+    service: str, nodes: Sequence[PlacementNode], count: int
+) -> list[str]:
+    """Return the nodes that monitor a service's database group.
+
+    Args:
+        service: name of the service.
+        nodes: nodes that are live and not leaving.
+        count: how many monitors there should be.
+
+    Returns:
+        Node names by rank; the first of them claims first.
+
+    """
+    ordered = sorted(
+        (node.name for node in nodes),
+        key=lambda name: -_weight(service, name),
+    )
+    return ordered[:count]
+
+
+def replay(record: PlacementRecord) -> str | None:
+    """Decide a recorded placement again.
+
+    Args:
+        record: the inputs of an earlier decision.
+
+    Returns:
+        The owner that the same inputs give now.
+
+    """
+    place = PlacementNode(
+        name=record.endpoint,
+        region=record.region,
+        data_centre=record.data_centre,
+    )
+    return owner(place, record.nodes)
+
+
+def _weight(subject: str, node: str) -> int:
+    digest = blake2b(f'{subject}/{node}'.encode(), digest_size=_WEIGHT_BYTES)
+    return int.from_bytes(digest.digest())
--- /dev/null
+++ b/trefoilhitch/platform.py
@@ -0,0 +1,46 @@
+"""The platform's services, each behind one protocol."""
+
+from dataclasses import dataclass
+from typing import Self
+
+from trefoilhitch._generated.settings import Settings
+from trefoilhitch.endpoint_client import EndpointPlatform, HttpEndpointPlatform
+from trefoilhitch.store import (
+    HttpObjectStore,
+    HttpVmDirectory,
+    ObjectStore,
+    VmDirectory,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform's services.
+
+    Args:
+        store: the object API.
+        directory: the VM list.
+        endpoints: the database endpoints.
+
+    """
+
+    store: ObjectStore
+    directory: VmDirectory
+    endpoints: EndpointPlatform
+
+    @classmethod
+    def from_settings(cls, cfg: Settings) -> Self:
+        """Reach the platform over HTTP.
+
+        Args:
+            cfg: settings of the node.
+
+        Returns:
+            The platform's services.
+
+        """
+        return cls(
+            HttpObjectStore(cfg.platform.store),
+            HttpVmDirectory(cfg.platform.vm_list),
+            HttpEndpointPlatform(cfg.node.name),
+        )
--- /dev/null
+++ b/trefoilhitch/position.py
@@ -0,0 +1,89 @@
+"""Log positions: their order, and what a majority holds."""
+
+from collections.abc import Iterable, Mapping
+
+from trefoilhitch._generated.messages import LogPosition
+
+ORIGIN = LogPosition()
+
+
+def at_least(reached: LogPosition, needed: LogPosition) -> bool:
+    """Tell whether a log that reached one position covers another.
+
+    Args:
+        reached: where the log is.
+        needed: the position that has to be covered.
+
+    Returns:
+        True if the term is later, or the same with no earlier position.
+
+    """
+    return _order(reached) >= _order(needed)
+
+
+def latest(positions: Iterable[LogPosition]) -> LogPosition:
+    """Return the latest of some positions.
+
+    Args:
+        positions: any number of positions.
+
+    Returns:
+        The latest, or the origin of the log if there are none.
+
+    """
+    return max(positions, key=_order, default=ORIGIN)
+
+
+def merge(
+    first: Mapping[str, LogPosition],
+    second: Mapping[str, LogPosition],
+) -> dict[str, LogPosition]:
+    """Merge two records of what a session has seen by maximum.
+
+    Args:
+        first: positions by service.
+        second: positions by service.
+
+    Returns:
+        The latest position of each service in either.
+
+    """
+    merged = dict(first)
+    for service, position in second.items():
+        merged[service] = latest((position, merged.get(service, ORIGIN)))
+    return merged
+
+
+def majority(members: int) -> int:
+    """Return how many members a majority takes.
+
+    Args:
+        members: size of the group.
+
+    Returns:
+        The smallest number that is more than half.
+
+    """
+    return members // 2 + 1
+
+
+def majority_position(members: int, held: Iterable[int]) -> int | None:
+    """Return the latest position that a majority holds in one term.
+
+    Args:
+        members: size of the group.
+        held: the position of each member that confirmed the term.
+
+    Returns:
+        The position, or None if fewer than a majority confirmed.
+
+    """
+    ranked = sorted(held, reverse=True)
+    needed = majority(members)
+    if len(ranked) < needed:
+        return None
+    return ranked[needed - 1]
+
+
+def _order(position: LogPosition) -> tuple[int, int]:
+    return position.term, position.position
--- /dev/null
+++ b/trefoilhitch/promoter.py
@@ -0,0 +1,211 @@
+"""Carries a promotion out: fence a majority, choose, promote, publish."""
+
+from collections.abc import Iterable, Sequence
+from contextlib import suppress
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+from trio import current_time, open_nursery
+
+from trefoilhitch._generated.endpoint import (
+    FenceRequest,
+    GroupMember,
+    PromoteRequest,
+    StatusReply,
+)
+from trefoilhitch._generated.record import PromotionRecord, Sighting, Vote
+from trefoilhitch._generated.store import Endpoint, GroupRecord
+from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.endpoint_client import EndpointPlatform
+from trefoilhitch.errors import RefusalError, StoreConflictError, StoreError
+from trefoilhitch.fleet import Identity
+from trefoilhitch.promotion import NO_PRIMARY, choose_primary, next_term
+from trefoilhitch.store import ObjectStore
+
+FENCE_TIMEOUT_MS = 600
+PROMOTE_TIMEOUT_MS = 1000
+PUBLISH_TIMEOUT_MS = 2000
+PUBLISH_ATTEMPTS = 4
+_VERSION_UNKNOWN = 0
+
+
+class Promoter:
+    """Promotes endpoints as a claimant.
+
+    The endpoints' majority is the authority. The object in the store is the
+    published record, written afterwards, so that an outage of the store holds no
+    promotion up.
+
+    Args:
+        identity: this node, the claimant.
+        platform: reaches the endpoints.
+        store: keeps the published record.
+        log: takes note of decisions.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        platform: EndpointPlatform,
+        store: ObjectStore,
+        log: DecisionLog,
+    ) -> None:
+        """Keep the collaborators."""
+        self._claimant = f'{identity.node}.{identity.incarnation}'
+        self._platform = platform
+        self._store = store
+        self._log = log
+        self._unpublished: dict[str, GroupRecord] = {}
+
+    async def promote(
+        self,
+        service: str,
+        endpoints: Sequence[Endpoint],
+        sightings: Iterable[Sighting],
+        preferred: str = NO_PRIMARY,
+    ) -> bool:
+        """Claim the next term for this node and promote an endpoint in it.
+
+        Args:
+            service: name of the service.
+            endpoints: the declared endpoints of the group.
+            sightings: each endpoint, as last read.
+            preferred: endpoint to take if it is as advanced as any.
+
+        Returns:
+            True if an endpoint was promoted.
+
+        """
+        term = next_term(sightings)
+        votes = await self._fence(endpoints, term)
+        choice = choose_primary(
+            votes,
+            term=term,
+            members=len(endpoints),
+            preferred=preferred,
+        )
+        self._log.decision(
+            PromotionRecord(
+                kind='promotion',
+                at=current_time(),
+                service=service,
+                term=term,
+                members=len(endpoints),
+                votes=votes,
+                preferred=preferred,
+                primary=choice.primary,
+                reason=choice.reason,
+            ),
+        )
+        if choice.primary == NO_PRIMARY:
+            return False
+        chosen = next(each for each in endpoints if each.name == choice.primary)
+        return await self._install(service, term, chosen, endpoints)
+
+    async def publish_pending(self) -> None:
+        """Publish promotions that the store has not taken yet."""
+        for service, record in list(self._unpublished.items()):
+            if await self._publish(record):
+                self._unpublished.pop(service, None)
+
+    async def _fence(
+        self, endpoints: Sequence[Endpoint], term: int
+    ) -> list[Vote]:
+        votes: list[Vote] = []
+        async with open_nursery() as nursery:
+            for endpoint in endpoints:
+                nursery.start_soon(self._fence_one, endpoint, term, votes)
+        return sorted(votes, key=lambda vote: vote.name)
+
+    async def _fence_one(
+        self,
+        endpoint: Endpoint,
+        term: int,
+        votes: list[Vote],
+    ) -> None:
+        req = FenceRequest(term=term, claimant=self._claimant)
+        control = self._platform.control(endpoint)
+        with suppress(RefusalError):
+            reply = await control.fence(
+                req, deadline_after_ms(FENCE_TIMEOUT_MS)
+            )
+            votes.append(
+                Vote(
+                    name=endpoint.name,
+                    accepted=reply.accepted,
+                    term=reply.term,
+                    last_term=reply.last_term,
+                    last_position=reply.last_position,
+                ),
+            )
+
+    async def _install(
+        self,
+        service: str,
+        term: int,
+        chosen: Endpoint,
+        endpoints: Sequence[Endpoint],
+    ) -> bool:
+        members = [
+            GroupMember(name=each.name, control=each.control)
+            for each in endpoints
+        ]
+        req = PromoteRequest(
+            term=term, claimant=self._claimant, members=members
+        )
+        try:
+            status = await self._promote_one(chosen, req)
+        except RefusalError as exc:
+            self._log.event(
+                'promotion_failed',
+                service=service,
+                term=term,
+                endpoint=chosen.name,
+                code=exc.code,
+            )
+            return False
+        self._unpublished[service] = GroupRecord(
+            service=service,
+            term=term,
+            primary=status.endpoint,
+            claimant=self._claimant,
+        )
+        return True
+
+    async def _promote_one(
+        self, chosen: Endpoint, req: PromoteRequest
+    ) -> StatusReply:
+        deadline = deadline_after_ms(PROMOTE_TIMEOUT_MS)
+        return await self._platform.control(chosen).promote(req, deadline)
+
+    async def _publish(self, record: GroupRecord) -> bool:
+        name = f'groups/{record.service}'
+        deadline = deadline_after_ms(PUBLISH_TIMEOUT_MS)
+        version = _VERSION_UNKNOWN
+        for _ in range(PUBLISH_ATTEMPTS):
+            try:
+                await self._store.put(
+                    name, encode(record).decode(), version, deadline
+                )
+            except StoreConflictError as exc:
+                version = exc.version
+            except StoreError:
+                return False
+            else:
+                return True
+            if await self._is_superseded(name, record):
+                return True
+        return False
+
+    async def _is_superseded(self, name: str, record: GroupRecord) -> bool:
+        try:
+            stored = await self._store.get(
+                name, deadline_after_ms(PUBLISH_TIMEOUT_MS)
+            )
+            published = decode(stored.body or '{}', type=GroupRecord)
+        except (StoreError, DecodeError, ValidationError):
+            return False
+        return published.term >= record.term
--- /dev/null
+++ b/trefoilhitch/promotion.py
@@ -0,0 +1,212 @@
+"""Promotion: when a primary counts as lost, and who succeeds it.
+
+The order is fence, choose, promote, publish, as in Raft's elections: a majority of
+endpoints that took a term refuses the older one, so that an older primary can
+confirm nothing any more, and a majority's most advanced log has every
+acknowledged write.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Literal, TypeAlias
+
+from trefoilhitch._generated.record import (
+    PromotionRecord,
+    Sighting,
+    SuspicionRecord,
+    Vote,
+)
+from trefoilhitch.position import majority
+
+SUSPICION_TIMEOUT_S = 1.0
+RANK_DELAY_S = 1.0
+SuspicionReason: TypeAlias = Literal[
+    'primary_seen',
+    'not_yet',
+    'no_majority',
+    'replicas_hear_primary',
+    'fence_unresolved',
+    'primary_lost',
+]
+ChoiceReason: TypeAlias = Literal['most_advanced', 'no_majority']
+NO_PRIMARY = ''
+_CLAIMING = frozenset(('fence_unresolved', 'primary_lost'))
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Whether a monitor starts a promotion.
+
+    Args:
+        claim: start one now.
+        reason: why, or why not.
+        unseen_since: when the primary was first missed; None if it is seen.
+
+    """
+
+    claim: bool
+    reason: SuspicionReason
+    unseen_since: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Who becomes primary.
+
+    Args:
+        primary: name of the endpoint; empty for none.
+        reason: why.
+
+    """
+
+    primary: str
+    reason: ChoiceReason
+
+
+def suspect(
+    sightings: Sequence[Sighting],
+    *,
+    unseen_since: float | None,
+    rank: int,
+    now: float,
+) -> Suspicion:
+    """Decide whether a monitor claims the next term.
+
+    The monitor must have missed the primary for the suspicion timeout, plus a
+    delay for each monitor that ranks before it, and a majority of the group must
+    be reachable and must not have heard the primary either. A lossy link between
+    monitor and primary alone therefore leads to no promotion. A term that a
+    claimant fenced and never finished is claimed anew, so that no endpoint stays
+    fenced.
+
+    Args:
+        sightings: each endpoint of the group, as last read.
+        unseen_since: when the primary was first missed; None if it was seen.
+        rank: how many monitors claim before this one.
+        now: monotonic time.
+
+    Returns:
+        The decision.
+
+    """
+    if _serving_primary(sightings) is not None:
+        return Suspicion(claim=False, reason='primary_seen', unseen_since=None)
+    since = now if unseen_since is None else unseen_since
+    reason = _reason(sightings, due=now >= since + _patience(rank))
+    return Suspicion(reason in _CLAIMING, reason, since)
+
+
+def choose_primary(
+    votes: Iterable[Vote],
+    *,
+    term: int,
+    members: int,
+    preferred: str = NO_PRIMARY,
+) -> Choice:
+    """Choose the new primary from the answers to a fence.
+
+    Args:
+        votes: an answer from each endpoint that gave one.
+        term: the term that was claimed.
+        members: size of the group.
+        preferred: endpoint to take if it is as advanced as any, for a planned
+            switch-over.
+
+    Returns:
+        The most advanced of a majority that took the term, else none.
+
+    """
+    taken = [vote for vote in votes if vote.accepted and vote.term == term]
+    if len(taken) < majority(members):
+        return Choice(NO_PRIMARY, 'no_majority')
+    best = max(
+        taken,
+        key=lambda vote: (*_log_end(vote), vote.name == preferred, vote.name),
+    )
+    return Choice(best.name, 'most_advanced')
+
+
+def next_term(
+    sightings: Iterable[Sighting], refused: Iterable[Vote] = ()
+) -> int:
+    """Return the term to claim.
+
+    Args:
+        sightings: each endpoint of the group, as last read.
+        refused: answers to an earlier fence that named later terms.
+
+    Returns:
+        One more than any term seen.
+
+    """
+    seen = [sighting.term for sighting in sightings]
+    seen.extend(vote.term for vote in refused)
+    return max(seen, default=0) + 1
+
+
+def replay_suspicion(record: SuspicionRecord) -> Suspicion:
+    """Decide a recorded suspicion again.
+
+    Args:
+        record: the inputs of an earlier decision.
+
+    Returns:
+        The decision that the same inputs give now.
+
+    """
+    return suspect(
+        record.sightings,
+        unseen_since=record.unseen_since,
+        rank=record.rank,
+        now=record.at,
+    )
+
+
+def replay_promotion(record: PromotionRecord) -> Choice:
+    """Decide a recorded promotion again.
+
+    Args:
+        record: the inputs of an earlier decision.
+
+    Returns:
+        The choice that the same inputs give now.
+
+    """
+    return choose_primary(
+        record.votes,
+        term=record.term,
+        members=record.members,
+        preferred=record.preferred,
+    )
+
+
+def _serving_primary(sightings: Iterable[Sighting]) -> Sighting | None:
+    """Return the reachable primary of the latest term seen, if there is one."""
+    known = list(sightings)
+    term = max((each.term for each in known), default=0)
+    for each in known:
+        if each.reachable and each.role == 'primary' and each.term == term:
+            return each
+    return None
+
+
+def _reason(sightings: Sequence[Sighting], *, due: bool) -> SuspicionReason:
+    if not due:
+        return 'not_yet'
+    reachable = [each for each in sightings if each.reachable]
+    needed = majority(len(sightings))
+    if len(reachable) < needed:
+        return 'no_majority'
+    if sum(each.silent for each in reachable) >= needed:
+        return 'primary_lost'
+    if any(each.role == 'fenced' for each in reachable):
+        return 'fence_unresolved'
+    return 'replicas_hear_primary'
+
+
+def _patience(rank: int) -> float:
+    return SUSPICION_TIMEOUT_S + rank * RANK_DELAY_S
+
+
+def _log_end(vote: Vote) -> tuple[int, int]:
+    return vote.last_term, vote.last_position
--- /dev/null
+++ b/trefoilhitch/retry.py
@@ -0,0 +1,97 @@
+"""Retries: a budget that a failing endpoint cannot exhaust, and jittered delays."""
+
+from dataclasses import dataclass
+from typing import Literal, TypeAlias
+
+from trefoilhitch._generated.messages import Access, Refusal
+
+BASE_DELAY_S = 0.02
+MAX_DELAY_S = 0.5
+RETRY_COST = 1.0
+Step: TypeAlias = Literal['give_up', 'wait', 'again', 'settle']
+_FINAL = frozenset(
+    (
+        'bad_request',
+        'body_too_large',
+        'internal',
+        'invalid_session',
+        'not_found',
+        'overloaded',
+        'sql_rejected',
+        'transaction_lost',
+        'unauthorised',
+        'unknown_service',
+    )
+)
+_WAITING = frozenset(
+    ('no_primary', 'stale_term', 'slots_exhausted', 'shutting_down')
+)
+
+
+def next_step(refusal: Refusal, *, access: Access, repeatable: bool) -> Step:
+    """Decide what follows an attempt that failed.
+
+    Args:
+        refusal: how it failed.
+        access: what the statement does.
+        repeatable: whether the caller allows the statement to run again.
+
+    Returns:
+        `give_up`; `wait` for the group to change and try again, which costs an
+        endpoint nothing; `again` as a retry; or `settle`: look the outcome up
+        first, because the statement may have run.
+
+    """
+    if refusal.code in _FINAL:
+        return 'give_up'
+    if refusal.run == 'no':
+        return 'wait' if refusal.code in _WAITING else 'again'
+    if access == 'read' or repeatable:
+        return 'again'
+    return 'settle'
+
+
+def backoff(attempt: int, draw: float) -> float:
+    """Return how long to wait before an attempt, with full jitter.
+
+    Args:
+        attempt: number of attempts made so far, from 1.
+        draw: random number in [0, 1).
+
+    Returns:
+        Seconds.
+
+    """
+    ceiling = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** (attempt - 1))
+    return ceiling * (1 + draw) / 2
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Allows retries in proportion to requests.
+
+    Args:
+        ratio: retries earned by each request.
+        ceiling: most retries that can be saved up.
+
+    """
+
+    ratio: float = 0.2
+    ceiling: float = 50
+    _saved: float = 10
+
+    def earn(self) -> None:
+        """Note a first attempt."""
+        self._saved = min(self.ceiling, self._saved + self.ratio)
+
+    def spend(self) -> bool:
+        """Take a retry.
+
+        Returns:
+            True if the budget allowed it.
+
+        """
+        if self._saved < RETRY_COST:
+            return False
+        self._saved -= RETRY_COST
+        return True
--- /dev/null
+++ b/trefoilhitch/routing.py
@@ -0,0 +1,128 @@
+"""Routing: which endpoint a statement goes to, and why."""
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Literal, TypeAlias
+
+from trefoilhitch._generated.messages import Access, Freshness, LogPosition
+from trefoilhitch._generated.record import Candidate, RouteRecord
+from trefoilhitch.position import ORIGIN, at_least
+
+Reason: TypeAlias = Literal[
+    'write_to_primary',
+    'strict_to_primary',
+    'fresh_replica',
+    'no_fresh_replica',
+    'no_primary',
+]
+NO_ENDPOINT = ''
+
+
+@dataclass(frozen=True, slots=True)
+class RouteNeed:
+    """What a statement asks of an endpoint.
+
+    Args:
+        access: read or write.
+        freshness: how recent the rows have to be.
+        minimum: position that a replica must have applied.
+        excluded: endpoints already tried in vain.
+
+    """
+
+    access: Access
+    freshness: Freshness = 'session'
+    minimum: LogPosition = ORIGIN
+    excluded: Collection[str] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where a statement goes.
+
+    Args:
+        endpoint: name of the endpoint; empty for none.
+        reason: why.
+
+    """
+
+    endpoint: str
+    reason: Reason
+
+
+def choose(
+    need: RouteNeed, candidates: Sequence[Candidate], draw: float
+) -> Route:
+    """Choose the endpoint for a statement.
+
+    A read that may go to a replica goes to the nearest one that has applied what
+    it needs, then to the least loaded; the draw breaks ties.
+
+    Args:
+        need: what the statement asks.
+        candidates: the endpoints of the service.
+        draw: random number in [0, 1).
+
+    Returns:
+        The route; its endpoint is empty if none will do.
+
+    """
+    if need.access == 'write':
+        return _to_primary(need, candidates, 'write_to_primary')
+    if need.freshness == 'strict':
+        return _to_primary(need, candidates, 'strict_to_primary')
+    fresh = [each for each in candidates if _is_fresh_replica(each, need)]
+    if not fresh:
+        return _to_primary(need, candidates, 'no_fresh_replica')
+    return Route(_nearest(fresh, draw).name, 'fresh_replica')
+
+
+def replay(record: RouteRecord) -> Route:
+    """Decide a recorded case again.
+
+    Args:
+        record: the inputs of an earlier decision.
+
+    Returns:
+        The route that the same inputs give now.
+
+    """
+    minimum = LogPosition(
+        term=record.minimum_term,
+        position=record.minimum_position,
+    )
+    need = RouteNeed(record.access, record.freshness, minimum, record.excluded)
+    return choose(need, record.candidates, record.draw)
+
+
+def _to_primary(
+    need: RouteNeed,
+    candidates: Iterable[Candidate],
+    reason: Reason,
+) -> Route:
+    for each in candidates:
+        if each.role == 'primary' and each.name not in need.excluded:
+            return Route(each.name, reason)
+    return Route(NO_ENDPOINT, 'no_primary')
+
+
+def _is_fresh_replica(candidate: Candidate, need: RouteNeed) -> bool:
+    if candidate.role != 'replica' or candidate.name in need.excluded:
+        return False
+    if candidate.leaving or not candidate.reachable:
+        return False
+    applied = LogPosition(
+        term=candidate.applied_term,
+        position=candidate.applied_position,
+    )
+    return at_least(applied, need.minimum)
+
+
+def _nearest(fresh: Sequence[Candidate], draw: float) -> Candidate:
+    best = min(_cost(each) for each in fresh)
+    tied = [each for each in fresh if _cost(each) == best]
+    return tied[int(draw * len(tied))]
+
+
+def _cost(candidate: Candidate) -> tuple[int, int]:
+    return candidate.distance, candidate.load
--- /dev/null
+++ b/trefoilhitch/settings.py
@@ -0,0 +1,56 @@
+"""Settings of a node, read from INI and checked all at once."""
+
+from msgspec import convert
+
+from trefoilhitch._generated.settings import Settings
+from trefoilhitch.ini import IniFile, check_fields
+from trefoilhitch.schema import load_schema
+from trefoilhitch.setting_error import SettingError, SettingErrorGroup
+
+_SECTIONS = {
+    'node': 'NodeSettings',
+    'platform': 'PlatformSettings',
+    'fleet': 'FleetSettings',
+    'limits': 'LimitSettings',
+    'log': 'LogSettings',
+}
+
+
+def read_settings(ini: IniFile) -> Settings:
+    """Read the settings of a node.
+
+    Args:
+        ini: the parsed file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingErrorGroup: every fault of the file.
+
+    """
+    schema = load_schema('settings')
+    errors = [*ini.errors, *_unknown_sections(ini)]
+    checked = {}
+    for section, kind in _SECTIONS.items():
+        fields = ini.sections.get(section, {})
+        outcome = check_fields(ini, section, fields, schema.definition(kind))
+        errors.extend(outcome.errors)
+        checked[section] = outcome.fields
+    if errors:
+        raise SettingErrorGroup.from_errors(errors)
+    return convert(checked, Settings)
+
+
+def _unknown_sections(ini: IniFile) -> list[SettingError]:
+    return [
+        SettingError(
+            source=ini.source,
+            section=section,
+            key='',
+            found=section,
+            allowed='one of the sections ' + ', '.join(_SECTIONS),
+        )
+        for section in ini.sections
+        if section not in _SECTIONS
+    ]
--- /dev/null
+++ b/trefoilhitch/store.py
@@ -0,0 +1,191 @@
+"""The platform's object API and its VM list."""
+
+from typing import Protocol
+from urllib.parse import quote
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+
+from trefoilhitch._generated.store import (
+    PutRequest,
+    StoredObject,
+    VmList,
+)
+from trefoilhitch._generated.store import StoreError as StoreErrorMessage
+from trefoilhitch.errors import (
+    RefusalError,
+    StoreConflictError,
+    StoreError,
+    StoreTooLargeError,
+    StoreUnavailableError,
+)
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest
+from trefoilhitch.json_client import decode_reply
+
+_HTTP_OK = 200
+_WATCH_MS = 20000
+
+
+class ObjectStore(Protocol):
+    """Keeps versioned objects."""
+
+    async def get(self, name: str, deadline: float) -> StoredObject:
+        """Read an object; one that does not exist has version 0."""
+
+    async def put(
+        self,
+        name: str,
+        body: str,
+        if_version: int | None,
+        deadline: float,
+    ) -> StoredObject:
+        """Write an object if its version is still the one named."""
+
+    async def watch(
+        self, name: str, after: int, deadline: float
+    ) -> StoredObject:
+        """Wait until an object has a later version, or for a while."""
+
+
+class VmDirectory(Protocol):
+    """Lists the VMs of the system; the list may lag."""
+
+    async def list_vms(self, deadline: float) -> VmList:
+        """Read the list."""
+
+
+class HttpObjectStore:
+    """The object API over HTTP.
+
+    Args:
+        address: `ADDRESS:PORT`.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet."""
+        self._client = HttpClient(address)
+
+    async def get(self, name: str, deadline: float) -> StoredObject:
+        """Read an object; one that does not exist has version 0.
+
+        Args:
+            name: name of the object.
+            deadline: monotonic time.
+
+        Returns:
+            The object.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        return await self._ask(HttpRequest('GET', _path(name)), deadline)
+
+    async def put(
+        self,
+        name: str,
+        body: str,
+        if_version: int | None,
+        deadline: float,
+    ) -> StoredObject:
+        """Write an object if its version is still the one named.
+
+        Args:
+            name: name of the object.
+            body: text of at most 1 MB.
+            if_version: version that must be stored; 0 creates; None for any.
+            deadline: monotonic time.
+
+        Returns:
+            The object with its new version and no body.
+
+        Raises:
+            StoreConflictError: another version is stored.
+            StoreTooLargeError: the body is too large.
+            StoreUnavailableError: no answer; the change may be in effect.
+
+        """
+        message = encode(PutRequest(body=body, if_version=if_version))
+        req = HttpRequest('PUT', _path(name), body=message)
+        return await self._ask(req, deadline)
+
+    async def watch(
+        self, name: str, after: int, deadline: float
+    ) -> StoredObject:
+        """Wait until an object has a later version, or for a while.
+
+        Args:
+            name: name of the object.
+            after: version that the caller knows.
+            deadline: monotonic time.
+
+        Returns:
+            The object; its version may still be the one known.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        target = f'{_path(name)}?after={after}&wait_ms={_WATCH_MS}'
+        return await self._ask(HttpRequest('GET', target), deadline)
+
+    async def _ask(self, req: HttpRequest, deadline: float) -> StoredObject:
+        try:
+            resp = await self._client.request(req, deadline)
+        except RefusalError as exc:
+            raise StoreUnavailableError(exc.detail) from exc
+        if resp.status != _HTTP_OK:
+            raise _read_store_error(resp.body)
+        return decode_reply(resp.body, StoredObject)
+
+
+class HttpVmDirectory:
+    """The VM list over HTTP.
+
+    Args:
+        address: `ADDRESS:PORT`.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet."""
+        self._client = HttpClient(address)
+
+    async def list_vms(self, deadline: float) -> VmList:
+        """Read the list.
+
+        Args:
+            deadline: monotonic time.
+
+        Returns:
+            The list, which may lag.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        try:
+            resp = await self._client.request(
+                HttpRequest('GET', '/v1/vms'), deadline
+            )
+        except RefusalError as exc:
+            raise StoreUnavailableError(exc.detail) from exc
+        return decode_reply(resp.body, VmList)
+
+
+def _path(name: str) -> str:
+    return f'/v1/objects/{quote(name, safe="/")}'
+
+
+def _read_store_error(body: bytes) -> StoreError:
+    try:
+        error = decode(body, type=StoreErrorMessage)
+    except (DecodeError, ValidationError) as exc:
+        return StoreUnavailableError(f'unreadable error: {exc}')
+    if error.code == 'conflict':
+        return StoreConflictError(error.version)
+    if error.code == 'too_large':
+        return StoreTooLargeError(error.detail)
+    return StoreUnavailableError(error.detail or error.code)
--- /dev/null
+++ b/trefoilhitch/token.py
@@ -0,0 +1,108 @@
+"""Session tokens: signed records of what a session has seen."""
+
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from hmac import compare_digest, digest
+from typing import Self
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import Decoder, Encoder
+
+from trefoilhitch._generated.messages import LogPosition, SessionToken
+from trefoilhitch.errors import InvalidSessionError
+
+_SEPARATOR = '.'
+_KEY_NAME_LENGTH = 8
+_DIGEST = 'sha256'
+_DECODER = Decoder(SessionToken)
+_ENCODER = Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class TokenSigner:
+    """Signs session tokens, and reads those that the fleet signed.
+
+    Args:
+        current: secret that signs.
+        accepted: secrets by key name, the current one among them.
+
+    """
+
+    current: bytes
+    accepted: Mapping[str, bytes]
+
+    @classmethod
+    def from_secrets(cls, current: str, previous: str = '') -> Self:
+        """Build a signer from the fleet's secrets.
+
+        Args:
+            current: secret that signs and is accepted.
+            previous: secret that is accepted only; empty for none.
+
+        Returns:
+            The signer.
+
+        """
+        secrets = [_derive(secret) for secret in (current, previous) if secret]
+        return cls(
+            secrets[0], {_key_name(secret): secret for secret in secrets}
+        )
+
+    def sign(self, seen: Mapping[str, LogPosition]) -> str:
+        """Return the token for what a session has seen.
+
+        Args:
+            seen: the latest position by service.
+
+        Returns:
+            URL-safe text.
+
+        """
+        token = SessionToken(key=_key_name(self.current), seen=dict(seen))
+        body = urlsafe_b64encode(_ENCODER.encode(token))
+        return body.decode() + _SEPARATOR + _signature(self.current, body)
+
+    def read(self, text: str) -> dict[str, LogPosition]:
+        """Return what a session has seen.
+
+        Args:
+            text: a token; empty for a new session.
+
+        Returns:
+            The latest position by service.
+
+        Raises:
+            InvalidSessionError: the fleet did not sign this token.
+
+        """
+        if not text:
+            return {}
+        body, _, signature = text.partition(_SEPARATOR)
+        token = _decode(body)
+        secret = self.accepted.get(token.key)
+        if secret is None:
+            raise InvalidSessionError('signed with an unknown key')
+        if not compare_digest(_signature(secret, body.encode()), signature):
+            raise InvalidSessionError('the signature does not match')
+        return token.seen
+
+
+def _derive(secret: str) -> bytes:
+    return digest(secret.encode(), b'session token', _DIGEST)
+
+
+def _key_name(secret: bytes) -> str:
+    return sha256(secret).hexdigest()[:_KEY_NAME_LENGTH]
+
+
+def _signature(secret: bytes, body: bytes) -> str:
+    return digest(secret, body, _DIGEST).hex()
+
+
+def _decode(body: str) -> SessionToken:
+    try:
+        return _DECODER.decode(urlsafe_b64decode(body.encode('ascii')))
+    except (ValueError, DecodeError, ValidationError) as exc:
+        raise InvalidSessionError('not a session token') from exc
--- /dev/null
+++ b/trefoilhitch/trace.py
@@ -0,0 +1,122 @@
+"""Traces: recorded decisions, decided again and compared with their outcomes."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+from msgspec import DecodeError, ValidationError, convert, json
+
+from trefoilhitch import placement, promotion, routing
+from trefoilhitch._generated.record import (
+    PlacementRecord,
+    PromotionRecord,
+    RouteRecord,
+    SuspicionRecord,
+)
+from trefoilhitch.errors import TrefoilhitchError
+
+Record: TypeAlias = (
+    RouteRecord | PlacementRecord | SuspicionRecord | PromotionRecord
+)
+_TYPES: dict[str, type[Record]] = {
+    'route': RouteRecord,
+    'placement': PlacementRecord,
+    'suspicion': SuspicionRecord,
+    'promotion': PromotionRecord,
+}
+
+
+class TraceError(TrefoilhitchError):
+    """A line of a trace cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """A decision that came out otherwise than recorded.
+
+    Args:
+        line: number of the line, from 1.
+        record: what was recorded.
+        recorded: the recorded outcome.
+        replayed: the outcome now.
+
+    """
+
+    line: int
+    record: Record
+    recorded: str
+    replayed: str
+
+
+def read_trace(lines: Iterable[str]) -> Iterator[tuple[int, Record]]:
+    """Read the decisions of a trace; a log is one, its other lines are skipped.
+
+    Args:
+        lines: JSON lines, as the log writes them.
+
+    Yields:
+        Line numbers and records.
+
+    Raises:
+        TraceError: a line is not JSON, or a record lacks a field.
+
+    """
+    for number, line in enumerate(lines, start=1):
+        record = _read_line(number, line) if line.strip() else None
+        if record is not None:
+            yield number, record
+
+
+def first_difference(lines: Iterable[str]) -> Difference | None:
+    """Decide a trace again.
+
+    Args:
+        lines: JSON lines, as the log writes them.
+
+    Returns:
+        The first decision that comes out otherwise, or None.
+
+    """
+    for number, record in read_trace(lines):
+        recorded = _recorded(record)
+        replayed = _replay(record)
+        if recorded != replayed:
+            return Difference(number, record, recorded, replayed)
+    return None
+
+
+def _read_line(number: int, line: str) -> Record | None:
+    try:
+        logged: dict[str, Any] = json.decode(line, type=dict[str, Any])
+        fields = logged.get('record', logged)
+        kind = _TYPES.get(str(fields.get('kind', '')))
+        return None if kind is None else convert(fields, kind)
+    except (DecodeError, ValidationError) as exc:
+        raise TraceError(f'line {number}: {exc}') from exc
+
+
+def _recorded(record: Record) -> str:
+    match record:
+        case RouteRecord():
+            return f'{record.endpoint} {record.reason}'
+        case PlacementRecord():
+            return record.owner
+        case SuspicionRecord():
+            return f'{record.claim} {record.reason}'
+        case PromotionRecord():
+            return f'{record.primary} {record.reason}'
+
+
+def _replay(record: Record) -> str:
+    match record:
+        case RouteRecord():
+            route = routing.replay(record)
+            return f'{route.endpoint} {route.reason}'
+        case PlacementRecord():
+            return placement.replay(record) or ''
+        case SuspicionRecord():
+            suspicion = promotion.replay_suspicion(record)
+            return f'{suspicion.claim} {suspicion.reason}'
+        case PromotionRecord():
+            choice = promotion.replay_promotion(record)
+            return f'{choice.primary} {choice.reason}'
--- /dev/null
+++ b/trefoilhitch_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, faults, load, demo and bench."""
--- /dev/null
+++ b/trefoilhitch_lab/caller.py
@@ -0,0 +1,141 @@
+"""A caller of the proxy, as an application would be."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, TypeAlias
+
+from msgspec.json import decode, encode
+from trio import current_time
+
+from trefoilhitch._generated.messages import (
+    OutcomeReply,
+    Refusal,
+    StatementReply,
+    TransactionReply,
+)
+from trefoilhitch.errors import ConnectionLostError, RefusalError, refusal_error
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest
+from trefoilhitch.json_client import ReplyT
+
+CLIENT_GRACE_S = 1.0
+_HTTP_OK = 200
+Fields: TypeAlias = dict[str, Any]
+
+
+@dataclass(slots=True)
+class Caller:
+    """One session of an application, which roams between nodes.
+
+    Args:
+        key: its key.
+        addresses: nodes that it may go to.
+        random: chooses the node of each request.
+        session: newest session token.
+
+    """
+
+    key: str
+    addresses: Sequence[str]
+    random: Random
+    session: str = ''
+    _clients: dict[str, HttpClient] = field(default_factory=dict)
+
+    async def statement(self, service: str, fields: Fields) -> StatementReply:
+        """Run a statement.
+
+        Args:
+            service: name of the service.
+            fields: of the request, without the session.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            RefusalError: what the proxy refused, or that no answer came.
+
+        """
+        path = f'/v1/services/{service}/statements'
+        reply = await self._post(path, fields, StatementReply)
+        self.session = reply.session
+        return reply
+
+    async def begin(self, service: str, fields: Fields) -> TransactionReply:
+        """Open a transaction."""
+        path = f'/v1/services/{service}/transactions'
+        return await self._post(path, fields, TransactionReply)
+
+    async def in_transaction(
+        self,
+        service: str,
+        step: str,
+        fields: Fields,
+    ) -> StatementReply:
+        """Continue a transaction.
+
+        Args:
+            service: name of the service.
+            step: transaction id and verb, as in the path.
+            fields: of the request, without the session.
+
+        Returns:
+            The whole answer.
+
+        """
+        path = f'/v1/services/{service}/transactions/{step}'
+        reply = await self._post(path, fields, StatementReply)
+        self.session = reply.session
+        return reply
+
+    async def outcome(self, request: str) -> OutcomeReply:
+        """Ask what became of an earlier request.
+
+        Args:
+            request: its id.
+
+        Returns:
+            The outcome.
+
+        """
+        req = HttpRequest('GET', f'/v1/requests/{request}', self._headers())
+        return await self._send(req, OutcomeReply, 6)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for client in self._clients.values():
+            client.close()
+
+    async def _post(
+        self,
+        path: str,
+        fields: Fields,
+        kind: type[ReplyT],
+    ) -> ReplyT:
+        body = encode({**fields, 'session': self.session})
+        req = HttpRequest('POST', path, self._headers(), body)
+        timeout_s = fields.get('timeout_ms', 5000) / 1000
+        return await self._send(req, kind, timeout_s)
+
+    async def _send(
+        self,
+        req: HttpRequest,
+        kind: type[ReplyT],
+        timeout_s: float,
+    ) -> ReplyT:
+        address = self.random.choice(self.addresses)
+        client = self._clients.setdefault(address, HttpClient(address))
+        deadline = current_time() + timeout_s + CLIENT_GRACE_S
+        resp = await client.request(req, deadline)
+        if resp.status == _HTTP_OK:
+            return decode(resp.body, type=kind)
+        raise _failure(resp.body)
+
+    def _headers(self) -> dict[str, str]:
+        return {'authorization': f'Bearer {self.key}'}
+
+
+def _failure(body: bytes) -> RefusalError:
+    if not body:
+        return ConnectionLostError('no answer')
+    return refusal_error(decode(body, type=Refusal))
--- /dev/null
+++ b/trefoilhitch_lab/deployment.py
@@ -0,0 +1,130 @@
+"""Deployments that the lab can build: the users' sizes, and a small one."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from trefoilhitch_lab.network import Latency, Place
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """An organisation with its fleet-wide rate and burst.
+
+    Args:
+        name: its name.
+        rate: statements a second.
+        burst: statements.
+
+    """
+
+    name: str
+    rate: float
+    burst: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What a stack is built of.
+
+    Args:
+        name: its name.
+        places: region by data centre.
+        nodes: data centre by node.
+        services: names of services; each has an endpoint in each data centre.
+        slots: slots of each endpoint.
+        connections: connections of callers.
+        connect_s: time that a new endpoint connection takes.
+        latency: one-way latencies.
+        tenants: the organisations.
+
+    """
+
+    name: str
+    places: Mapping[str, str]
+    nodes: Mapping[str, str]
+    services: tuple[str, ...]
+    slots: int
+    connections: int
+    connect_s: float
+    latency: Latency
+    tenants: tuple[Tenant, ...] = field(default_factory=tuple)
+
+    def place(self, data_centre: str) -> Place:
+        """Return a place.
+
+        Args:
+            data_centre: its name.
+
+        Returns:
+            The data centre with its region.
+
+        """
+        return Place(self.places[data_centre], data_centre)
+
+
+def _spread(data_centres: Mapping[str, str], count: int) -> dict[str, str]:
+    names = list(data_centres)
+    return {f'n{each + 1}': names[each % len(names)] for each in range(count)}
+
+
+def _tenants(
+    large: tuple[str, ...], small: tuple[str, ...]
+) -> tuple[Tenant, ...]:
+    return (
+        *(Tenant(name, rate=60, burst=60) for name in large),
+        *(Tenant(name, rate=15, burst=20) for name in small),
+    )
+
+
+_HIMAL_PLACES = {
+    'bagmati-patan': 'bagmati',
+    'gandaki-lakeside': 'gandaki',
+    'koshi-biratnagar': 'koshi',
+}
+_HANBIT_PLACES = {
+    'seoul-a': 'seoul',
+    'chuncheon-a': 'chuncheon',
+    'busan-a': 'busan',
+}
+HIMAL = Deployment(
+    name='himal',
+    places=_HIMAL_PLACES,
+    nodes=_spread(_HIMAL_PLACES, 8),
+    services=('strop-ledger-1', 'strop-ledger-2', 'strop-ledger-3'),
+    slots=5,
+    connections=30,
+    connect_s=0.01,
+    latency=Latency(data_centre_ms=4, region_ms=20),
+    tenants=_tenants(
+        ('barbers-one', 'barbers-two', 'salons'),
+        ('rep-east', 'rep-west', 'rep-hill', 'samples', 'office'),
+    ),
+)
+HANBIT = Deployment(
+    name='hanbit',
+    places=_HANBIT_PLACES,
+    nodes=_spread(_HANBIT_PLACES, 8),
+    services=('boathouse-ledger-1', 'boathouse-ledger-2', 'boathouse-ledger-3'),
+    slots=3,
+    connections=40,
+    connect_s=0.03,
+    latency=Latency(data_centre_ms=4, region_ms=8),
+    tenants=_tenants(
+        ('han-rowing', 'soyang-rowing'),
+        ('club-a', 'club-b', 'club-c', 'club-d', 'club-e', 'club-f'),
+    ),
+)
+SMALL = Deployment(
+    name='small',
+    places={'dc-a': 'east', 'dc-b': 'east', 'dc-c': 'west'},
+    nodes={'n1': 'dc-a', 'n2': 'dc-b', 'n3': 'dc-c'},
+    services=('orders',),
+    slots=3,
+    connections=6,
+    connect_s=0.01,
+    latency=Latency(data_centre_ms=1, region_ms=3),
+    tenants=_tenants(('himal',), ('hanbit',)),
+)
+DEPLOYMENTS: Mapping[str, Deployment] = {
+    each.name: each for each in (HIMAL, HANBIT, SMALL)
+}
--- /dev/null
+++ b/trefoilhitch_lab/endpoint_server.py
@@ -0,0 +1,640 @@
+"""Stand-in of a database endpoint: slots, terms, transactions and replication."""
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode, encode
+from trio import (
+    Lock,
+    Nursery,
+    current_time,
+    move_on_at,
+    sleep,
+)
+
+from trefoilhitch._generated.endpoint import (
+    BeginRequest,
+    CommitRequest,
+    ConfirmReply,
+    ConfirmRequest,
+    ConnectReply,
+    ConnectRequest,
+    EndpointError,
+    FenceReply,
+    FenceRequest,
+    GroupMember,
+    LogEntry,
+    PromoteRequest,
+    RecordReply,
+    RecordRequest,
+    ReplicateReply,
+    ReplicateRequest,
+    RunReply,
+    RunRequest,
+    StatusReply,
+)
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.errors import (
+    BadRequestError,
+    SqlRejectedError,
+    TrefoilhitchError,
+)
+from trefoilhitch.http_message import Answerer, HttpRequest, HttpResponse
+from trefoilhitch.position import majority
+from trefoilhitch_lab.database import Database, Rows, check_same_statement
+from trefoilhitch_lab.network import Network
+from trefoilhitch_lab.replication import Replicator
+
+APPLY_INTERVAL_S = 0.002
+LOCK_WAIT_S = 2.0
+ROUND_WAIT_S = 0.3
+BodyT = TypeVar('BodyT', bound=Struct)
+_MS_PER_S = 1000
+_REFUSED = 409
+
+
+class EndpointRefusalError(TrefoilhitchError):
+    """The endpoint refuses a request; nothing was run.
+
+    Args:
+        code: code of the EndpointError.
+        detail: what went wrong.
+
+    """
+
+    def __init__(self, code: str, detail: str = '') -> None:
+        """Keep what the client is told."""
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+
+@dataclass(slots=True)
+class EndpointFaults:
+    """Fault switches and costs of an endpoint.
+
+    Args:
+        connect_s: time that a new statement connection takes.
+        work_s: time that a statement takes on its slot.
+        lag_s: how much later than received a replica applies entries.
+        leaving: refuse new connections.
+        frozen: answer nothing.
+        drop_answers: number of coming statements that run without an answer.
+
+    """
+
+    connect_s: float = 0
+    work_s: float = 0
+    lag_s: float = 0
+    leaving: bool = False
+    frozen: bool = False
+    drop_answers: int = 0
+
+
+@dataclass(slots=True)
+class _Received:
+    at: float
+    position: int
+
+
+class EndpointServer:
+    """One member of a database group.
+
+    Args:
+        name: its name.
+        slots: most statement connections at once.
+        network: carries replication.
+        nursery: runs replication.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        slots: int,
+        network: Network,
+        nursery: Nursery,
+    ) -> None:
+        """Start as a replica of nobody, in term 0."""
+        self.name = name
+        self.slots = slots
+        self.faults = EndpointFaults()
+        self.database = Database()
+        self.runs: list[LogEntry] = []
+        self.used = 0
+        self.role = 'replica'
+        self.term = 0
+        self.lock = Lock()
+        self._claimant = ''
+        self._primary = ''
+        self._heard_at = current_time()
+        self._members: list[GroupMember] = []
+        self._received: list[_Received] = []
+        self._replicator: Replicator | None = None
+        self._network = network
+        self._nursery = nursery
+
+    async def apply_for_ever(self) -> None:
+        """Apply received entries once they are as old as the lag."""
+        while True:
+            await sleep(APPLY_INTERVAL_S)
+            due = current_time() - self.faults.lag_s
+            while self._received and self._received[0].at <= due:
+                self.database.apply(
+                    min(self._received.pop(0).position, len(self.database.log)),
+                )
+
+    def status(self) -> StatusReply:
+        """Return what the endpoint says of itself."""
+        silent_s = (
+            0 if self.role == 'primary' else current_time() - self._heard_at
+        )
+        end = self.database.end
+        applied = self.database.applied_end
+        return StatusReply(
+            endpoint=self.name,
+            role=self.role,
+            term=self.term,
+            last_term=end.term,
+            last_position=end.position,
+            applied_term=applied.term,
+            applied_position=applied.position,
+            leaving=self.faults.leaving,
+            primary=self._primary,
+            primary_silent_ms=int(silent_s * _MS_PER_S),
+        )
+
+    def fence(self, req: FenceRequest) -> FenceReply:
+        """Take a term once, for one claimant."""
+        same = req.term == self.term and req.claimant == self._claimant
+        accepted = req.term > self.term or (same and self.role == 'fenced')
+        if accepted:
+            self.term = req.term
+            self._claimant = req.claimant
+            self._step_down('fenced')
+        end = self.database.end
+        return FenceReply(
+            accepted=accepted,
+            term=self.term,
+            last_term=end.term,
+            last_position=end.position,
+        )
+
+    def promote(self, req: PromoteRequest) -> StatusReply:
+        """Become the primary of the term that was fenced for this claimant."""
+        if req.term != self.term or req.claimant != self._claimant:
+            raise EndpointRefusalError('stale_term', f'the term is {self.term}')
+        if self.role == 'replica':
+            raise EndpointRefusalError(
+                'stale_term', 'another endpoint was promoted'
+            )
+        if self.role == 'fenced':
+            self._become_primary(req.members)
+        return self.status()
+
+    def replicate(self, req: ReplicateRequest) -> ReplicateReply:
+        """Take entries from the primary of the current term or of a later one."""
+        if req.term < self.term:
+            return ReplicateReply(
+                accepted=False, term=self.term, held_position=0
+            )
+        if req.term > self.term:
+            self.term = req.term
+            self._claimant = ''
+        if self.role != 'replica':
+            self._step_down('replica')
+        self._primary = req.primary
+        self._heard_at = current_time()
+        previous = LogPosition(
+            term=req.previous_term, position=req.previous_position
+        )
+        accepted = self.database.extend(previous, req.entries)
+        held = min(len(self.database.log), max(0, req.previous_position - 1))
+        if accepted:
+            held = req.previous_position + len(req.entries)
+            self._received.append(_Received(current_time(), held))
+        return ReplicateReply(
+            accepted=accepted, term=self.term, held_position=held
+        )
+
+    async def confirm(self, req: ConfirmRequest) -> ConfirmReply:
+        """Wait until a majority holds a position, and say who does."""
+        replicator = self.require_primary(req.term)
+        since = current_time() if req.fresh else 0
+        replicator.appended.notify()
+        wait_s = req.wait_ms / _MS_PER_S or ROUND_WAIT_S
+        deadline = current_time() + wait_s
+        with move_on_at(deadline):
+            while not self._is_held(replicator, req.position, since):
+                await replicator.progressed.event.wait()
+        self.require_primary(req.term)
+        return ConfirmReply(
+            term=self.term,
+            members=len(self._members),
+            holdings=replicator.holdings(since),
+        )
+
+    def find_record(self, req: RecordRequest) -> RecordReply:
+        """Return the stored outcome of a request."""
+        self.require_primary(req.term)
+        entry = self.database.record(req.organisation, req.request)
+        end = self.database.end
+        if entry is None:
+            return RecordReply(
+                found=False, term=end.term, position=end.position
+            )
+        return RecordReply(
+            found=True,
+            term=end.term,
+            position=end.position,
+            columns=entry.columns,
+            rows=entry.rows,
+            changed=entry.changed,
+        )
+
+    def require_primary(self, term: int) -> Replicator:
+        """Refuse unless this is the primary of a term.
+
+        Args:
+            term: the term that the client knows.
+
+        Returns:
+            The running replicator.
+
+        Raises:
+            EndpointRefusalError: it is not.
+
+        """
+        if (
+            self.role != 'primary'
+            or term != self.term
+            or self._replicator is None
+        ):
+            raise EndpointRefusalError(
+                'not_primary', f'{self.role} in {self.term}'
+            )
+        return self._replicator
+
+    def committed(self, entry: LogEntry) -> None:
+        """Replicate a new entry, and keep it for checks from outside.
+
+        Args:
+            entry: the entry.
+
+        """
+        self.runs.append(entry)
+        if self._replicator is not None:
+            self._replicator.appended.notify()
+
+    def _become_primary(self, members: list[GroupMember]) -> None:
+        self.role = 'primary'
+        self._primary = self.name
+        self._members = members
+        self._received = []
+        self.lock = Lock()
+        self.database.become_primary(self.term)
+        self._replicator = Replicator(
+            name=self.name,
+            term=self.term,
+            database=self.database,
+            network=self._network,
+        )
+        self._nursery.start_soon(self._replicator.run, members)
+
+    def _is_held(
+        self, replicator: Replicator, position: int, since: float
+    ) -> bool:
+        if self.role != 'primary':
+            return True
+        holding = [
+            each
+            for each in replicator.holdings(since)
+            if each.position >= position
+        ]
+        return len(holding) >= majority(len(self._members))
+
+    def _step_down(self, role: str) -> None:
+        self.role = role
+        if self._replicator is not None:
+            self._replicator.scope.cancel()
+            self._replicator.progressed.notify()
+            self._replicator = None
+
+
+class ControlAnswerer:
+    """Answers on an endpoint's control address.
+
+    Args:
+        server: the endpoint.
+
+    """
+
+    def __init__(self, server: EndpointServer) -> None:
+        """Keep the endpoint."""
+        self._server = server
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a control request."""
+        await _thaw(self._server)
+        try:
+            return HttpResponse(body=encode(await self._reply(req)))
+        except EndpointRefusalError as exc:
+            return refuse(self._server, exc)
+
+    async def _reply(self, req: HttpRequest) -> Struct:
+        server = self._server
+        match req.path:
+            case '/v1/status':
+                return server.status()
+            case '/v1/fence':
+                return server.fence(read_body(req, FenceRequest))
+            case '/v1/promote':
+                return server.promote(read_body(req, PromoteRequest))
+            case '/v1/replicate':
+                return server.replicate(read_body(req, ReplicateRequest))
+            case '/v1/confirm':
+                return await server.confirm(read_body(req, ConfirmRequest))
+            case '/v1/record':
+                return server.find_record(read_body(req, RecordRequest))
+        raise EndpointRefusalError('bad_request', req.path)
+
+
+class StatementFactory:
+    """Makes the answerer of each statement connection.
+
+    Args:
+        server: the endpoint.
+
+    """
+
+    def __init__(self, server: EndpointServer) -> None:
+        """Keep the endpoint."""
+        self._server = server
+
+    def connect(self) -> Answerer:
+        """Return the answerer for a new connection."""
+        return StatementAnswerer(self._server)
+
+    def disconnect(self, answerer: Answerer) -> None:
+        """Roll back and free the slot of a connection that closed.
+
+        Args:
+            answerer: what `connect` returned.
+
+        """
+        if isinstance(answerer, StatementAnswerer):
+            answerer.release()
+
+
+@dataclass(slots=True)
+class _Transaction:
+    term: int
+    lock: Lock
+    changed: int = 0
+
+
+class StatementAnswerer:
+    """Answers on one statement connection, which holds one slot.
+
+    Args:
+        server: the endpoint.
+
+    """
+
+    def __init__(self, server: EndpointServer) -> None:
+        """Start without a slot."""
+        self._server = server
+        self._has_slot = False
+        self._transaction: _Transaction | None = None
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a statement request."""
+        await _thaw(self._server)
+        try:
+            reply = await self._reply(req)
+        except EndpointRefusalError as exc:
+            return refuse(self._server, exc)
+        except SqlRejectedError as exc:
+            refused = EndpointRefusalError('sql_rejected', exc.detail)
+            return refuse(self._server, refused)
+        except BadRequestError as exc:
+            return refuse(
+                self._server, EndpointRefusalError('bad_request', exc.detail)
+            )
+        if self._server.faults.drop_answers and isinstance(reply, RunReply):
+            self._server.faults.drop_answers -= 1
+            return HttpResponse(_REFUSED, b'', close=True)
+        return HttpResponse(body=encode(reply))
+
+    def release(self) -> None:
+        """Roll back and free the slot."""
+        self._abort()
+        if self._has_slot:
+            self._has_slot = False
+            self._server.used -= 1
+
+    async def _reply(self, req: HttpRequest) -> Struct:
+        if req.path == '/v1/connect':
+            return await self._connect(read_body(req, ConnectRequest))
+        if not self._has_slot:
+            raise EndpointRefusalError('not_connected')
+        if self._server.faults.work_s:
+            await sleep(self._server.faults.work_s)
+        match req.path:
+            case '/v1/run':
+                return await self._run(read_body(req, RunRequest))
+            case '/v1/begin':
+                return await self._begin(read_body(req, BeginRequest))
+            case '/v1/commit':
+                return self._commit(read_body(req, CommitRequest))
+            case '/v1/rollback':
+                self._abort()
+                return self._run_reply(Rows(), self._server.database.end)
+        raise EndpointRefusalError('bad_request', req.path)
+
+    async def _connect(self, req: ConnectRequest) -> ConnectReply:
+        server = self._server
+        if server.faults.leaving:
+            raise EndpointRefusalError('leaving', req.client)
+        if server.used >= server.slots:
+            raise EndpointRefusalError(
+                'slots_exhausted', f'{server.slots} are in use'
+            )
+        server.used += 1
+        self._has_slot = True
+        if server.faults.connect_s:
+            await sleep(server.faults.connect_s)
+        return ConnectReply(endpoint=server.name, term=server.term)
+
+    async def _run(self, req: RunRequest) -> RunReply:
+        if req.in_transaction:
+            return self._run_in_transaction(req)
+        if req.access == 'write':
+            return await self._write(req)
+        database = self._server.database
+        return self._run_reply(
+            database.read(req.sql, req.args), database.applied_end
+        )
+
+    async def _write(self, req: RunRequest) -> RunReply:
+        server = self._server
+        server.require_primary(req.term)
+        lock = await self._lock()
+        try:
+            server.require_primary(req.term)
+            return self._write_once(req)
+        finally:
+            lock.release()
+
+    def _write_once(self, req: RunRequest) -> RunReply:
+        server = self._server
+        known = server.database.record(req.organisation, req.request)
+        if req.request and known is not None:
+            check_same_statement(known, req.sql, req.args)
+            return self._replay(known)
+        server.database.begin()
+        try:
+            found = server.database.run(req.sql, req.args)
+        except SqlRejectedError:
+            server.database.rollback()
+            raise
+        entry = server.database.commit(
+            server.term,
+            (req.organisation, req.request),
+            found,
+        )
+        server.committed(entry)
+        return self._run_reply(found, server.database.end)
+
+    async def _begin(self, req: BeginRequest) -> RunReply:
+        server = self._server
+        server.require_primary(req.term)
+        if self._transaction is not None:
+            raise EndpointRefusalError('bad_request', 'a transaction is open')
+        lock = await self._lock()
+        try:
+            server.require_primary(req.term)
+        except EndpointRefusalError:
+            lock.release()
+            raise
+        server.database.begin()
+        self._transaction = _Transaction(req.term, lock)
+        return self._run_reply(Rows(), server.database.end)
+
+    def _run_in_transaction(self, req: RunRequest) -> RunReply:
+        transaction = self._require_transaction()
+        found = self._server.database.run(req.sql, req.args)
+        transaction.changed += found.changed
+        return self._run_reply(found, self._server.database.end)
+
+    def _commit(self, req: CommitRequest) -> RunReply:
+        transaction = self._require_transaction()
+        server = self._server
+        known = server.database.record(req.organisation, req.request)
+        if known is not None:
+            self._abort()
+            return self._replay(known)
+        found = Rows(changed=transaction.changed)
+        entry = server.database.commit(
+            server.term,
+            (req.organisation, req.request),
+            found,
+        )
+        self._transaction = None
+        transaction.lock.release()
+        server.committed(entry)
+        return self._run_reply(found, server.database.end)
+
+    def _require_transaction(self) -> _Transaction:
+        if self._transaction is None:
+            raise EndpointRefusalError('no_transaction')
+        if not self._is_current(self._transaction):
+            self._abort()
+            raise EndpointRefusalError('no_transaction', 'the term has ended')
+        return self._transaction
+
+    def _abort(self) -> None:
+        transaction = self._transaction
+        if transaction is None:
+            return
+        self._transaction = None
+        if self._is_current(transaction):
+            self._server.database.rollback()
+        transaction.lock.release()
+
+    def _is_current(self, transaction: _Transaction) -> bool:
+        server = self._server
+        return server.role == 'primary' and server.term == transaction.term
+
+    async def _lock(self) -> Lock:
+        lock = self._server.lock
+        with move_on_at(current_time() + LOCK_WAIT_S):
+            await lock.acquire()
+            return lock
+        raise EndpointRefusalError('sql_rejected', 'database is locked')
+
+    def _replay(self, entry: LogEntry) -> RunReply:
+        end = self._server.database.end
+        return RunReply(
+            term=end.term,
+            position=end.position,
+            columns=entry.columns,
+            rows=entry.rows,
+            changed=entry.changed,
+            replayed=True,
+            role='primary',
+        )
+
+    def _run_reply(self, found: Rows, reached: LogPosition) -> RunReply:
+        return RunReply(
+            term=reached.term,
+            position=reached.position,
+            columns=found.columns,
+            rows=found.rows,
+            changed=found.changed,
+            role='primary' if self._server.role == 'primary' else 'replica',
+        )
+
+
+def read_body(req: HttpRequest, kind: type[BodyT]) -> BodyT:
+    """Decode the body of a request.
+
+    Args:
+        req: the request.
+        kind: type of the body.
+
+    Returns:
+        The body.
+
+    Raises:
+        EndpointRefusalError: the body is not of that type.
+
+    """
+    try:
+        return decode(req.body, type=kind)
+    except (DecodeError, ValidationError) as exc:
+        raise EndpointRefusalError('bad_request', str(exc)) from exc
+
+
+def refuse(server: EndpointServer, exc: EndpointRefusalError) -> HttpResponse:
+    """Return the answer for a refusal.
+
+    Args:
+        server: the endpoint.
+        exc: the refusal.
+
+    Returns:
+        A typed error, which says that nothing was run.
+
+    """
+    error = EndpointError(
+        code=exc.code, run='no', detail=exc.detail, term=server.term
+    )
+    return HttpResponse(_REFUSED, encode(error))
+
+
+async def _thaw(server: EndpointServer) -> None:
+    while server.faults.frozen:
+        await sleep(APPLY_INTERVAL_S)
--- /dev/null
+++ b/trefoilhitch_lab/ledger.py
@@ -0,0 +1,126 @@
+"""The outside record: what callers were told, checked against the databases."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from msgspec import Struct
+
+
+class Verdict(Struct, frozen=True, kw_only=True):
+    """What the outside record found.
+
+    Args:
+        requests: requests sent.
+        acknowledged_writes: writes that were acknowledged.
+        replica_read_share: share of replica-eligible reads that a replica served.
+        stale_reads: reads that missed what their session had written.
+        wrong_answers: answers that belonged to another request.
+        lost_acked_writes: acknowledged writes that the database does not hold.
+        duplicate_runs: requests that ran more than once.
+        false_not_run: refused as not run, yet the database holds them.
+        refusals: refusals by code.
+
+    """
+
+    requests: int
+    acknowledged_writes: int
+    replica_read_share: float
+    stale_reads: int
+    wrong_answers: int
+    lost_acked_writes: int
+    duplicate_runs: int
+    false_not_run: int
+    refusals: dict[str, int]
+
+    def violations(self) -> int:
+        """Return how many promises were broken.
+
+        Returns:
+            The sum of all counts that have to be 0.
+
+        """
+        return sum(
+            (
+                self.stale_reads,
+                self.wrong_answers,
+                self.lost_acked_writes,
+                self.duplicate_runs,
+                self.false_not_run,
+            )
+        )
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Takes note of what callers sent and were told."""
+
+    requests: int = 0
+    stale_reads: int = 0
+    wrong_answers: int = 0
+    replica_reads: int = 0
+    eligible_reads: int = 0
+    refusals: Counter[str] = field(default_factory=Counter)
+    acked: set[str] = field(default_factory=set)
+    not_run: set[str] = field(default_factory=set)
+
+    def sent(self) -> None:
+        """Note a request."""
+        self.requests += 1
+
+    def acknowledged(self, mark: str) -> None:
+        """Note a write that was acknowledged.
+
+        Args:
+            mark: unique text that the write stored.
+
+        """
+        self.acked.add(mark)
+
+    def refused(self, code: str, run: str, mark: str = '') -> None:
+        """Note a refusal.
+
+        Args:
+            code: its code.
+            run: its promise.
+            mark: unique text that the request would have stored.
+
+        """
+        self.refusals[code] += 1
+        if mark and run == 'no':
+            self.not_run.add(mark)
+
+    def read(self, *, role: str, eligible: bool) -> None:
+        """Note a read that was answered.
+
+        Args:
+            role: role of the endpoint that answered.
+            eligible: whether a replica was allowed to answer.
+
+        """
+        if eligible:
+            self.eligible_reads += 1
+            self.replica_reads += role == 'replica'
+
+    def verdict(self, stored: Iterable[str]) -> Verdict:
+        """Compare what callers were told with what the databases hold.
+
+        Args:
+            stored: the unique texts in the databases, once for each row.
+
+        Returns:
+            The verdict.
+
+        """
+        held = Counter(stored)
+        return Verdict(
+            requests=self.requests,
+            acknowledged_writes=len(self.acked),
+            replica_read_share=self.replica_reads / max(1, self.eligible_reads),
+            stale_reads=self.stale_reads,
+            wrong_answers=self.wrong_answers,
+            lost_acked_writes=sum(mark not in held for mark in self.acked),
+            duplicate_runs=sum(count > 1 for count in held.values()),
+            false_not_run=sum(mark in held for mark in self.not_run),
+            refusals=dict(self.refusals),
+        )
--- /dev/null
+++ b/trefoilhitch_lab/network.py
@@ -0,0 +1,130 @@
+"""A network between places: latency, cuts and loss, applied at the interfaces."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from trio import current_time, sleep, sleep_until
+
+from trefoilhitch.errors import DeadlineError
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a process runs.
+
+    Args:
+        region: its region.
+        data_centre: its data centre.
+
+    """
+
+    region: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class Latency:
+    """One-way latencies in milliseconds.
+
+    Args:
+        data_centre_ms: between data centres of a region.
+        region_ms: between regions.
+
+    """
+
+    data_centre_ms: float = 0
+    region_ms: float = 0
+
+
+@dataclass(slots=True)
+class Network:
+    """Delays, cuts and loses messages between named processes.
+
+    Args:
+        latency: one-way latencies.
+        places: place of each process by name.
+        random: decides about jitter and loss.
+        loss: share of messages that are lost.
+
+    """
+
+    latency: Latency = Latency()
+    places: Mapping[str, Place] = field(default_factory=dict)
+    random: Random = field(default_factory=lambda: Random(0))
+    loss: float = 0
+    _cut: set[frozenset[str]] = field(default_factory=set)
+
+    def cut(self, left: Iterable[str], right: Iterable[str]) -> None:
+        """Drop all messages between two sides.
+
+        Args:
+            left: names of processes.
+            right: names of processes.
+
+        """
+        others = list(right)
+        self._cut.update(
+            frozenset((one, other))
+            for one in left
+            for other in others
+            if one != other
+        )
+
+    def heal(self) -> None:
+        """Let all messages through again."""
+        self._cut.clear()
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Tell whether two processes cannot reach each other.
+
+        Args:
+            source: name of one.
+            target: name of the other.
+
+        Returns:
+            True if all their messages are dropped.
+
+        """
+        return frozenset((source, target)) in self._cut
+
+    async def cross(self, source: str, target: str, deadline: float) -> None:
+        """Take a message from one process to another.
+
+        Args:
+            source: name of the sender.
+            target: name of the receiver.
+            deadline: monotonic time until which the sender waits.
+
+        Raises:
+            DeadlineError: the message was dropped, and the sender waited in vain.
+
+        """
+        if self.is_cut(source, target) or self.random.random() < self.loss:
+            await sleep_until(deadline)
+            raise DeadlineError(f'{target} did not answer {source}')
+        delay_s = self._delay_s(source, target)
+        if current_time() + delay_s > deadline:
+            await sleep_until(deadline)
+            raise DeadlineError(f'{target} did not answer {source}')
+        if delay_s:
+            await sleep(delay_s)
+
+    def _delay_s(self, source: str, target: str) -> float:
+        here = self.places.get(source)
+        there = self.places.get(target)
+        if (
+            here is None
+            or there is None
+            or here.data_centre == there.data_centre
+        ):
+            return 0
+        same_region = here.region == there.region
+        base_ms = (
+            self.latency.data_centre_ms
+            if same_region
+            else self.latency.region_ms
+        )
+        return base_ms * (1 + self.random.random() / 4) / _MS_PER_S
--- /dev/null
+++ b/trefoilhitch_lab/stack.py
@@ -0,0 +1,411 @@
+"""A whole deployment on loopback: platform, endpoints and nodes on one trio loop."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from random import Random
+from socket import AF_INET, SOCK_STREAM, socket
+
+from trio import CancelScope, Event, Nursery, current_time, open_nursery, sleep
+
+from trefoilhitch._generated.settings import (
+    FleetSettings,
+    LimitSettings,
+    LogSettings,
+    NodeSettings,
+    PlatformSettings,
+    Settings,
+)
+from trefoilhitch._generated.store import (
+    Bundle,
+    Endpoint,
+    ListedVm,
+    Organisation,
+    Service,
+)
+from trefoilhitch.decision_log import DecisionLog, SilentLog
+from trefoilhitch.http_server import AnswererFactory, HttpServer, SharedAnswerer
+from trefoilhitch.keyring import NewKey, create_key
+from trefoilhitch.node import Node
+from trefoilhitch.node_parts import NodeContext
+from trefoilhitch.platform import Platform
+from trefoilhitch.publisher import Publisher
+from trefoilhitch.store import HttpObjectStore
+from trefoilhitch_lab.deployment import Deployment
+from trefoilhitch_lab.endpoint_server import (
+    ControlAnswerer,
+    EndpointServer,
+    StatementFactory,
+)
+from trefoilhitch_lab.faulty import FaultyPeers, faulty_platform
+from trefoilhitch_lab.network import Network
+from trefoilhitch_lab.object_api import ObjectApi
+from trefoilhitch_lab.vm_list import VmListApi
+
+LOOPBACK = '127.0.0.1'
+FLEET_SECRET = 'lab-fleet-secret-0123456789'
+READY_TIMEOUT_S = 15
+READY_POLL_S = 0.02
+_SECRET_BITS = 128
+_SALT_BITS = 64
+
+
+class FailingReporter:
+    """Keeps unexpected failures, so that a run can fail on them."""
+
+    def __init__(self) -> None:
+        """Start without failures."""
+        self.failures: list[Exception] = []
+
+    def report(self, exc: Exception) -> None:
+        """Keep a failure.
+
+        Args:
+            exc: what was raised.
+
+        """
+        self.failures.append(exc)
+
+
+@dataclass(slots=True)
+class RunningNode:
+    """A node of the stack.
+
+    Args:
+        node: the node.
+        scope: cancelling it kills the node at once.
+        address: where callers reach it.
+        ended: set when it has stopped.
+
+    """
+
+    node: Node
+    ctx: NodeContext
+    scope: CancelScope
+    address: str
+    ended: Event = field(default_factory=Event)
+
+
+class Stack:
+    """Platform stand-ins, endpoints and nodes of one deployment.
+
+    Args:
+        deployment: what to build.
+        seed: all random choices follow from it.
+        nursery: runs everything.
+        log: makes the log of a node.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        seed: int,
+        nursery: Nursery,
+        log: Callable[[str], DecisionLog],
+    ) -> None:
+        """Start nothing yet."""
+        self.deployment = deployment
+        self.random = Random(seed)
+        self.store = ObjectApi()
+        self.vm_list = VmListApi(lag_s=1)
+        self.network = Network(
+            latency=deployment.latency,
+            random=Random(seed + 1),
+        )
+        self.endpoints: dict[str, EndpointServer] = {}
+        self.nodes: dict[str, RunningNode] = {}
+        self.keys: dict[str, NewKey] = {}
+        self.reporter = FailingReporter()
+        self._nursery = nursery
+        self._log = log
+        self._declared: list[Endpoint] = []
+        self._addresses: dict[str, str] = {}
+        self._names: dict[str, str] = {}
+        self._incarnation = 0
+
+    async def start(self) -> None:
+        """Start the platform, the endpoints and all nodes, and wait for them."""
+        await self.start_platform()
+        for name in self.deployment.nodes:
+            self.start_node(name)
+        await self.wait_until_ready()
+
+    async def start_platform(self) -> None:
+        """Start the platform and the endpoints, and apply the configuration."""
+        self._store_address = await self._serve(SharedAnswerer(self.store))
+        self._list_address = await self._serve(SharedAnswerer(self.vm_list))
+        for service in self.deployment.services:
+            for data_centre in self.deployment.places:
+                await self._start_endpoint(service, data_centre)
+        for tenant in self.deployment.tenants:
+            self.keys[tenant.name] = self._create_key(tenant.name)
+        await Publisher(HttpObjectStore(self._store_address)).apply(
+            self.bundle(),
+            base=0,
+            operator='lab',
+        )
+
+    def bundle(self) -> Bundle:
+        """Return the declared configuration."""
+        return Bundle(
+            services=[Service(name=name) for name in self.deployment.services],
+            endpoints=self._declared,
+            organisations=[
+                Organisation(name=each.name, rate=each.rate, burst=each.burst)
+                for each in self.deployment.tenants
+            ],
+            keys=[made.key for made in self.keys.values()],
+        )
+
+    def start_node(self, name: str) -> RunningNode:
+        """Start a node, under the name of one that has ended or anew.
+
+        Args:
+            name: its name.
+
+        Returns:
+            The running node.
+
+        """
+        cfg = self._settings(name)
+        self._incarnation += 1
+        ctx = NodeContext.from_settings(
+            cfg,
+            platform=faulty_platform(
+                Platform.from_settings(cfg),
+                self.network,
+                name,
+            ),
+            log=self._log(name),
+            random=Random(self.random.random()),
+            incarnation=self._incarnation,
+        )
+        self._names[f'{LOOPBACK}:{cfg.node.peer_port}'] = name
+        peers = FaultyPeers(
+            auth=ctx.auth,
+            network=self.network,
+            node=name,
+            names=self._names,
+        )
+        ctx = replace(ctx, peers=peers)
+        running = RunningNode(
+            Node(ctx),
+            ctx,
+            CancelScope(),
+            f'{LOOPBACK}:{cfg.node.port}',
+        )
+        self.nodes[name] = running
+        self._publish_list()
+        self._nursery.start_soon(self._run_node, running)
+        return running
+
+    def kill_node(self, name: str) -> None:
+        """End a node at once, as if its VM had vanished.
+
+        Args:
+            name: its name.
+
+        """
+        self.nodes.pop(name).scope.cancel()
+        self._publish_list()
+
+    async def stop_node(self, name: str) -> None:
+        """Stop a node gracefully and wait until it has ended.
+
+        Args:
+            name: its name.
+
+        """
+        running = self.nodes.pop(name)
+        self._publish_list()
+        running.node.stop()
+        await running.ended.wait()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all nodes have a configuration and all groups a primary.
+
+        Raises:
+            TimeoutError: they do not.
+
+        """
+        deadline = current_time() + READY_TIMEOUT_S
+        while not self._is_ready():
+            if current_time() > deadline:
+                raise TimeoutError('the stack did not become ready')
+            await sleep(READY_POLL_S)
+
+    def primary_of(self, service: str) -> EndpointServer | None:
+        """Return the primary of the latest term of a service.
+
+        Args:
+            service: its name.
+
+        Returns:
+            The endpoint, or None.
+
+        """
+        primaries = [
+            self.endpoints[each.name]
+            for each in self._declared
+            if each.service == service
+            and self.endpoints[each.name].role == 'primary'
+        ]
+        return max(primaries, key=lambda server: server.term, default=None)
+
+    def group(self, service: str) -> list[EndpointServer]:
+        """Return all endpoints of a service.
+
+        Args:
+            service: its name.
+
+        Returns:
+            The endpoints.
+
+        """
+        return [
+            self.endpoints[each.name]
+            for each in self._declared
+            if each.service == service
+        ]
+
+    def _is_ready(self) -> bool:
+        nodes = self.nodes.values()
+        if not all(running.node.is_ready() for running in nodes):
+            return False
+        if any(
+            self.primary_of(name) is None for name in self.deployment.services
+        ):
+            return False
+        expected = len(self.nodes)
+        return all(
+            len(running.ctx.fleet.reachable()) >= expected for running in nodes
+        )
+
+    async def _run_node(self, running: RunningNode) -> None:
+        try:
+            with running.scope:
+                await running.node.run()
+        finally:
+            running.ended.set()
+
+    async def _start_endpoint(self, service: str, data_centre: str) -> None:
+        name = f'{service}-{data_centre}'
+        server = EndpointServer(
+            name=name,
+            slots=self.deployment.slots,
+            network=self.network,
+            nursery=self._nursery,
+        )
+        server.faults.connect_s = self.deployment.connect_s
+        self.endpoints[name] = server
+        self._place(name, data_centre)
+        self._nursery.start_soon(server.apply_for_ever)
+        place = self.deployment.place(data_centre)
+        self._declared.append(
+            Endpoint(
+                name=name,
+                service=service,
+                region=place.region,
+                data_centre=data_centre,
+                address=await self._serve(StatementFactory(server)),
+                control=await self._serve(
+                    SharedAnswerer(ControlAnswerer(server))
+                ),
+                slots=self.deployment.slots,
+            ),
+        )
+
+    async def _serve(self, factory: AnswererFactory) -> str:
+        server = HttpServer(factory=factory, reporter=self.reporter)
+        port = await server.listen(self._nursery, LOOPBACK, 0)
+        return f'{LOOPBACK}:{port}'
+
+    def _settings(self, name: str) -> Settings:
+        data_centre = self.deployment.nodes[name]
+        self._place(name, data_centre)
+        return Settings(
+            node=NodeSettings(
+                name=name,
+                region=self.deployment.places[data_centre],
+                data_centre=data_centre,
+                address=LOOPBACK,
+                port=free_port(),
+                peer_port=free_port(),
+            ),
+            platform=PlatformSettings(
+                store=self._store_address,
+                vm_list=self._list_address,
+            ),
+            fleet=FleetSettings(secret=FLEET_SECRET),
+            limits=LimitSettings(),
+            log=LogSettings(),
+        )
+
+    def _place(self, name: str, data_centre: str) -> None:
+        place = self.deployment.place(data_centre)
+        self.network.places = {**self.network.places, name: place}
+
+    def _publish_list(self) -> None:
+        self.vm_list.publish(
+            [
+                ListedVm(
+                    name=name,
+                    address=running.ctx.fleet.identity.address,
+                    region=running.ctx.fleet.identity.region,
+                    data_centre=running.ctx.fleet.identity.data_centre,
+                )
+                for name, running in self.nodes.items()
+            ]
+        )
+
+    def _create_key(self, organisation: str) -> NewKey:
+        return create_key(
+            organisation,
+            name=f'k{self.random.getrandbits(32):08x}',
+            secret=f'{self.random.getrandbits(_SECRET_BITS):032x}',
+            salt=f'{self.random.getrandbits(_SALT_BITS):016x}',
+        )
+
+
+@asynccontextmanager
+async def running_stack(
+    deployment: Deployment,
+    *,
+    seed: int = 1,
+    log: Callable[[str], DecisionLog] | None = None,
+) -> AsyncIterator[Stack]:
+    """Run a deployment for the length of a block.
+
+    Args:
+        deployment: what to build.
+        seed: all random choices follow from it.
+        log: makes the log of a node; none by default.
+
+    Yields:
+        The stack, ready to serve.
+
+    """
+    async with open_nursery() as nursery:
+        stack = Stack(
+            deployment=deployment,
+            seed=seed,
+            nursery=nursery,
+            log=log or (lambda _: SilentLog()),
+        )
+        await stack.start()
+        yield stack
+        nursery.cancel_scope.cancel()
+
+
+def free_port() -> int:
+    """Return a TCP port of the loopback address that nobody listens on.
+
+    Returns:
+        The port.
+
+    """
+    with socket(AF_INET, SOCK_STREAM) as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/trefoilhitch_lab/vm_list.py
@@ -0,0 +1,48 @@
+"""Stand-in of the platform's lagging list of VMs."""
+
+from collections import deque
+
+from msgspec.json import encode
+from trio import current_time
+
+from trefoilhitch._generated.store import ListedVm, VmList
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+
+
+class VmListApi:
+    """Answers with the list as it was some time ago.
+
+    Args:
+        lag_s: how old the answers are, in seconds.
+
+    """
+
+    def __init__(self, *, lag_s: float = 0) -> None:
+        """Start with an empty list."""
+        self._lag_s = lag_s
+        self._shown = VmList(vms=[])
+        self._pending: deque[tuple[float, VmList]] = deque()
+
+    def publish(self, vms: list[ListedVm]) -> None:
+        """Change the list; answers show it after the lag.
+
+        Args:
+            vms: the whole new list.
+
+        """
+        self._pending.append((current_time() + self._lag_s, VmList(vms=vms)))
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a call.
+
+        Args:
+            req: the whole request.
+
+        Returns:
+            The list as it was before the lag.
+
+        """
+        now = current_time()
+        while self._pending and self._pending[0][0] <= now:
+            self._shown = self._pending.popleft()[1]
+        return HttpResponse(body=encode(self._shown))
