--- a/tools/generate.py
+++ b/tools/generate.py
@@ -31,13 +31,10 @@
 
 
 def _freeze(module: Path) -> None:
-    """Say in each class what its base says, because mypy reads only the class."""
+    """Repeat the base class option, because mypy reads only the class."""
     text = module.read_text()
-    module.write_text(
-        text.replace(
-            'Message, kw_only=True)', 'Message, frozen=True, kw_only=True)'
-        ),
-    )
+    frozen = text.replace('Message, kw_only', 'Message, frozen=True, kw_only')
+    module.write_text(frozen)
 
 
 def generate(target: Path) -> None:
@@ -55,9 +52,10 @@
         paths = [f'--input={schema}', f'--output={module}']
         code = main([*paths, _base_class(schema.stem), *OPTIONS])
         if code:
-            raise SystemExit(code)
+            sys.exit(code)
         _freeze(module)
 
 
 if __name__ == '__main__':
-    generate(Path(sys.argv[1]) if sys.argv[1:] else GENERATED_DIRECTORY)
+    targets = [Path(argument) for argument in sys.argv[1:]]
+    generate(targets[0] if targets else GENERATED_DIRECTORY)
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -1,7 +1,6 @@
 """`trefoilhitch`: the operators' tool."""
 
 import secrets
-import sys
 from dataclasses import dataclass, field
 from functools import partial
 from getpass import getuser
@@ -9,7 +8,8 @@
 from typing import Annotated, Any
 
 import cappa
-from msgspec import Struct, to_builtins
+from msgspec import Struct
+from msgspec import to_builtins as as_builtins
 from msgspec.json import encode
 from msgspec.json import format as format_json
 from trio import run
@@ -21,6 +21,7 @@
 from trefoilhitch.declaration import Change, differences, read_declaration
 from trefoilhitch.errors import RefusalError, StoreError, TrefoilhitchError
 from trefoilhitch.exit_code import ExitCode
+from trefoilhitch.failing import failing
 from trefoilhitch.ini import IniFile
 from trefoilhitch.keyring import create_key
 from trefoilhitch.peer_auth import PeerAuth
@@ -47,14 +48,16 @@
 class Check:
     """Check a declaration; every fault is printed."""
 
-    file: FileArg
+    path: FileArg
 
     def __call__(self) -> None:
         """Check the file."""
-        bundle = load_declaration(self.file)
+        bundle = load_declaration(self.path)
         print(
-            f'{len(bundle.services)} services, {len(bundle.endpoints)} endpoints, '
-            f'{len(bundle.organisations)} organisations, {len(bundle.keys)} keys',
+            f'{len(bundle.services)} services, '
+            f'{len(bundle.endpoints)} endpoints, '
+            f'{len(bundle.organisations)} organisations, '
+            f'{len(bundle.keys)} keys',
         )
 
 
@@ -63,13 +66,13 @@
 class Diff:
     """Show what a declaration would change."""
 
-    file: FileArg
+    path: FileArg
     store: StoreArg
     json: JsonArg = False
 
     def __call__(self) -> None:
         """Print the changes."""
-        bundle = load_declaration(self.file)
+        bundle = load_declaration(self.path)
         published = _ask(Publisher(HttpObjectStore(self.store)).current)
         changes = differences(published.bundle, bundle)
         if self.json:
@@ -87,7 +90,7 @@
 class Apply:
     """Put a declaration in force, all of it or nothing."""
 
-    file: FileArg
+    path: FileArg
     store: StoreArg
     base: Annotated[
         int | None,
@@ -102,7 +105,7 @@
 
     def __call__(self) -> None:
         """Apply the file."""
-        bundle = load_declaration(self.file)
+        bundle = load_declaration(self.path)
         publisher = Publisher(HttpObjectStore(self.store))
         base = self.base
         if base is None:
@@ -168,7 +171,8 @@
         for beat in status.members:
             lag = '' if beat.revision == newest else f' lags behind {newest}'
             print(
-                f'{beat.node} {beat.data_centre} {beat.state} {beat.revision}{lag}'
+                f'{beat.node} {beat.data_centre} {beat.state} '
+                f'{beat.revision}{lag}',
             )
 
 
@@ -237,9 +241,7 @@
         published: Published = _ask(publisher.current)
         kept = [key for key in published.bundle.keys if key.name != self.name]
         if len(kept) == len(published.bundle.keys):
-            raise cappa.Exit(
-                f'no key {self.name} is in force', code=ExitCode.REFUSED
-            )
+            raise failing(f'no key {self.name} is in force', ExitCode.REFUSED)
         bundle = _with_keys(published.bundle, kept)
         base = published.head.revision
         head = _ask(
@@ -261,19 +263,19 @@
 class TraceReplay:
     """Decide a recorded trace again and print the first difference."""
 
-    file: Annotated[Path, cappa.Arg(help='JSON lines, as the log writes them')]
+    path: Annotated[Path, cappa.Arg(help='JSON lines, as the log writes them')]
 
     def __call__(self) -> None:
         """Replay the trace."""
-        with self.file.open() as lines:
+        with self.path.open() as lines:
             found = _refusing(partial(first_difference, lines))
         if found is None:
             print('no difference')
             return
-        raise cappa.Exit(
+        raise failing(
             f'line {found.line}: recorded {found.recorded!r}, '
             f'now {found.replayed!r}: {encode(found.record).decode()}',
-            code=ExitCode.REFUSED,
+            ExitCode.REFUSED,
         )
 
 
@@ -323,10 +325,10 @@
     try:
         return read_declaration(IniFile.from_text(str(path), path.read_text()))
     except OSError as exc:
-        raise cappa.Exit(str(exc), code=ExitCode.USAGE) from exc
+        raise failing(str(exc), ExitCode.USAGE) from exc
     except SettingErrorGroup as group:
         lines = '\n'.join(str(exc) for exc in group.exceptions)
-        raise cappa.Exit(lines, code=ExitCode.REFUSED) from group
+        raise failing(lines, ExitCode.REFUSED) from group
 
 
 def _ask(call: Any) -> Any:
@@ -337,12 +339,10 @@
     try:
         return call()
     except OutcomeUnknownError as exc:
-        raise cappa.Exit(
-            f'outcome unknown: {exc}', code=ExitCode.UNKNOWN
-        ) from exc
+        raise failing(f'outcome unknown: {exc}', ExitCode.UNKNOWN) from exc
     except (StoreError, RefusalError, TrefoilhitchError) as exc:
         kind = type(exc).__name__
-        raise cappa.Exit(f'{kind}: {exc}', code=ExitCode.REFUSED) from exc
+        raise failing(f'{kind}: {exc}', ExitCode.REFUSED) from exc
 
 
 def _peer(settings: Path, address: str | None) -> PeerClient:
@@ -375,7 +375,8 @@
 
 
 def _print_json(message: Struct | dict[str, Any]) -> None:
-    sys.stdout.write(format_json(encode(to_builtins(message))).decode() + '\n')
+    line = encode(as_builtins(message))
+    print(format_json(line).decode())
 
 
 if __name__ == '__main__':
--- a/trefoilhitch/config_sync.py
+++ b/trefoilhitch/config_sync.py
@@ -1,4 +1,4 @@
-"""Brings the configuration in force to this node: from the store, or from peers."""
+"""Brings the configuration to a node: from the store, or from peers."""
 
 from random import Random
 
--- a/trefoilhitch/confirmer.py
+++ b/trefoilhitch/confirmer.py
@@ -28,9 +28,9 @@
 class Confirmer:
     """Learns whether a majority holds positions in a primary's term.
 
-    A fresh confirmer counts only answers to rounds that began after the request,
-    as in Raft's ReadIndex, so that it also proves that the primary had not been
-    replaced when the request came.
+    A fresh confirmer counts only answers to rounds that began after the
+    request, as in Raft's ReadIndex, so that it also proves that the primary had
+    not been replaced when the request came.
 
     Args:
         control: control client of the primary.
--- a/trefoilhitch/daemon.py
+++ b/trefoilhitch/daemon.py
@@ -3,7 +3,6 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 from pathlib import Path
 from random import SystemRandom
 from signal import SIGINT, SIGTERM
@@ -16,6 +15,7 @@
 from trefoilhitch._generated.settings import Settings
 from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
 from trefoilhitch.exit_code import ExitCode
+from trefoilhitch.failing import failing
 from trefoilhitch.ini import IniFile
 from trefoilhitch.node import Node
 from trefoilhitch.node_parts import NodeContext
@@ -41,18 +41,7 @@
 
         """
         cfg = load_settings(self.settings)
-        log = LogbookLog(
-            node=cfg.node.name,
-            handler=JsonLinesHandler(sys.stdout, cfg.log.level),
-        )
-        ctx = NodeContext.from_settings(
-            cfg,
-            platform=Platform.from_settings(cfg),
-            log=log,
-            random=SystemRandom(),
-            incarnation=time_ns(),
-        )
-        run(partial(_serve, Node(ctx)))
+        run(_run_node, cfg)
 
 
 def load_settings(path: Path) -> Settings:
@@ -71,10 +60,10 @@
     try:
         return read_settings(IniFile.from_text(str(path), path.read_text()))
     except OSError as exc:
-        raise cappa.Exit(str(exc), code=ExitCode.USAGE) from exc
+        raise failing(str(exc), ExitCode.USAGE) from exc
     except SettingErrorGroup as group:
         lines = '\n'.join(str(exc) for exc in group.exceptions)
-        raise cappa.Exit(lines, code=ExitCode.USAGE) from group
+        raise failing(lines, ExitCode.USAGE) from group
 
 
 def main() -> None:
@@ -82,7 +71,19 @@
     cappa.invoke(Daemon)
 
 
-async def _serve(node: Node) -> None:
+async def _run_node(cfg: Settings) -> None:
+    log = LogbookLog(
+        node=cfg.node.name,
+        sink=JsonLinesHandler(sys.stdout, cfg.log.level),
+    )
+    ctx = NodeContext.from_settings(
+        cfg,
+        platform=Platform.from_settings(cfg),
+        log=log,
+        random=SystemRandom(),
+        incarnation=time_ns(),
+    )
+    node = Node(ctx)
     async with open_nursery() as nursery:
         scope = CancelScope()
         nursery.start_soon(_stop_on_signal, node.stop, scope)
--- a/trefoilhitch/decision_log.py
+++ b/trefoilhitch/decision_log.py
@@ -68,7 +68,7 @@
         """
 
 
-class JsonLinesHandler(StreamHandler):
+class JsonLinesHandler(StreamHandler):  # type: ignore[misc]
     """Writes each log record as one JSON line.
 
     Args:
@@ -110,14 +110,14 @@
 
     Args:
         node: name of this node.
-        handler: where the records go.
+        sink: where the records go.
 
     """
 
-    def __init__(self, *, node: str, handler: StreamHandler) -> None:
-        """Keep the handler."""
+    def __init__(self, *, node: str, sink: StreamHandler) -> None:
+        """Keep the sink."""
         self._logger = Logger(node)
-        self._logger.handlers.append(handler)
+        self._logger.handlers.append(sink)
 
     def decision(self, record: Struct) -> None:
         """Write a decision.
--- a/trefoilhitch/declaration.py
+++ b/trefoilhitch/declaration.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
+from types import MappingProxyType
+from typing import Any, TypeAlias
 
 from msgspec import convert
 from msgspec.json import encode
@@ -12,19 +13,24 @@
 from trefoilhitch.schema import load_schema
 from trefoilhitch.setting_error import SettingError, SettingErrorGroup
 
+Declared: TypeAlias = dict[str, list[dict[str, Any]]]
 MAX_BUNDLE_BYTES = 1_000_000
-_LISTS = {
-    'service': 'services',
-    'endpoint': 'endpoints',
-    'organisation': 'organisations',
-    'key': 'keys',
-}
-_KINDS = {
-    'service': 'Service',
-    'endpoint': 'Endpoint',
-    'organisation': 'Organisation',
-    'key': 'Key',
-}
+_LISTS = MappingProxyType(
+    {
+        'service': 'services',
+        'endpoint': 'endpoints',
+        'organisation': 'organisations',
+        'key': 'keys',
+    }
+)
+_KINDS = MappingProxyType(
+    {
+        'service': 'Service',
+        'endpoint': 'Endpoint',
+        'organisation': 'Organisation',
+        'key': 'Key',
+    }
+)
 _REFERENCES = (
     ('endpoint', 'service', 'service'),
     ('key', 'organisation', 'organisation'),
@@ -64,27 +70,16 @@
         SettingErrorGroup: every fault of the file.
 
     """
-    schema = load_schema('store')
     errors = list(ini.errors)
-    declared: dict[str, list[dict[str, Any]]] = {kind: [] for kind in _KINDS}
+    declared: Declared = {kind: [] for kind in _KINDS}
     for section in ini.sections:
-        kind, _, name = section.partition(' ')
-        if kind not in _KINDS or not name:
-            errors.append(_unknown_section(ini, section))
-            continue
-        fields = {'name': name, **ini.sections[section]}
-        checked = check_fields(
-            ini, section, fields, schema.definition(_KINDS[kind])
-        )
-        errors.extend(checked.errors)
-        declared[kind].append(checked.fields)
+        errors.extend(_read_section(ini, section, declared))
     errors.extend(_dangling(ini, declared))
     errors.extend(_too_large(ini, declared))
     if errors:
         raise SettingErrorGroup.from_errors(errors)
-    return convert(
-        {_LISTS[kind]: found for kind, found in declared.items()}, Bundle
-    )
+    lists = {_LISTS[kind]: found for kind, found in declared.items()}
+    return convert(lists, Bundle)
 
 
 def differences(before: Bundle, after: Bundle) -> list[Change]:
@@ -110,6 +105,21 @@
     return changes
 
 
+def _read_section(
+    ini: IniFile,
+    section: str,
+    declared: Declared,
+) -> list[SettingError]:
+    kind, _, name = section.partition(' ')
+    if kind not in _KINDS or not name:
+        return [_unknown_section(ini, section)]
+    schema = load_schema('store').definition(_KINDS[kind])
+    fields = {'name': name, **ini.sections[section]}
+    checked = check_fields(ini, section, fields, schema)
+    declared[kind].append(checked.fields)
+    return checked.errors
+
+
 def _change(
     kind: str,
     name: str,
@@ -132,18 +142,19 @@
 
 
 def _unknown_section(ini: IniFile, section: str) -> SettingError:
+    kinds = ', '.join(_KINDS)
     return SettingError(
         source=ini.source,
         section=section,
         key='',
         found=section,
-        allowed=f'a section named KIND NAME, with KIND one of {", ".join(_KINDS)}',
+        allowed=f'a section named KIND NAME; kinds are {kinds}',
     )
 
 
 def _dangling(
     ini: IniFile,
-    declared: Mapping[str, list[dict[str, Any]]],
+    declared: Declared,
 ) -> list[SettingError]:
     return [
         SettingError(
@@ -162,7 +173,7 @@
 
 def _too_large(
     ini: IniFile,
-    declared: Mapping[str, list[dict[str, Any]]],
+    declared: Declared,
 ) -> list[SettingError]:
     size = len(encode(declared))
     if size <= MAX_BUNDLE_BYTES:
--- a/trefoilhitch/endpoint_client.py
+++ b/trefoilhitch/endpoint_client.py
@@ -1,5 +1,7 @@
 """The platform's database endpoints: statement connections and control."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Protocol, Self
 
 from msgspec import DecodeError, ValidationError
@@ -38,16 +40,18 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.json_client import JsonClient
 
-_ERRORS: dict[str, type[RefusalError]] = {
-    'slots_exhausted': SlotsExhaustedError,
-    'not_primary': StaleTermError,
-    'stale_term': StaleTermError,
-    'sql_rejected': SqlRejectedError,
-    'no_transaction': TransactionLostError,
-    'not_connected': UnreachableError,
-    'leaving': UnreachableError,
-    'bad_request': BadRequestError,
-}
+_ERRORS: Mapping[str, type[RefusalError]] = MappingProxyType(
+    {
+        'slots_exhausted': SlotsExhaustedError,
+        'not_primary': StaleTermError,
+        'stale_term': StaleTermError,
+        'sql_rejected': SqlRejectedError,
+        'no_transaction': TransactionLostError,
+        'not_connected': UnreachableError,
+        'leaving': UnreachableError,
+        'bad_request': BadRequestError,
+    }
+)
 
 
 class EndpointConnection(Protocol):
--- /dev/null
+++ b/trefoilhitch/endpoint_slots.py
@@ -0,0 +1,126 @@
+"""The slots and confirmers of the endpoints that a node works with."""
+
+from collections.abc import Callable
+from random import Random
+
+from trio import Nursery
+
+from trefoilhitch._generated.store import Endpoint
+from trefoilhitch.config import ConfigHolder
+from trefoilhitch.confirmer import Confirmer
+from trefoilhitch.endpoint_client import EndpointControl, EndpointPlatform
+from trefoilhitch.errors import UnreachableError
+from trefoilhitch.pool import EndpointPool
+
+
+class EndpointSlots:
+    """Keeps a pool and confirmers for each endpoint.
+
+    Args:
+        config: declares endpoints.
+        platform: reaches them.
+        nursery: runs confirmation rounds.
+        random: jitters retries.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        config: ConfigHolder,
+        platform: EndpointPlatform,
+        nursery: Nursery,
+        random: Random,
+    ) -> None:
+        """Start without connections."""
+        self._config = config
+        self._platform = platform
+        self._nursery = nursery
+        self._random = random
+        self._pools: dict[str, EndpointPool] = {}
+        self._confirmers: dict[tuple[str, bool], Confirmer] = {}
+
+    def pool(self, name: str) -> EndpointPool:
+        """Return the slots of an endpoint.
+
+        Args:
+            name: name of the endpoint.
+
+        Returns:
+            Its pool.
+
+        """
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = EndpointPool(
+                endpoint=self._declared(name),
+                platform=self._platform,
+                weights=self._config.current.weights(),
+            )
+            self._pools[name] = pool
+        return pool
+
+    def confirmer(self, name: str, *, fresh: bool) -> Confirmer:
+        """Return the confirmer of a primary.
+
+        Args:
+            name: name of the endpoint.
+            fresh: whether confirmations have to begin after the request.
+
+        Returns:
+            The confirmer.
+
+        """
+        confirmer = self._confirmers.get((name, fresh))
+        if confirmer is None:
+            confirmer = Confirmer(
+                control=self.control(name),
+                fresh=fresh,
+                nursery=self._nursery,
+                random=self._random,
+            )
+            self._confirmers[name, fresh] = confirmer
+        return confirmer
+
+    def control(self, name: str) -> EndpointControl:
+        """Return the control client of an endpoint.
+
+        Args:
+            name: name of the endpoint.
+
+        Returns:
+            The client.
+
+        """
+        return self._platform.control(self._declared(name))
+
+    def sweep(self, owns: Callable[[Endpoint], bool]) -> None:
+        """Give up what this node no longer owns, or what was declared anew.
+
+        Args:
+            owns: tells whether this node owns an endpoint.
+
+        """
+        endpoints = self._config.current.endpoints
+        for name, pool in list(self._pools.items()):
+            declared = endpoints.get(name)
+            if declared is None or not owns(declared):
+                pool.close_idle()
+            if declared != pool.endpoint and not pool.in_use:
+                self._forget(name)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for pool in self._pools.values():
+            pool.close_idle()
+
+    def _forget(self, name: str) -> None:
+        self._pools.pop(name).close_idle()
+        for fresh in (False, True):
+            self._confirmers.pop((name, fresh), None)
+
+    def _declared(self, name: str) -> Endpoint:
+        endpoint = self._config.current.endpoints.get(name)
+        if endpoint is None:
+            raise UnreachableError(f'{name} is not declared')
+        return endpoint
--- a/trefoilhitch/entry.py
+++ b/trefoilhitch/entry.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
@@ -17,9 +18,10 @@
     TransactionRequest,
 )
 from trefoilhitch._generated.peer import Caller, OwnerReply
+from trefoilhitch.call import Call
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.config import ConfigHolder
-from trefoilhitch.dispatcher import Call, Dispatcher
+from trefoilhitch.dispatcher import Dispatcher
 from trefoilhitch.errors import (
     BadRequestError,
     NotFoundError,
@@ -29,8 +31,10 @@
 )
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.outcomes import Outcomes
 from trefoilhitch.position import ORIGIN, merge
 from trefoilhitch.token import TokenSigner
+from trefoilhitch.transaction_dispatcher import TransactionDispatcher
 
 OPEN_ORGANISATION = ''
 LOOKUP_TIMEOUT_MS = 5000
@@ -57,7 +61,9 @@
 
     Args:
         config: declares services and keys.
-        dispatcher: runs calls.
+        dispatcher: runs statements.
+        transactions: runs transactions.
+        outcomes: finds outcomes of earlier requests.
         signer: signs session tokens.
         metrics: counts and measures requests.
         new_id: returns a fresh idempotency key.
@@ -69,6 +75,8 @@
         *,
         config: ConfigHolder,
         dispatcher: Dispatcher,
+        transactions: TransactionDispatcher,
+        outcomes: Outcomes,
         signer: TokenSigner,
         metrics: Metrics,
         new_id: Callable[[], str],
@@ -76,6 +84,8 @@
         """Keep the collaborators."""
         self._config = config
         self._dispatcher = dispatcher
+        self._transactions = transactions
+        self._outcomes = outcomes
         self._signer = signer
         self._metrics = metrics
         self._new_id = new_id
@@ -150,7 +160,7 @@
         call = self._call(
             caller, service, body.idempotency_key, body.timeout_ms
         )
-        reply = await self._dispatcher.begin(call)
+        reply = await self._transactions.begin(call)
         return TransactionReply(
             transaction=reply.transaction, request=call.request
         )
@@ -180,11 +190,11 @@
         call = self._call(
             caller, service, body.idempotency_key, body.timeout_ms
         )
-        answered = await self._dispatcher.in_transaction(call, name, body)
+        reply = await self._transactions.statement(call, name, body)
         return StatementReply(
-            columns=answered.reply.columns,
-            rows=answered.reply.rows,
-            changed=answered.reply.changed,
+            columns=reply.columns,
+            rows=reply.rows,
+            changed=reply.changed,
             request='',
             session=body.session,
             endpoint='',
@@ -204,7 +214,10 @@
         call = self._call(
             caller, service, body.idempotency_key, body.timeout_ms
         )
-        reply = await self._dispatcher.end(call, name, commit=verb == 'commit')
+        if verb == 'commit':
+            reply = await self._transactions.commit(call, name)
+        else:
+            reply = await self._transactions.rollback(call, name)
         return StatementReply(
             columns=[],
             rows=[],
@@ -221,7 +234,7 @@
             raise BadRequestError('a request id has the form SERVICE:KEY')
         caller = self._admit(req, service)
         call = self._call(caller, service, key, LOOKUP_TIMEOUT_MS)
-        reply = await self._dispatcher.lookup(call)
+        reply = await self._outcomes.lookup(call)
         return OutcomeReply(
             request=request,
             state='committed' if reply.found else 'absent',
@@ -297,7 +310,9 @@
 
         """
         if req.path == '/healthz':
-            return HttpResponse(200 if self._is_ready() else 503, _EMPTY)
+            ready = self._is_ready()
+            status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            return HttpResponse(status, _EMPTY)
         return await self._entry.answer(req)
 
 
--- a/trefoilhitch/errors.py
+++ b/trefoilhitch/errors.py
@@ -1,5 +1,7 @@
 """Typed failures: every refusal, and every failure between processes."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import ClassVar
 
 from trefoilhitch._generated.messages import Refusal, Run
@@ -104,7 +106,7 @@
 
 
 class TransactionLostError(RefusalError):
-    """The transaction is not open any more; whether it committed is asked for apart."""
+    """The transaction is not open any more; its outcome is asked for apart."""
 
     code = 'transaction_lost'
     status = 409
@@ -214,7 +216,7 @@
 
 
 class UnconfirmedError(RefusalError):
-    """A majority did not confirm the write, or the term, before the deadline."""
+    """A majority did not confirm the write, or the term, in time."""
 
     code = 'unconfirmed'
     status = 504
@@ -232,7 +234,7 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The object API did not answer, or said that it cannot; a write may be in effect."""
+    """The object API did not answer; a write may be in effect."""
 
 
 class StoreTooLargeError(StoreError):
@@ -253,9 +255,9 @@
         self.version = version
 
 
-_REFUSALS: dict[str, type[RefusalError]] = {
-    kind.code: kind for kind in RefusalError.__subclasses__()
-}
+_REFUSALS: Mapping[str, type[RefusalError]] = MappingProxyType(
+    {kind.code: kind for kind in RefusalError.__subclasses__()}
+)
 
 
 def refusal_error(refusal: Refusal) -> RefusalError:
--- /dev/null
+++ b/trefoilhitch/failing.py
@@ -0,0 +1,22 @@
+"""Ends a command-line program with a message on standard error."""
+
+import sys
+
+import cappa
+
+from trefoilhitch.exit_code import ExitCode
+
+
+def failing(message: str, code: ExitCode) -> cappa.Exit:
+    """Print a message as it is, and return what ends the program.
+
+    Args:
+        message: one line or more.
+        code: exit code.
+
+    Returns:
+        The exception to raise.
+
+    """
+    sys.stderr.write(f'{message}\n')
+    return cappa.Exit(code=code)
--- a/trefoilhitch/fair_queue.py
+++ b/trefoilhitch/fair_queue.py
@@ -28,7 +28,7 @@
 
 
 class FairQueue:
-    """Orders waiting requests so that each organisation gets its weighted share.
+    """Orders waiting requests so that each organisation gets its share.
 
     Args:
         weights: share by organisation; others weigh as much as the lightest.
--- a/trefoilhitch/fleet.py
+++ b/trefoilhitch/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Literal, TypeAlias
 
 from trefoilhitch._generated.peer import Heartbeat, MemberBeat
 from trefoilhitch._generated.record import PlacementNode, PlacementRecord
@@ -11,6 +12,7 @@
 from trefoilhitch.membership import Membership
 from trefoilhitch.placement import monitors, owner
 
+NodeState: TypeAlias = Literal['live', 'leaving']
 MONITORS = 2
 WATCHERS = 2
 AVOID_S = 1.0
@@ -64,7 +66,7 @@
     ) -> None:
         """Start alone."""
         self.identity = identity
-        self.state = 'live'
+        self.state: NodeState = 'live'
         self._clock = clock
         self._log = log
         self._membership = Membership()
--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client on trio: one whole answer for each request, or a closed connection."""
+"""HTTP/1.1 client on trio: a whole answer, or a closed connection."""
 
 from collections import deque
 from select import POLLIN, poll
@@ -131,8 +131,8 @@
     async def exchange(self, req: HttpRequest, deadline: float) -> HttpResponse:
         """Send a request and wait for its whole answer.
 
-        If the answer does not arrive whole, for whatever cause, the connection is
-        closed, so that nobody can take a late answer for their own.
+        If the answer does not arrive whole, for whatever cause, the connection
+        is closed, so that nobody can take a late answer for their own.
 
         Args:
             req: the request.
@@ -165,7 +165,7 @@
         self._stream.socket.close()
 
     def has_ended(self) -> bool:
-        """Tell whether the server ended an idle connection, or sent what was not asked.
+        """Tell whether the server ended or misused an idle connection.
 
         Returns:
             True if the connection must not be used.
--- a/trefoilhitch/http_message.py
+++ b/trefoilhitch/http_message.py
@@ -3,11 +3,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Protocol
 from urllib.parse import parse_qsl
 
 JSON_TYPE = 'application/json'
-_PHRASES = {status.value: status.phrase for status in HTTPStatus}
+_PHRASES = MappingProxyType(
+    {status.value: status.phrase for status in HTTPStatus}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +21,8 @@
         body_bytes: longest body.
         header_bytes: longest request line and headers together.
         connections: most open connections.
-        request_read_s: longest time from the first byte of a request to its last.
+        request_read_s: longest time from the first byte of a request to
+            its last.
 
     """
 
--- a/trefoilhitch/http_server.py
+++ b/trefoilhitch/http_server.py
@@ -263,11 +263,11 @@
         return int(listeners[0].socket.getsockname()[1])
 
     def drain(self) -> None:
-        """Answer every request as before, but close its connection afterwards."""
+        """Go on answering, but close each connection after its answer."""
         self._draining = True
 
     def stop(self) -> None:
-        """Stop accepting, close idle connections, let running requests finish."""
+        """Close the listener and idle connections; let requests finish."""
         self._draining = True
         self._stopping = True
         self._accepting.cancel()
@@ -288,10 +288,13 @@
         except (BrokenResourceError, ClosedResourceError):
             return
         finally:
-            self.connections -= 1
-            self._factory.disconnect(answerer)
+            self._release(answerer)
             await aclose_forcefully(stream)
 
+    def _release(self, answerer: Answerer) -> None:
+        self.connections -= 1
+        self._factory.disconnect(answerer)
+
     async def _converse(self, stream: SocketStream, answerer: Answerer) -> None:
         if self.connections > self._limits.connections:
             await _send(stream, _refuse(ConnectionLimitError(), close=True))
--- a/trefoilhitch/ini.py
+++ b/trefoilhitch/ini.py
@@ -1,23 +1,25 @@
 """INI files, checked field by field against a JSON Schema."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from configparser import ConfigParser, Error
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Any, Self
 
 from jsonschema import Draft202012Validator
-from jsonschema.exceptions import ValidationError
 
 from trefoilhitch.setting_error import SettingError
 
-_BOOLEANS = {
-    'yes': True,
-    'true': True,
-    'on': True,
-    'no': False,
-    'false': False,
-    'off': False,
-}
+_BOOLEANS = MappingProxyType(
+    {
+        'yes': True,
+        'true': True,
+        'on': True,
+        'no': False,
+        'false': False,
+        'off': False,
+    }
+)
 _UNLIMITED = 'anything'
 
 
@@ -73,6 +75,13 @@
     errors: list[SettingError]
 
 
+@dataclass(frozen=True, slots=True)
+class _Fault:
+    key: str
+    found: str
+    allowed: str
+
+
 def check_fields(
     ini: IniFile,
     section: str,
@@ -99,11 +108,16 @@
             for key, text in fields.items()
         }
     )
-    validator = Draft202012Validator({**schema, 'additionalProperties': False})
+    faults = [
+        *_missing(schema, typed),
+        *_unknown(properties, typed),
+        *_invalid(schema, typed),
+    ]
+    order = [*properties, *typed]
+    faults.sort(key=lambda fault: order.index(fault.key))
     errors = [
-        fault
-        for error in sorted(validator.iter_errors(typed), key=_sort_key)
-        for fault in _faults(ini, section, error, properties)
+        SettingError(ini.source, section, fault.key, fault.found, fault.allowed)
+        for fault in faults
     ]
     return CheckedFields(typed, errors)
 
@@ -124,16 +138,22 @@
     return ', '.join(phrases) or _UNLIMITED
 
 
-_PHRASES: Mapping[str, Callable[[Any], str]] = {
-    'enum': lambda allowed: 'one of ' + ', '.join(map(str, allowed)),
-    'type': '{0}'.format,
-    'minimum': 'at least {0}'.format,
-    'exclusiveMinimum': 'more than {0}'.format,
-    'maximum': 'at most {0}'.format,
-    'minLength': 'at least {0} characters'.format,
-    'maxLength': 'at most {0} characters'.format,
-    'pattern': 'of the form {0}'.format,
-}
+_PHRASES: Mapping[str, Callable[[Any], str]] = MappingProxyType(
+    {
+        'enum': lambda allowed: f'one of {_listed(allowed)}',
+        'type': '{0}'.format,
+        'minimum': 'at least {0}'.format,
+        'exclusiveMinimum': 'more than {0}'.format,
+        'maximum': 'at most {0}'.format,
+        'minLength': 'at least {0} characters'.format,
+        'maxLength': 'at most {0} characters'.format,
+        'pattern': 'of the form {0}'.format,
+    }
+)
+
+
+def _listed(allowed: Iterable[Any]) -> str:
+    return ', '.join(map(str, allowed))
 
 
 def _defaults(properties: Mapping[str, Any]) -> dict[str, Any]:
@@ -159,48 +179,41 @@
     return text
 
 
-def _faults(
-    ini: IniFile,
-    section: str,
-    error: ValidationError,
-    properties: Mapping[str, Any],
-) -> list[SettingError]:
-    if error.validator == 'required':
-        missing = [
-            key for key in error.validator_value if key not in error.instance
-        ]
-        return [
-            _fault(ini, section, key, 'nothing', properties[key])
-            for key in missing
-        ]
-    if error.validator == 'additionalProperties':
-        unknown = [key for key in error.instance if key not in properties]
-        return [
-            SettingError(
-                ini.source,
-                section,
-                key,
-                str(error.instance[key]),
-                'no such key; known are ' + ', '.join(properties),
-            )
-            for key in unknown
-        ]
-    key = str(error.path[0])
-    return [_fault(ini, section, key, str(error.instance), properties[key])]
-
-
-def _fault(
-    ini: IniFile,
-    section: str,
-    key: str,
-    found: str,
+def _missing(
     schema: Mapping[str, Any],
-) -> SettingError:
-    return SettingError(ini.source, section, key, found, describe(schema))
+    typed: Mapping[str, Any],
+) -> list[_Fault]:
+    return [
+        _Fault(key, 'nothing', describe(schema['properties'][key]))
+        for key in schema['required']
+        if key not in typed
+    ]
+
+
+def _unknown(
+    properties: Mapping[str, Any],
+    typed: Mapping[str, Any],
+) -> list[_Fault]:
+    allowed = f'no such key; known are {_listed(properties)}'
+    return [
+        _Fault(key, str(found), allowed)
+        for key, found in typed.items()
+        if key not in properties
+    ]
 
 
-def _sort_key(error: ValidationError) -> tuple[str, str]:
-    return str(error.validator), str(list(error.path))
+def _invalid(
+    schema: Mapping[str, Any],
+    typed: Mapping[str, Any],
+) -> list[_Fault]:
+    properties = schema['properties']
+    validator = Draft202012Validator({'properties': properties})
+    found = {str(error.path[0]) for error in validator.iter_errors(typed)}
+    faults = []
+    for key in found:
+        allowed = describe(properties[key])
+        faults.append(_Fault(key, str(typed[key]), allowed))
+    return faults
 
 
 def _form_error(source: str, exc: Error) -> SettingError:
--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -67,10 +67,8 @@
             Milliseconds.
 
         """
-        return (
-            self._latency.get_value_at_percentile(quantile * _PERCENT)
-            / _US_PER_MS
-        )
+        latency_us = self._latency.get_value_at_percentile(quantile * _PERCENT)
+        return float(latency_us) / _US_PER_MS
 
     def render(self) -> str:
         """Return all metrics in the Prometheus text format.
@@ -92,6 +90,7 @@
         yield '# TYPE trefoilhitch_request_seconds summary'
         for quantile in QUANTILES:
             seconds = self.latency_ms(quantile) / _US_PER_MS
-            yield f'trefoilhitch_request_seconds{{quantile="{quantile}"}} {seconds}'
+            labels = f'{{quantile="{quantile}"}}'
+            yield f'trefoilhitch_request_seconds{labels} {seconds}'
         total = self._latency.get_total_count()
         yield f'trefoilhitch_request_seconds_count {total}'
--- a/trefoilhitch/monitor.py
+++ b/trefoilhitch/monitor.py
@@ -1,4 +1,4 @@
-"""Group monitors: probe the endpoints of a group, and promote when it needs it."""
+"""Group monitors: probe the endpoints of a group, and promote if needed."""
 
 from collections.abc import Sequence
 from contextlib import suppress
--- a/trefoilhitch/node.py
+++ b/trefoilhitch/node.py
@@ -1,7 +1,5 @@
 """A node: all its parts on one trio loop, from start to graceful shutdown."""
 
-from collections.abc import Callable
-
 from trio import Event, Nursery, current_time, open_nursery, sleep
 
 from trefoilhitch._generated.peer import NodeStatus
@@ -30,6 +28,7 @@
         """Keep the context; `run` builds the parts."""
         self.started = Event()
         self._ctx = ctx
+        self._limits = ctx.cfg.limits
         self._stop = Event()
 
     def stop(self) -> None:
@@ -102,17 +101,14 @@
         nursery.start_soon(parts.sync.follow_peers)
         nursery.start_soon(parts.sync.watch_store, random)
         nursery.start_soon(parts.monitors.run, nursery, random)
-        nursery.start_soon(
-            self._repeat,
-            SWEEP_INTERVAL_S,
-            lambda: parts.owner.sweep(self._owns),
-        )
+        nursery.start_soon(self._sweep, parts)
         nursery.start_soon(self._publish, parts)
 
-    async def _repeat(self, interval_s: float, act: Callable[[], None]) -> None:
+    async def _sweep(self, parts: NodeParts) -> None:
         while True:
-            await sleep(interval_s)
-            act()
+            await sleep(SWEEP_INTERVAL_S)
+            parts.slots.sweep(self._owns)
+            parts.owner.sweep()
 
     async def _publish(self, parts: NodeParts) -> None:
         while True:
@@ -122,27 +118,33 @@
     async def _drain(self, parts: NodeParts) -> None:
         """Hand ownership over, finish what runs, then close."""
         self._ctx.log.event('draining')
-        deadline = deadline_after_ms(self._ctx.cfg.limits.drain_ms)
+        deadline = deadline_after_ms(self._limits.drain_ms)
         self._ctx.fleet.state = 'leaving'
         parts.public.drain()
         parts.owner.leave()
         await sleep(LEAVING_NOTICE_S)
-        while parts.owner.open_transactions and current_time() < deadline:
-            await sleep(DRAIN_POLL_S)
-        await _stop_server(parts.public, deadline)
-        await _stop_server(parts.peer, deadline)
+        await _finish_transactions(parts, deadline)
+        for server in (parts.public, parts.peer):
+            await _stop_server(server, deadline)
         parts.owner.close()
         await parts.promoter.publish_pending()
 
     def _owned(self) -> list[str]:
-        endpoints = self._ctx.config.current.endpoints.values()
-        return [endpoint.name for endpoint in endpoints if self._owns(endpoint)]
+        cfg = self._ctx.config.current
+        return [
+            name for name, each in cfg.endpoints.items() if self._owns(each)
+        ]
 
     def _owns(self, endpoint: Endpoint) -> bool:
         fleet = self._ctx.fleet
         return fleet.owner_of(endpoint) == fleet.identity.node
 
 
+async def _finish_transactions(parts: NodeParts, deadline: float) -> None:
+    while parts.owner.open_transactions and current_time() < deadline:
+        await sleep(DRAIN_POLL_S)
+
+
 async def _stop_server(server: HttpServer, deadline: float) -> None:
     server.stop()
     while server.connections and current_time() < deadline:
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -13,6 +13,7 @@
 from trefoilhitch.config_sync import ConfigSync
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.dispatcher import Dispatcher
+from trefoilhitch.endpoint_slots import EndpointSlots
 from trefoilhitch.entry import Entry, PublicAnswerer
 from trefoilhitch.fleet import Fleet, Identity
 from trefoilhitch.group_directory import GroupDirectory
@@ -21,13 +22,17 @@
 from trefoilhitch.http_server import HttpServer, SharedAnswerer
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.monitor import Monitors
+from trefoilhitch.outcomes import Outcomes
 from trefoilhitch.owner import Owner
+from trefoilhitch.owners import Owners
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.peer_server import PeerAnswerer
 from trefoilhitch.platform import Platform
 from trefoilhitch.promoter import Promoter
+from trefoilhitch.router import Router
 from trefoilhitch.token import TokenSigner
+from trefoilhitch.transaction_dispatcher import TransactionDispatcher
 from trefoilhitch.transactions import Transactions
 
 _MS_PER_S = 1000
@@ -111,6 +116,7 @@
 
     Args:
         owner: runs forwarded requests.
+        slots: connections to endpoints.
         monitors: watch database groups.
         promoter: promotes endpoints.
         heartbeats: exchanged with peers.
@@ -121,6 +127,7 @@
     """
 
     owner: Owner
+    slots: EndpointSlots
     monitors: Monitors
     promoter: Promoter
     heartbeats: Heartbeats
@@ -151,7 +158,8 @@
         """
         promoter = _promoter(ctx)
         monitors = _monitors(ctx, promoter)
-        owner = _owner(ctx, nursery)
+        slots = _slots(ctx, nursery)
+        owner = _owner(ctx, slots)
         entry = _entry(ctx, owner, monitors, nursery)
         answerer = PeerAnswerer(
             auth=ctx.auth,
@@ -164,6 +172,7 @@
         )
         return cls(
             owner=owner,
+            slots=slots,
             monitors=monitors,
             promoter=promoter,
             heartbeats=_heartbeats(ctx),
@@ -202,13 +211,20 @@
     )
 
 
-def _owner(ctx: NodeContext, nursery: Nursery) -> Owner:
-    identity = ctx.fleet.identity
-    return Owner(
+def _slots(ctx: NodeContext, nursery: Nursery) -> EndpointSlots:
+    return EndpointSlots(
         config=ctx.config,
         platform=ctx.platform.endpoints,
         nursery=nursery,
         random=ctx.random,
+    )
+
+
+def _owner(ctx: NodeContext, slots: EndpointSlots) -> Owner:
+    identity = ctx.fleet.identity
+    return Owner(
+        config=ctx.config,
+        slots=slots,
         transactions=Transactions(
             node=identity.node,
             incarnation=identity.incarnation,
@@ -229,25 +245,43 @@
         local=monitors,
         nursery=nursery,
     )
-    dispatcher = Dispatcher(
+    owners = Owners(
         fleet=ctx.fleet,
         config=ctx.config,
-        directory=directory,
         peers=ctx.peers,
         local=owner,
-        log=ctx.log,
+    )
+    outcomes = Outcomes(
+        directory=directory,
+        owners=owners,
         random=ctx.random,
     )
     fleet = ctx.cfg.fleet
     return Entry(
         config=ctx.config,
-        dispatcher=dispatcher,
+        dispatcher=Dispatcher(
+            directory=directory,
+            router=_router(ctx),
+            owners=owners,
+            outcomes=outcomes,
+        ),
+        transactions=TransactionDispatcher(owners=owners, outcomes=outcomes),
+        outcomes=outcomes,
         signer=TokenSigner.from_secrets(fleet.secret, fleet.previous_secret),
         metrics=ctx.metrics,
         new_id=ctx.new_id,
     )
 
 
+def _router(ctx: NodeContext) -> Router:
+    return Router(
+        fleet=ctx.fleet,
+        config=ctx.config,
+        log=ctx.log,
+        random=ctx.random,
+    )
+
+
 def _heartbeats(ctx: NodeContext) -> Heartbeats:
     return Heartbeats(
         fleet=ctx.fleet,
--- a/trefoilhitch/owner.py
+++ b/trefoilhitch/owner.py
@@ -1,9 +1,6 @@
-"""The owner of endpoints: runs forwarded statements on the slots that it holds."""
+"""The owner of endpoints: runs forwarded statements on its slots."""
 
-from collections.abc import Callable
-from random import Random
-
-from trio import Nursery, current_time
+from trio import current_time
 
 from trefoilhitch._generated.endpoint import RecordRequest, RunReply, RunRequest
 from trefoilhitch._generated.messages import LogPosition
@@ -15,18 +12,14 @@
     ForwardStatement,
     OwnerReply,
 )
-from trefoilhitch._generated.store import Endpoint
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.config import ConfigHolder
-from trefoilhitch.confirmer import Confirmer
-from trefoilhitch.endpoint_client import EndpointPlatform
+from trefoilhitch.endpoint_slots import EndpointSlots
 from trefoilhitch.errors import (
     ShuttingDownError,
     TooOldError,
     UnauthorisedError,
-    UnreachableError,
 )
-from trefoilhitch.pool import EndpointPool
 from trefoilhitch.position import at_least
 from trefoilhitch.transactions import Transactions
 
@@ -35,10 +28,8 @@
     """Runs statements on endpoints.
 
     Args:
-        config: declares endpoints and keys.
-        platform: reaches the endpoints.
-        nursery: runs confirmation rounds.
-        random: jitters retries.
+        config: declares keys.
+        slots: connections to the endpoints.
         transactions: the open transactions.
 
     """
@@ -47,21 +38,20 @@
         self,
         *,
         config: ConfigHolder,
-        platform: EndpointPlatform,
-        nursery: Nursery,
-        random: Random,
+        slots: EndpointSlots,
         transactions: Transactions,
     ) -> None:
-        """Start without connections."""
+        """Keep the collaborators."""
         self._config = config
-        self._platform = platform
-        self._nursery = nursery
-        self._random = random
+        self._slots = slots
         self._transactions = transactions
-        self._pools: dict[str, EndpointPool] = {}
-        self._confirmers: dict[tuple[str, bool], Confirmer] = {}
         self._leaving = False
 
+    @property
+    def open_transactions(self) -> int:
+        """Return how many transactions are open."""
+        return len(self._transactions)
+
     async def statement(self, fwd: ForwardStatement) -> OwnerReply:
         """Run a statement, alone or in a transaction.
 
@@ -77,19 +67,18 @@
         """
         deadline = deadline_after_ms(fwd.timeout_ms)
         if fwd.transaction:
-            return await self._run_in_transaction(fwd, deadline)
+            self._check(fwd.caller)
+            req = _run_request(fwd)
+            return _owner_reply(
+                await self._transactions.run(fwd, req, deadline),
+            )
         reply = await self._run(fwd, deadline)
         reached = LogPosition(term=reply.term, position=reply.position)
+        if fwd.access == 'read':
+            _check_age(fwd, reached)
         if fwd.access == 'write' or fwd.strict:
-            confirmer = self._confirmer(fwd.endpoint, fresh=fwd.strict)
+            confirmer = self._slots.confirmer(fwd.endpoint, fresh=fwd.strict)
             await confirmer.confirm(reached, deadline)
-        needed = LogPosition(
-            term=fwd.minimum_term, position=fwd.minimum_position
-        )
-        if fwd.access == 'read' and not at_least(reached, needed):
-            raise TooOldError(
-                f'{fwd.endpoint} is at {reached.term}.{reached.position}'
-            )
         return _owner_reply(reply)
 
     async def begin(self, fwd: ForwardBegin) -> OwnerReply:
@@ -108,9 +97,8 @@
         if self._leaving:
             raise ShuttingDownError('no new transactions')
         self._check(fwd.caller)
-        transaction = await self._transactions.begin(
-            self._pool(fwd.endpoint), fwd
-        )
+        pool = self._slots.pool(fwd.endpoint)
+        transaction = await self._transactions.begin(pool, fwd)
         return OwnerReply(transaction=transaction, term=fwd.term)
 
     async def end(self, fwd: ForwardEnd) -> OwnerReply:
@@ -132,9 +120,8 @@
         endpoint, reply = await self._transactions.end(fwd, deadline)
         if fwd.commit:
             reached = LogPosition(term=reply.term, position=reply.position)
-            await self._confirmer(endpoint, fresh=False).confirm(
-                reached, deadline
-            )
+            confirmer = self._slots.confirmer(endpoint, fresh=False)
+            await confirmer.confirm(reached, deadline)
         return _owner_reply(reply)
 
     async def lookup(self, fwd: ForwardLookup) -> OwnerReply:
@@ -157,12 +144,10 @@
             request=fwd.request,
             organisation=fwd.caller.organisation,
         )
-        control = self._platform.control(self._endpoint(fwd.endpoint))
-        record = await control.record(req, deadline)
+        record = await self._slots.control(fwd.endpoint).record(req, deadline)
         reached = LogPosition(term=record.term, position=record.position)
-        await self._confirmer(fwd.endpoint, fresh=True).confirm(
-            reached, deadline
-        )
+        confirmer = self._slots.confirmer(fwd.endpoint, fresh=True)
+        await confirmer.confirm(reached, deadline)
         return OwnerReply(
             term=record.term,
             position=record.position,
@@ -172,54 +157,26 @@
             found=record.found,
         )
 
-    def sweep(self, owns: Callable[[Endpoint], bool]) -> None:
-        """Close what this node no longer owns, or whose declaration is gone.
-
-        Args:
-            owns: tells whether this node owns an endpoint.
-
-        """
-        endpoints = self._config.current.endpoints
-        for name, pool in list(self._pools.items()):
-            declared = endpoints.get(name)
-            if declared is None or not owns(declared):
-                pool.close_idle()
-            if declared != pool.endpoint and not pool.in_use:
-                self._pools.pop(name)
-                self._confirmers.pop((name, False), None)
-                self._confirmers.pop((name, True), None)
-        self._transactions.sweep(self._config.current.keyring, current_time())
+    def sweep(self) -> None:
+        """Roll back transactions that expired or whose key was withdrawn."""
+        keyring = self._config.current.keyring
+        self._transactions.sweep(keyring, current_time())
 
     def leave(self) -> None:
-        """Take no new transactions, and free slots as they fall idle."""
+        """Take no new transactions."""
         self._leaving = True
 
     def close(self) -> None:
-        """Close every idle connection and roll open transactions back."""
+        """Roll open transactions back and close idle connections."""
         self._transactions.close()
-        for pool in self._pools.values():
-            pool.close_idle()
-
-    @property
-    def open_transactions(self) -> int:
-        """Return how many transactions are open."""
-        return len(self._transactions)
+        self._slots.close()
 
     async def _run(self, fwd: ForwardStatement, deadline: float) -> RunReply:
-        pool = self._pool(fwd.endpoint)
+        pool = self._slots.pool(fwd.endpoint)
         async with pool.lease(fwd.caller.organisation, deadline) as conn:
             self._check(fwd.caller)
             return await conn.run(_run_request(fwd), deadline)
 
-    async def _run_in_transaction(
-        self,
-        fwd: ForwardStatement,
-        deadline: float,
-    ) -> OwnerReply:
-        self._check(fwd.caller)
-        reply = await self._transactions.run(fwd, _run_request(fwd), deadline)
-        return _owner_reply(reply)
-
     def _check(self, caller: Caller) -> None:
         cfg = self._config.current
         if not caller.key or cfg.revision < caller.revision:
@@ -227,34 +184,11 @@
         if not cfg.keyring.holds(caller.key, caller.organisation):
             raise UnauthorisedError('the key was withdrawn')
 
-    def _endpoint(self, name: str) -> Endpoint:
-        endpoint = self._config.current.endpoints.get(name)
-        if endpoint is None:
-            raise UnreachableError(f'{name} is not declared')
-        return endpoint
-
-    def _pool(self, name: str) -> EndpointPool:
-        pool = self._pools.get(name)
-        if pool is None:
-            pool = EndpointPool(
-                endpoint=self._endpoint(name),
-                platform=self._platform,
-                weights=self._config.current.weights(),
-            )
-            self._pools[name] = pool
-        return pool
-
-    def _confirmer(self, name: str, *, fresh: bool) -> Confirmer:
-        confirmer = self._confirmers.get((name, fresh))
-        if confirmer is None:
-            confirmer = Confirmer(
-                control=self._platform.control(self._endpoint(name)),
-                fresh=fresh,
-                nursery=self._nursery,
-                random=self._random,
-            )
-            self._confirmers[name, fresh] = confirmer
-        return confirmer
+
+def _check_age(fwd: ForwardStatement, reached: LogPosition) -> None:
+    needed = LogPosition(term=fwd.minimum_term, position=fwd.minimum_position)
+    if not at_least(reached, needed):
+        raise TooOldError(f'{fwd.endpoint} is behind what was asked for')
 
 
 def _run_request(fwd: ForwardStatement) -> RunRequest:
--- a/trefoilhitch/peer_server.py
+++ b/trefoilhitch/peer_server.py
@@ -20,12 +20,12 @@
     SwitchOrder,
 )
 from trefoilhitch.config import ConfigHolder
-from trefoilhitch.dispatcher import OwnerService
 from trefoilhitch.errors import BadRequestError, NotFoundError
 from trefoilhitch.fleet import Fleet
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.monitor import Monitors
+from trefoilhitch.owners import OwnerService
 from trefoilhitch.peer_auth import PeerAuth
 
 MessageT = TypeVar('MessageT', bound=Struct)
--- a/trefoilhitch/placement.py
+++ b/trefoilhitch/placement.py
@@ -32,8 +32,8 @@
 def owner(place: PlacementNode, nodes: Iterable[PlacementNode]) -> str | None:
     """Return the node that owns an endpoint.
 
-    The nearest nodes compete by rendezvous hashing, so that a node which joins or
-    leaves moves only its own share of endpoints.
+    The nearest nodes compete by rendezvous hashing, so that a node which joins
+    or leaves moves only its own share of endpoints.
 
     Args:
         place: name, region and data centre of the endpoint.
--- a/trefoilhitch/pool.py
+++ b/trefoilhitch/pool.py
@@ -1,4 +1,4 @@
-"""The slots of one endpoint: warm connections, shared fairly and by deadline."""
+"""The slots of one endpoint: warm connections, shared fairly."""
 
 from collections import deque
 from collections.abc import AsyncIterator, Mapping
@@ -116,7 +116,7 @@
             self.give_back(conn)
 
     def close_idle(self) -> None:
-        """Close the idle connections, which frees their slots at the endpoint."""
+        """Close the idle connections, which frees slots at the endpoint."""
         while self._idle:
             self._idle.pop().close()
 
--- a/trefoilhitch/promoter.py
+++ b/trefoilhitch/promoter.py
@@ -34,8 +34,8 @@
     """Promotes endpoints as a claimant.
 
     The endpoints' majority is the authority. The object in the store is the
-    published record, written afterwards, so that an outage of the store holds no
-    promotion up.
+    published record, written afterwards, so that an outage of the store holds
+    no promotion up.
 
     Args:
         identity: this node, the claimant.
--- a/trefoilhitch/promotion.py
+++ b/trefoilhitch/promotion.py
@@ -1,8 +1,8 @@
 """Promotion: when a primary counts as lost, and who succeeds it.
 
-The order is fence, choose, promote, publish, as in Raft's elections: a majority of
-endpoints that took a term refuses the older one, so that an older primary can
-confirm nothing any more, and a majority's most advanced log has every
+The order is fence, choose, promote, publish, as in Raft's elections: a majority
+of endpoints that took a term refuses the older one, so that an older primary
+can confirm nothing any more, and a majority's most advanced log has every
 acknowledged write.
 """
 
@@ -73,11 +73,11 @@
     """Decide whether a monitor claims the next term.
 
     The monitor must have missed the primary for the suspicion timeout, plus a
-    delay for each monitor that ranks before it, and a majority of the group must
-    be reachable and must not have heard the primary either. A lossy link between
-    monitor and primary alone therefore leads to no promotion. A term that a
-    claimant fenced and never finished is claimed anew, so that no endpoint stays
-    fenced.
+    delay for each monitor that ranks before it, and a majority of the group
+    must be reachable and must not have heard the primary either. A lossy link
+    between monitor and primary alone therefore leads to no promotion. A term
+    that a claimant fenced and never finished is claimed anew, so that no
+    endpoint stays fenced.
 
     Args:
         sightings: each endpoint of the group, as last read.
--- a/trefoilhitch/publisher.py
+++ b/trefoilhitch/publisher.py
@@ -1,4 +1,4 @@
-"""Publishes configurations: bundles by content, put in force by one head object."""
+"""Publishes configurations: bundles by content, and one head object."""
 
 from dataclasses import dataclass
 from hashlib import sha256
--- a/trefoilhitch/retry.py
+++ b/trefoilhitch/retry.py
@@ -1,4 +1,4 @@
-"""Retries: a budget that a failing endpoint cannot exhaust, and jittered delays."""
+"""Retries: what follows a failure, a budget, and jittered delays."""
 
 from dataclasses import dataclass
 from typing import Literal, TypeAlias
@@ -7,6 +7,7 @@
 
 BASE_DELAY_S = 0.02
 MAX_DELAY_S = 0.5
+GROWTH = 2.0
 RETRY_COST = 1.0
 Step: TypeAlias = Literal['give_up', 'wait', 'again', 'settle']
 _FINAL = frozenset(
@@ -62,7 +63,7 @@
         Seconds.
 
     """
-    ceiling = min(MAX_DELAY_S, BASE_DELAY_S * 2 ** (attempt - 1))
+    ceiling = min(MAX_DELAY_S, BASE_DELAY_S * GROWTH ** (attempt - 1))
     return ceiling * (1 + draw) / 2
 
 
--- /dev/null
+++ b/trefoilhitch/router.py
@@ -0,0 +1,144 @@
+"""Routes statements with what this node knows, and logs each decision."""
+
+from collections import Counter
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
+from random import Random
+
+from trio import current_time
+
+from trefoilhitch._generated.messages import LogPosition, StatementRequest
+from trefoilhitch._generated.record import Candidate, RouteRecord
+from trefoilhitch.config import ConfigHolder, place_of
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.fleet import Fleet
+from trefoilhitch.group_state import GroupState
+from trefoilhitch.placement import distance
+from trefoilhitch.position import ORIGIN
+from trefoilhitch.routing import Route, RouteNeed, choose
+
+_MS_PER_S = 1000
+
+
+class Router:
+    """Chooses endpoints for statements.
+
+    Args:
+        fleet: says where this node is.
+        config: says where the endpoints are.
+        log: takes note of routes.
+        random: breaks ties.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        config: ConfigHolder,
+        log: DecisionLog,
+        random: Random,
+    ) -> None:
+        """Start without load."""
+        self._fleet = fleet
+        self._config = config
+        self._log = log
+        self._random = random
+        self._load: Counter[str] = Counter()
+
+    @contextmanager
+    def carrying(self, endpoint: str) -> Iterator[None]:
+        """Count a request as load of an endpoint for the length of a block.
+
+        Args:
+            endpoint: its name.
+
+        Yields:
+            Nothing.
+
+        """
+        self._load[endpoint] += 1
+        try:
+            yield
+        finally:
+            self._load[endpoint] -= 1
+
+    def need(
+        self,
+        req: StatementRequest,
+        seen: LogPosition,
+        state: GroupState,
+        excluded: Collection[str],
+    ) -> RouteNeed:
+        """Return what a statement asks of an endpoint.
+
+        Args:
+            req: the statement.
+            seen: what the caller's session has seen.
+            state: what is known of the group.
+            excluded: endpoints already tried in vain.
+
+        Returns:
+            The need; a maximum age that cannot be proved becomes strict.
+
+        """
+        if req.freshness != 'max_age':
+            minimum = seen if req.freshness == 'session' else ORIGIN
+            return RouteNeed(req.access, req.freshness, minimum, excluded)
+        since = current_time() - req.max_age_ms / _MS_PER_S
+        proved = state.needed_for_age(since)
+        if proved is None:
+            return RouteNeed(req.access, 'strict', ORIGIN, excluded)
+        return RouteNeed(req.access, 'max_age', proved, excluded)
+
+    def route(self, service: str, need: RouteNeed, state: GroupState) -> Route:
+        """Choose an endpoint and log the decision with its inputs.
+
+        Args:
+            service: name of the service.
+            need: what the statement asks.
+            state: what is known of the group.
+
+        Returns:
+            The route.
+
+        """
+        candidates = self._candidates(state)
+        draw = self._random.random()
+        route = choose(need, candidates, draw)
+        self._log.decision(
+            RouteRecord(
+                kind='route',
+                at=current_time(),
+                service=service,
+                term=state.term,
+                access=need.access,
+                freshness=need.freshness,
+                minimum_term=need.minimum.term,
+                minimum_position=need.minimum.position,
+                candidates=candidates,
+                excluded=list(need.excluded),
+                draw=draw,
+                endpoint=route.endpoint,
+                reason=route.reason,
+            ),
+        )
+        return route
+
+    def _candidates(self, state: GroupState) -> list[Candidate]:
+        declared = self._config.current.endpoints
+        here = self._fleet.identity.place
+        return [
+            Candidate(
+                name=view.name,
+                role='primary' if view.name == state.primary else view.role,
+                applied_term=view.applied_term,
+                applied_position=view.applied_position,
+                reachable=view.reachable,
+                leaving=view.leaving,
+                distance=distance(here, place_of(declared[view.name])),
+                load=self._load[view.name],
+            )
+            for view in state.endpoints
+            if view.name in declared
+        ]
--- a/trefoilhitch/routing.py
+++ b/trefoilhitch/routing.py
@@ -55,8 +55,8 @@
 ) -> Route:
     """Choose the endpoint for a statement.
 
-    A read that may go to a replica goes to the nearest one that has applied what
-    it needs, then to the least loaded; the draw breaks ties.
+    A read that may go to a replica goes to the nearest one that has applied
+    what it needs, then to the least loaded; the draw breaks ties.
 
     Args:
         need: what the statement asks.
--- a/trefoilhitch/setting_error.py
+++ b/trefoilhitch/setting_error.py
@@ -33,7 +33,10 @@
             for part in (self.section and f'[{self.section}]', self.key)
             if part
         )
-        return f'{self.source}: {place}: found {self.found!r}, allowed: {self.allowed}'
+        return (
+            f'{self.source}: {place}: found {self.found!r}, '
+            f'allowed: {self.allowed}'
+        )
 
 
 class SettingErrorGroup(ExceptionGroup[SettingError]):
@@ -51,15 +54,3 @@
 
         """
         return cls(f'{len(errors)} faults', errors)
-
-    def derive(self, excs: Sequence[SettingError]) -> 'SettingErrorGroup':
-        """Return a group of the same kind for a part of the faults.
-
-        Args:
-            excs: the part.
-
-        Returns:
-            The group.
-
-        """
-        return SettingErrorGroup(self.message, excs)
--- a/trefoilhitch/settings.py
+++ b/trefoilhitch/settings.py
@@ -1,5 +1,7 @@
 """Settings of a node, read from INI and checked all at once."""
 
+from types import MappingProxyType
+
 from msgspec import convert
 
 from trefoilhitch._generated.settings import Settings
@@ -7,13 +9,15 @@
 from trefoilhitch.schema import load_schema
 from trefoilhitch.setting_error import SettingError, SettingErrorGroup
 
-_SECTIONS = {
-    'node': 'NodeSettings',
-    'platform': 'PlatformSettings',
-    'fleet': 'FleetSettings',
-    'limits': 'LimitSettings',
-    'log': 'LogSettings',
-}
+_SECTIONS = MappingProxyType(
+    {
+        'node': 'NodeSettings',
+        'platform': 'PlatformSettings',
+        'fleet': 'FleetSettings',
+        'limits': 'LimitSettings',
+        'log': 'LogSettings',
+    }
+)
 
 
 def read_settings(ini: IniFile) -> Settings:
@@ -43,13 +47,14 @@
 
 
 def _unknown_sections(ini: IniFile) -> list[SettingError]:
+    known = ', '.join(_SECTIONS)
     return [
         SettingError(
             source=ini.source,
             section=section,
             key='',
             found=section,
-            allowed='one of the sections ' + ', '.join(_SECTIONS),
+            allowed=f'one of the sections {known}',
         )
         for section in ini.sections
         if section not in _SECTIONS
--- a/trefoilhitch/trace.py
+++ b/trefoilhitch/trace.py
@@ -1,7 +1,8 @@
-"""Traces: recorded decisions, decided again and compared with their outcomes."""
+"""Traces: recorded decisions, decided again and compared."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any, TypeAlias
 
 from msgspec import DecodeError, ValidationError, convert, json
@@ -18,12 +19,14 @@
 Record: TypeAlias = (
     RouteRecord | PlacementRecord | SuspicionRecord | PromotionRecord
 )
-_TYPES: dict[str, type[Record]] = {
-    'route': RouteRecord,
-    'placement': PlacementRecord,
-    'suspicion': SuspicionRecord,
-    'promotion': PromotionRecord,
-}
+_TYPES: Mapping[str, type[Record]] = MappingProxyType(
+    {
+        'route': RouteRecord,
+        'placement': PlacementRecord,
+        'suspicion': SuspicionRecord,
+        'promotion': PromotionRecord,
+    }
+)
 
 
 class TraceError(TrefoilhitchError):
@@ -87,14 +90,17 @@
 
 def _read_line(number: int, line: str) -> Record | None:
     try:
-        logged: dict[str, Any] = json.decode(line, type=dict[str, Any])
-        fields = logged.get('record', logged)
-        kind = _TYPES.get(str(fields.get('kind', '')))
-        return None if kind is None else convert(fields, kind)
+        return _convert(json.decode(line, type=dict[str, Any]))
     except (DecodeError, ValidationError) as exc:
         raise TraceError(f'line {number}: {exc}') from exc
 
 
+def _convert(logged: Mapping[str, Any]) -> Record | None:
+    fields = logged.get('record', logged)
+    kind = _TYPES.get(str(fields.get('kind', '')))
+    return None if kind is None else convert(fields, kind)
+
+
 def _recorded(record: Record) -> str:
     match record:
         case RouteRecord():
--- /dev/null
+++ b/trefoilhitch/transaction_dispatcher.py
@@ -0,0 +1,151 @@
+"""Dispatch of transactions: opened at the primary, then kept at one owner."""
+
+from trefoilhitch._generated.messages import StatementRequest
+from trefoilhitch._generated.peer import (
+    ForwardBegin,
+    ForwardEnd,
+    ForwardStatement,
+    OwnerReply,
+)
+from trefoilhitch.call import Call
+from trefoilhitch.clock import remaining_ms
+from trefoilhitch.errors import RefusalError
+from trefoilhitch.outcomes import Outcomes
+from trefoilhitch.owners import Owners
+
+
+class TransactionDispatcher:
+    """Carries transactions out.
+
+    Args:
+        owners: reaches the owners of endpoints.
+        outcomes: finds lost outcomes.
+
+    """
+
+    def __init__(self, *, owners: Owners, outcomes: Outcomes) -> None:
+        """Keep the collaborators."""
+        self._owners = owners
+        self._outcomes = outcomes
+
+    async def begin(self, call: Call) -> OwnerReply:
+        """Open a transaction at the owner of the primary.
+
+        Args:
+            call: the call; its request is the later commit's.
+
+        Returns:
+            The answer, which names the transaction.
+
+        Raises:
+            RefusalError: none was opened.
+
+        """
+        reply = None
+        while reply is None:
+            try:
+                reply = await self._begin(call)
+            except RefusalError as exc:
+                await self._outcomes.wait_for_change(call, exc)
+        return reply
+
+    async def statement(
+        self,
+        call: Call,
+        transaction: str,
+        req: StatementRequest,
+    ) -> OwnerReply:
+        """Run a statement in a transaction.
+
+        Args:
+            call: the call.
+            transaction: the transaction's id.
+            req: the statement.
+
+        Returns:
+            The whole answer.
+
+        Raises:
+            RefusalError: it did not run, or the transaction is lost.
+
+        """
+        fwd = ForwardStatement(
+            caller=call.caller,
+            service=call.service,
+            endpoint='',
+            term=0,
+            sql=req.sql,
+            args=req.args,
+            access=req.access,
+            timeout_ms=remaining_ms(call.deadline),
+            transaction=transaction,
+        )
+        return await self._owners.of_transaction(transaction).statement(fwd)
+
+    async def rollback(self, call: Call, transaction: str) -> OwnerReply:
+        """Roll a transaction back.
+
+        Args:
+            call: the call.
+            transaction: the transaction's id.
+
+        Returns:
+            The answer.
+
+        Raises:
+            RefusalError: it is not open.
+
+        """
+        return await self._end(call, transaction, commit=False)
+
+    async def commit(self, call: Call, transaction: str) -> OwnerReply:
+        """Commit a transaction; if the answer is lost, look the outcome up.
+
+        Args:
+            call: the call.
+            transaction: the transaction's id.
+
+        Returns:
+            The answer.
+
+        Raises:
+            RefusalError: it was not committed, or the outcome is not known.
+
+        """
+        try:
+            return await self._end(call, transaction, commit=True)
+        except RefusalError as exc:
+            if exc.run == 'no':
+                raise
+            failure = exc
+        found = await self._outcomes.settle(call, failure)
+        if found is None:
+            raise failure
+        return found
+
+    async def _begin(self, call: Call) -> OwnerReply:
+        state = await self._outcomes.primary_state(call)
+        fwd = ForwardBegin(
+            caller=call.caller,
+            service=call.service,
+            endpoint=state.primary,
+            term=state.term,
+            request=call.request,
+            timeout_ms=call.attempt_ms(),
+        )
+        return await self._owners.of_endpoint(state.primary).begin(fwd)
+
+    async def _end(
+        self,
+        call: Call,
+        transaction: str,
+        *,
+        commit: bool,
+    ) -> OwnerReply:
+        fwd = ForwardEnd(
+            caller=call.caller,
+            transaction=transaction,
+            commit=commit,
+            timeout_ms=remaining_ms(call.deadline),
+        )
+        return await self._owners.of_transaction(transaction).end(fwd)
--- a/trefoilhitch/transactions.py
+++ b/trefoilhitch/transactions.py
@@ -1,4 +1,4 @@
-"""Open transactions: each pinned to one connection, used by one request at a time."""
+"""Open transactions: each pinned to one connection."""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -56,9 +56,12 @@
 
         """
         parts = text.split(_SEPARATOR)
-        if len(parts) != _PARTS or not (parts[1] + parts[2]).isdecimal():
+        if len(parts) != _PARTS:
             raise BadRequestError('not a transaction id')
-        return cls(parts[0], int(parts[1]), int(parts[2]))
+        node, incarnation, number = parts
+        if not (incarnation.isdecimal() and number.isdecimal()):
+            raise BadRequestError('not a transaction id')
+        return cls(node, int(incarnation), int(number))
 
     def __str__(self) -> str:
         """Return the text that callers see."""
@@ -178,7 +181,7 @@
                 reply = await _end(opened, deadline, commit=fwd.commit)
             finally:
                 self._finish(fwd.transaction, opened, clean=reply is not None)
-        return opened.pool.endpoint.name, reply
+            return opened.pool.endpoint.name, reply
 
     def sweep(self, keyring: KeyRing, now: float) -> None:
         """Roll back transactions that expired or whose key was withdrawn.
--- a/trefoilhitch_lab/caller.py
+++ b/trefoilhitch_lab/caller.py
@@ -20,6 +20,9 @@
 from trefoilhitch.json_client import ReplyT
 
 CLIENT_GRACE_S = 1.0
+DEFAULT_TIMEOUT_MS = 5000
+OUTCOME_TIMEOUT_S = 6.0
+_MS_PER_S = 1000
 _HTTP_OK = 200
 Fields: TypeAlias = dict[str, Any]
 
@@ -99,7 +102,7 @@
 
         """
         req = HttpRequest('GET', f'/v1/requests/{request}', self._headers())
-        return await self._send(req, OutcomeReply, 6)
+        return await self._send(req, OutcomeReply, OUTCOME_TIMEOUT_S)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -114,7 +117,7 @@
     ) -> ReplyT:
         body = encode({**fields, 'session': self.session})
         req = HttpRequest('POST', path, self._headers(), body)
-        timeout_s = fields.get('timeout_ms', 5000) / 1000
+        timeout_s = fields.get('timeout_ms', DEFAULT_TIMEOUT_MS) / _MS_PER_S
         return await self._send(req, kind, timeout_s)
 
     async def _send(
--- a/trefoilhitch_lab/database.py
+++ b/trefoilhitch_lab/database.py
@@ -131,7 +131,7 @@
 
 
 class Database:
-    """The log of an endpoint, and the tables that result from a prefix of it."""
+    """The log of an endpoint, and the tables that a prefix of it makes."""
 
     def __init__(self) -> None:
         """Start empty."""
@@ -203,7 +203,8 @@
         self._work = Session()
         self._work.trusted('PRAGMA query_only=OFF')
         self._work.copy_from(self._tables)
-        self._append(LogEntry(term=term, position=len(self.log) + 1))
+        position = len(self.log) + 1
+        self._append(LogEntry(term=term, position=position))
 
     def begin(self) -> None:
         """Open the one write transaction."""
--- a/trefoilhitch_lab/demo.py
+++ b/trefoilhitch_lab/demo.py
@@ -3,8 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import Any, TypeAlias
 
-from msgspec import to_builtins
+from msgspec import to_builtins as as_builtins
 from msgspec.json import encode
 from rich.console import Console
 from rich.table import Table
@@ -16,6 +17,7 @@
 from trefoilhitch_lab.ledger import Ledger, Verdict
 from trefoilhitch_lab.stack import Stack, running_stack
 
+Rows: TypeAlias = Sequence[Sequence[Any]]
 SESSIONS = 6
 ROUNDS = 25
 SERVICE = 'orders'
@@ -94,9 +96,7 @@
             },
         )
 
-    async def _read(
-        self, tag: str, fields: dict[str, object]
-    ) -> Sequence[list]:
+    async def _read(self, tag: str, fields: dict[str, object]) -> Rows:
         self.ledger.sent()
         try:
             reply = await self.caller.statement(SERVICE, fields)
@@ -112,34 +112,26 @@
     async def _buy(self, mark: str) -> None:
         """Take stock and order in one transaction."""
         self.ledger.sent()
-        caller = self.caller
         try:
-            opened = await caller.begin(SERVICE, {'idempotency_key': mark})
-            step = f'{opened.transaction}/statements'
-            await caller.in_transaction(
-                SERVICE,
-                step,
-                {'sql': TAKE_STOCK, 'args': ['paste'], 'access': 'write'},
-            )
-            await caller.in_transaction(
-                SERVICE,
-                step,
-                {
-                    'sql': INSERT_ORDER,
-                    'args': [mark, self.number, 1],
-                    'access': 'write',
-                },
-            )
-            await caller.in_transaction(
-                SERVICE,
-                f'{opened.transaction}/commit',
-                {'idempotency_key': mark},
-            )
+            await self._take_and_order(mark)
         except RefusalError as exc:
             self.ledger.refused(exc.code, exc.run, mark)
             return
         self.ledger.acknowledged(mark)
 
+    async def _take_and_order(self, mark: str) -> None:
+        named = {'idempotency_key': mark}
+        opened = await self.caller.begin(SERVICE, named)
+        step = f'{opened.transaction}/statements'
+        for sql, args in (
+            (TAKE_STOCK, ['paste']),
+            (INSERT_ORDER, [mark, self.number, 1]),
+        ):
+            fields = {'sql': sql, 'args': args, 'access': 'write'}
+            await self.caller.in_transaction(SERVICE, step, fields)
+        commit = f'{opened.transaction}/commit'
+        await self.caller.in_transaction(SERVICE, commit, named)
+
 
 async def run_demo(seed: int) -> Verdict:
     """Run the demo on an embedded stack.
@@ -199,7 +191,7 @@
     )
     table.add_column('measure')
     table.add_column('count', justify='right')
-    for name, count in to_builtins(verdict).items():
+    for name, count in as_builtins(verdict).items():
         table.add_row(name.replace('_', ' '), str(count))
     return table
 
--- a/trefoilhitch_lab/deployment.py
+++ b/trefoilhitch_lab/deployment.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 from trefoilhitch_lab.network import Latency, Place
 
@@ -64,7 +65,10 @@
 
 def _spread(data_centres: Mapping[str, str], count: int) -> dict[str, str]:
     names = list(data_centres)
-    return {f'n{each + 1}': names[each % len(names)] for each in range(count)}
+    return {
+        f'n{number}': names[number % len(names)]
+        for number in range(1, count + 1)
+    }
 
 
 def _tenants(
@@ -76,16 +80,20 @@
     )
 
 
-_HIMAL_PLACES = {
-    'bagmati-patan': 'bagmati',
-    'gandaki-lakeside': 'gandaki',
-    'koshi-biratnagar': 'koshi',
-}
-_HANBIT_PLACES = {
-    'seoul-a': 'seoul',
-    'chuncheon-a': 'chuncheon',
-    'busan-a': 'busan',
-}
+_HIMAL_PLACES = MappingProxyType(
+    {
+        'bagmati-patan': 'bagmati',
+        'gandaki-lakeside': 'gandaki',
+        'koshi-biratnagar': 'koshi',
+    }
+)
+_HANBIT_PLACES = MappingProxyType(
+    {
+        'seoul-a': 'seoul',
+        'chuncheon-a': 'chuncheon',
+        'busan-a': 'busan',
+    }
+)
 HIMAL = Deployment(
     name='himal',
     places=_HIMAL_PLACES,
@@ -125,6 +133,6 @@
     latency=Latency(data_centre_ms=1, region_ms=3),
     tenants=_tenants(('himal',), ('hanbit',)),
 )
-DEPLOYMENTS: Mapping[str, Deployment] = {
-    each.name: each for each in (HIMAL, HANBIT, SMALL)
-}
+DEPLOYMENTS: Mapping[str, Deployment] = MappingProxyType(
+    {each.name: each for each in (HIMAL, HANBIT, SMALL)}
+)
--- a/trefoilhitch_lab/endpoint_server.py
+++ b/trefoilhitch_lab/endpoint_server.py
@@ -1,7 +1,9 @@
-"""Stand-in of a database endpoint: slots, terms, transactions and replication."""
+"""Stand-in of a database endpoint: slots, terms and replication."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeVar
+from types import MappingProxyType
+from typing import Literal, TypeAlias, TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode, encode
@@ -41,7 +43,7 @@
     TrefoilhitchError,
 )
 from trefoilhitch.http_message import Answerer, HttpRequest, HttpResponse
-from trefoilhitch.position import majority
+from trefoilhitch.position import majority_position
 from trefoilhitch_lab.database import Database, Rows, check_same_statement
 from trefoilhitch_lab.network import Network
 from trefoilhitch_lab.replication import Replicator
@@ -50,6 +52,17 @@
 LOCK_WAIT_S = 2.0
 ROUND_WAIT_S = 0.3
 BodyT = TypeVar('BodyT', bound=Struct)
+Role: TypeAlias = Literal['primary', 'replica', 'fenced']
+ErrorCode: TypeAlias = Literal[
+    'slots_exhausted',
+    'not_primary',
+    'sql_rejected',
+    'no_transaction',
+    'not_connected',
+    'leaving',
+    'bad_request',
+    'stale_term',
+]
 _MS_PER_S = 1000
 _REFUSED = 409
 
@@ -63,7 +76,7 @@
 
     """
 
-    def __init__(self, code: str, detail: str = '') -> None:
+    def __init__(self, code: ErrorCode, detail: str = '') -> None:
         """Keep what the client is told."""
         super().__init__(detail)
         self.code = code
@@ -124,7 +137,7 @@
         self.database = Database()
         self.runs: list[LogEntry] = []
         self.used = 0
-        self.role = 'replica'
+        self.role: Role = 'replica'
         self.term = 0
         self.lock = Lock()
         self._claimant = ''
@@ -195,7 +208,7 @@
         return self.status()
 
     def replicate(self, req: ReplicateRequest) -> ReplicateReply:
-        """Take entries from the primary of the current term or of a later one."""
+        """Take entries from the primary of this term or of a later one."""
         if req.term < self.term:
             return ReplicateReply(
                 accepted=False, term=self.term, held_position=0
@@ -211,7 +224,8 @@
             term=req.previous_term, position=req.previous_position
         )
         accepted = self.database.extend(previous, req.entries)
-        held = min(len(self.database.log), max(0, req.previous_position - 1))
+        held = max(0, req.previous_position - 1)
+        held = min(len(self.database.log), held)
         if accepted:
             held = req.previous_position + len(req.entries)
             self._received.append(_Received(current_time(), held))
@@ -308,14 +322,11 @@
     ) -> bool:
         if self.role != 'primary':
             return True
-        holding = [
-            each
-            for each in replicator.holdings(since)
-            if each.position >= position
-        ]
-        return len(holding) >= majority(len(self._members))
-
-    def _step_down(self, role: str) -> None:
+        held = [each.position for each in replicator.holdings(since)]
+        reached = majority_position(len(self._members), held)
+        return reached is not None and reached >= position
+
+    def _step_down(self, role: Role) -> None:
         self.role = role
         if self._replicator is not None:
             self._replicator.scope.cancel()
@@ -345,22 +356,35 @@
 
     async def _reply(self, req: HttpRequest) -> Struct:
         server = self._server
-        match req.path:
-            case '/v1/status':
-                return server.status()
-            case '/v1/fence':
-                return server.fence(read_body(req, FenceRequest))
-            case '/v1/promote':
-                return server.promote(read_body(req, PromoteRequest))
-            case '/v1/replicate':
-                return server.replicate(read_body(req, ReplicateRequest))
-            case '/v1/confirm':
-                return await server.confirm(read_body(req, ConfirmRequest))
-            case '/v1/record':
-                return server.find_record(read_body(req, RecordRequest))
+        answer = _CONTROL.get(req.path)
+        if answer is not None:
+            return answer(server, req)
+        if req.path == '/v1/confirm':
+            return await server.confirm(read_body(req, ConfirmRequest))
         raise EndpointRefusalError('bad_request', req.path)
 
 
+_CONTROL: Mapping[str, Callable[[EndpointServer, HttpRequest], Struct]] = (
+    MappingProxyType(
+        {
+            '/v1/status': lambda server, _: server.status(),
+            '/v1/fence': lambda server, req: server.fence(
+                read_body(req, FenceRequest),
+            ),
+            '/v1/promote': lambda server, req: server.promote(
+                read_body(req, PromoteRequest),
+            ),
+            '/v1/replicate': lambda server, req: server.replicate(
+                read_body(req, ReplicateRequest),
+            ),
+            '/v1/record': lambda server, req: server.find_record(
+                read_body(req, RecordRequest),
+            ),
+        }
+    )
+)
+
+
 class StatementFactory:
     """Makes the answerer of each statement connection.
 
--- a/trefoilhitch_lab/faulty.py
+++ b/trefoilhitch_lab/faulty.py
@@ -1,4 +1,4 @@
-"""Wrappers of the platform and of peers that put the lab's network in between."""
+"""The platform and peers, with the lab's network in between."""
 
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -35,52 +35,12 @@
 from trefoilhitch.peer_client import PeerClient, PeerClients
 from trefoilhitch.platform import Platform
 from trefoilhitch.store import ObjectStore, VmDirectory
-from trefoilhitch_lab.network import Network
+from trefoilhitch_lab.network import Link, Network
 
 STORE_NAME = 'store'
 ReplyT = TypeVar('ReplyT')
 
 
-class Link:
-    """The way between two processes.
-
-    Args:
-        network: delays, cuts and loses messages.
-        source: name of the process that asks.
-        target: name of the process that answers.
-
-    """
-
-    def __init__(self, network: Network, source: str, target: str) -> None:
-        """Keep the ends."""
-        self._network = network
-        self._source = source
-        self._target = target
-
-    async def exchange(
-        self,
-        deadline: float,
-        call: Callable[[], Awaitable[ReplyT]],
-    ) -> ReplyT:
-        """Carry a request there and its answer back.
-
-        Args:
-            deadline: monotonic time until which the source waits.
-            call: what the target does.
-
-        Returns:
-            The answer.
-
-        Raises:
-            DeadlineError: the request or the answer was dropped.
-
-        """
-        await self._network.cross(self._source, self._target, deadline)
-        reply = await call()
-        await self._network.cross(self._target, self._source, deadline)
-        return reply
-
-
 class FaultyConnection:
     """A statement connection over the lab's network.
 
--- a/trefoilhitch_lab/ledger.py
+++ b/trefoilhitch_lab/ledger.py
@@ -13,7 +13,8 @@
     Args:
         requests: requests sent.
         acknowledged_writes: writes that were acknowledged.
-        replica_read_share: share of replica-eligible reads that a replica served.
+        replica_read_share: share of the reads allowed to go to a replica
+            that a replica served.
         stale_reads: reads that missed what their session had written.
         wrong_answers: answers that belonged to another request.
         lost_acked_writes: acknowledged writes that the database does not hold.
--- a/trefoilhitch_lab/network.py
+++ b/trefoilhitch_lab/network.py
@@ -1,14 +1,16 @@
-"""A network between places: latency, cuts and loss, applied at the interfaces."""
+"""A network between places: latency, cuts and loss."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
+from typing import TypeVar
 
 from trio import current_time, sleep, sleep_until
 
 from trefoilhitch.errors import DeadlineError
 
 _MS_PER_S = 1000
+ReplyT = TypeVar('ReplyT')
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +101,7 @@
             deadline: monotonic time until which the sender waits.
 
         Raises:
-            DeadlineError: the message was dropped, and the sender waited in vain.
+            DeadlineError: the message was dropped; the sender waited in vain.
 
         """
         if self.is_cut(source, target) or self.random.random() < self.loss:
@@ -128,3 +130,43 @@
             else self.latency.region_ms
         )
         return base_ms * (1 + self.random.random() / 4) / _MS_PER_S
+
+
+class Link:
+    """The way between two processes.
+
+    Args:
+        network: delays, cuts and loses messages.
+        source: name of the process that asks.
+        target: name of the process that answers.
+
+    """
+
+    def __init__(self, network: Network, source: str, target: str) -> None:
+        """Keep the ends."""
+        self._network = network
+        self._source = source
+        self._target = target
+
+    async def exchange(
+        self,
+        deadline: float,
+        call: Callable[[], Awaitable[ReplyT]],
+    ) -> ReplyT:
+        """Carry a request there and its answer back.
+
+        Args:
+            deadline: monotonic time until which the source waits.
+            call: what the target does.
+
+        Returns:
+            The answer.
+
+        Raises:
+            DeadlineError: the request or the answer was dropped.
+
+        """
+        await self._network.cross(self._source, self._target, deadline)
+        reply = await call()
+        await self._network.cross(self._target, self._source, deadline)
+        return reply
--- a/trefoilhitch_lab/object_api.py
+++ b/trefoilhitch_lab/object_api.py
@@ -1,7 +1,9 @@
 """Stand-in of the platform's object API."""
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Literal, TypeAlias
 
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
@@ -11,6 +13,12 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 
 MAX_OBJECT_BYTES = 1_000_000
+StoreCode: TypeAlias = Literal[
+    'conflict',
+    'too_large',
+    'unavailable',
+    'bad_request',
+]
 _PREFIX = '/v1/objects/'
 _MS_PER_S = 1000
 _BAD_REQUEST = 400
@@ -26,7 +34,8 @@
     Args:
         outage: refuse every call.
         delay_s: answer each call so much later.
-        lose_answers: number of coming writes that take effect without an answer.
+        lose_answers: number of coming writes that take effect without an
+            answer.
 
     """
 
@@ -70,10 +79,7 @@
         name = req.path.removeprefix(_PREFIX)
         if req.method == 'PUT':
             return self._put(name, req.body)
-        if 'after' in req.query:
-            await self._wait(
-                name, int(req.query['after']), int(req.query['wait_ms'])
-            )
+        await self._wait(name, req.query)
         if self.faults.outage:
             return _refuse(_UNAVAILABLE, 'unavailable')
         return HttpResponse(body=encode(self._find(name).stored))
@@ -110,10 +116,12 @@
         answered = StoredObject(name=name, version=stored.version)
         return HttpResponse(body=encode(answered))
 
-    async def _wait(self, name: str, after: int, wait_ms: int) -> None:
+    async def _wait(self, name: str, query: Mapping[str, str]) -> None:
+        if 'after' not in query:
+            return
         kept = self._find(name)
-        if kept.stored.version <= after:
-            with move_on_after(wait_ms / _MS_PER_S):
+        if kept.stored.version <= int(query['after']):
+            with move_on_after(int(query['wait_ms']) / _MS_PER_S):
                 await kept.changed.wait()
 
     def _find(self, name: str) -> _Kept:
@@ -128,5 +136,5 @@
     return 'watch' if 'after' in req.query else 'read'
 
 
-def _refuse(status: int, code: str, version: int = 0) -> HttpResponse:
+def _refuse(status: int, code: StoreCode, version: int = 0) -> HttpResponse:
     return HttpResponse(status, encode(StoreError(code=code, version=version)))
--- a/trefoilhitch_lab/replication.py
+++ b/trefoilhitch_lab/replication.py
@@ -1,6 +1,7 @@
 """Asynchronous replication from a primary to the other members of its group."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
 from trio import (
     CancelScope,
@@ -22,7 +23,7 @@
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.json_client import JsonClient
 from trefoilhitch_lab.database import Database
-from trefoilhitch_lab.network import Network
+from trefoilhitch_lab.network import Link, Network
 
 BEAT_INTERVAL_S = 0.1
 SEND_TIMEOUT_S = 0.5
@@ -106,7 +107,7 @@
                     nursery.start_soon(self._follow, follower)
 
     def holdings(self, since: float) -> list[Holding]:
-        """Return who holds what, by answers to rounds that began at a time or later.
+        """Return who holds what, by rounds that began at a time or later.
 
         Args:
             since: monotonic time; 0 for any round.
@@ -158,16 +159,18 @@
             previous_position=previous.position,
             entries=self._database.log[sent_to : sent_to + MAX_ENTRIES],
         )
-        name = follower.member.name
+        link = Link(self._network, self._name, follower.member.name)
+        call = partial(
+            client.post,
+            '/v1/replicate',
+            req,
+            ReplicateReply,
+            deadline,
+        )
         try:
-            await self._network.cross(self._name, name, deadline)
-            reply = await client.post(
-                '/v1/replicate', req, ReplicateReply, deadline
-            )
-            await self._network.cross(name, self._name, deadline)
+            return await link.exchange(deadline, call)
         except RefusalError:
             return None
-        return reply
 
     def _take(
         self, follower: Follower, reply: ReplicateReply, began: float
--- /dev/null
+++ b/trefoilhitch_lab/serve.py
@@ -0,0 +1,106 @@
+"""The platform's stand-ins as one process, for nodes that run on their own."""
+
+import sys
+from collections.abc import Sequence
+from functools import partial
+
+from trio import Nursery, open_nursery, run, sleep_forever
+
+from trefoilhitch._generated.settings import Settings
+from trefoilhitch._generated.store import Bundle, Endpoint, ListedVm
+from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
+from trefoilhitch.http_server import (
+    AnswererFactory,
+    HttpServer,
+    SharedAnswerer,
+)
+from trefoilhitch_lab.endpoint_server import (
+    ControlAnswerer,
+    EndpointServer,
+    StatementFactory,
+)
+from trefoilhitch_lab.network import Network
+from trefoilhitch_lab.object_api import ObjectApi
+from trefoilhitch_lab.vm_list import VmListApi
+
+CONNECT_S = 0.01
+
+
+class PlatformHost:
+    """Serves the object API, the VM list and endpoints at declared addresses.
+
+    Args:
+        bundle: declares the endpoints.
+        nodes: settings of the nodes, which say where the platform is.
+
+    """
+
+    def __init__(self, *, bundle: Bundle, nodes: Sequence[Settings]) -> None:
+        """Keep the declaration."""
+        self._bundle = bundle
+        self._nodes = nodes
+        self._network = Network()
+        self._log = LogbookLog(
+            node='platform',
+            sink=JsonLinesHandler(sys.stdout),
+        )
+
+    async def serve(self) -> None:
+        """Serve until cancelled."""
+        platform = self._nodes[0].platform
+        vm_list = VmListApi()
+        vm_list.publish([_listed(cfg) for cfg in self._nodes])
+        async with open_nursery() as nursery:
+            listen = partial(self._listen, nursery)
+            await listen(platform.store, SharedAnswerer(ObjectApi()))
+            await listen(platform.vm_list, SharedAnswerer(vm_list))
+            for endpoint in self._bundle.endpoints:
+                await self._start(nursery, endpoint)
+            self._log.event('platform_ready', store=platform.store)
+            await sleep_forever()
+
+    async def _start(self, nursery: Nursery, endpoint: Endpoint) -> None:
+        server = EndpointServer(
+            name=endpoint.name,
+            slots=endpoint.slots,
+            network=self._network,
+            nursery=nursery,
+        )
+        server.faults.connect_s = CONNECT_S
+        nursery.start_soon(server.apply_for_ever)
+        control = SharedAnswerer(ControlAnswerer(server))
+        await self._listen(nursery, endpoint.address, StatementFactory(server))
+        await self._listen(nursery, endpoint.control, control)
+
+    async def _listen(
+        self,
+        nursery: Nursery,
+        address: str,
+        factory: AnswererFactory,
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        server = HttpServer(factory=factory, reporter=self._log)
+        await server.listen(nursery, host, int(port))
+
+
+def serve(bundle: Bundle, nodes: Sequence[Settings]) -> None:
+    """Serve the stand-ins until the process is interrupted.
+
+    Args:
+        bundle: declares the endpoints.
+        nodes: settings of the nodes.
+
+    """
+    try:
+        run(PlatformHost(bundle=bundle, nodes=nodes).serve)
+    except KeyboardInterrupt:
+        return
+
+
+def _listed(cfg: Settings) -> ListedVm:
+    return ListedVm(
+        name=cfg.node.name,
+        address=f'{cfg.node.address}:{cfg.node.peer_port}',
+        region=cfg.node.region,
+        data_centre=cfg.node.data_centre,
+    )
--- a/trefoilhitch_lab/stack.py
+++ b/trefoilhitch_lab/stack.py
@@ -1,4 +1,4 @@
-"""A whole deployment on loopback: platform, endpoints and nodes on one trio loop."""
+"""A whole deployment on loopback, on one trio loop."""
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -46,6 +46,7 @@
 FLEET_SECRET = 'lab-fleet-secret-0123456789'
 READY_TIMEOUT_S = 15
 READY_POLL_S = 0.02
+_NAME_BITS = 32
 _SECRET_BITS = 128
 _SALT_BITS = 64
 
@@ -126,7 +127,7 @@
         self._incarnation = 0
 
     async def start(self) -> None:
-        """Start the platform, the endpoints and all nodes, and wait for them."""
+        """Start the platform, the endpoints and all nodes, and wait."""
         await self.start_platform()
         for name in self.deployment.nodes:
             self.start_node(name)
@@ -363,7 +364,7 @@
     def _create_key(self, organisation: str) -> NewKey:
         return create_key(
             organisation,
-            name=f'k{self.random.getrandbits(32):08x}',
+            name=f'k{self.random.getrandbits(_NAME_BITS):08x}',
             secret=f'{self.random.getrandbits(_SECRET_BITS):032x}',
             salt=f'{self.random.getrandbits(_SALT_BITS):016x}',
         )
--- a/trefoilhitch_lab/vm_list.py
+++ b/trefoilhitch_lab/vm_list.py
@@ -30,7 +30,8 @@
             vms: the whole new list.
 
         """
-        self._pending.append((current_time() + self._lag_s, VmList(vms=vms)))
+        shown_at = current_time() + self._lag_s
+        self._pending.append((shown_at, VmList(vms=vms)))
 
     async def answer(self, req: HttpRequest) -> HttpResponse:
         """Answer a call.
