Cheaper sockets, placement cache, and a cost measurement

Change: ByteStream waits before it reads and skips the scheduler after writes; owners are cached while the live nodes stay; tokens and peers are signed with keyed BLAKE2; make cost measures a node beside its endpoint.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 ARGS ?=
 
-.PHONY: demo test lint bench fuzz generate lock
+.PHONY: demo test lint bench cost fuzz generate lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 bench: $(VENV)/.installed
 	$(BIN)/trefoilhitch-lab bench $(ARGS)
 
+cost: $(VENV)/.installed
+	benchmarks/cost.sh $(ARGS)
+
 fuzz: $(VENV)/.installed
 	$(BIN)/python -m pytest tests/test_promotion_model.py --hypothesis-profile=fuzz $(ARGS)
 
--- a/trefoilhitch/daemon.py
+++ b/trefoilhitch/daemon.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from random import SystemRandom
+from random import Random, SystemRandom
 from signal import SIGINT, SIGTERM
 from time import time_ns
 from typing import Annotated
@@ -23,6 +23,8 @@
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.settings import read_settings
 
+_SEED_BITS = 128
+
 
 @cappa.command(name='trefoilhitchd')
 @dataclass(frozen=True)
@@ -80,7 +82,7 @@
         cfg,
         platform=Platform.from_settings(cfg),
         log=log,
-        random=SystemRandom(),
+        random=Random(SystemRandom().getrandbits(_SEED_BITS)),
         incarnation=time_ns(),
     )
     node = Node(ctx)
--- a/trefoilhitch/dispatcher.py
+++ b/trefoilhitch/dispatcher.py
@@ -142,8 +142,11 @@
 
     async def _send(self, fwd: ForwardStatement, state: GroupState) -> Answered:
         owner = self._owners.of_endpoint(fwd.endpoint)
-        with self._router.carrying(fwd.endpoint):
+        self._router.began(fwd.endpoint)
+        try:
             reply = await owner.statement(fwd)
+        finally:
+            self._router.ended(fwd.endpoint)
         state.learn(fwd.endpoint, reply)
         return Answered(reply, fwd.endpoint)
 
--- a/trefoilhitch/entry.py
+++ b/trefoilhitch/entry.py
@@ -35,6 +35,7 @@
 from trefoilhitch.position import ORIGIN, merge
 from trefoilhitch.token import TokenSigner
 from trefoilhitch.transaction_dispatcher import TransactionDispatcher
+from trefoilhitch.transactions import TransactionId
 
 OPEN_ORGANISATION = ''
 LOOKUP_TIMEOUT_MS = 5000
@@ -139,9 +140,10 @@
         caller = self._admit(req, service)
         body = _decode(_CODECS.statement, req.body)
         seen = self._signer.read(body.session)
-        call = self._call(
-            caller, service, body.idempotency_key, body.timeout_ms
-        )
+        key = body.idempotency_key
+        if body.access == 'write':
+            key = key or self._new_id()
+        call = self._call(caller, service, key, body.timeout_ms)
         minimum = seen.get(service, ORIGIN)
         answered = await self._dispatcher.statement(call, body, minimum)
         return StatementReply(
@@ -157,9 +159,8 @@
     async def _begin(self, req: HttpRequest, service: str) -> TransactionReply:
         caller = self._admit(req, service)
         body = _decode(_CODECS.transaction, req.body or _EMPTY)
-        call = self._call(
-            caller, service, body.idempotency_key, body.timeout_ms
-        )
+        key = body.idempotency_key or self._new_id()
+        call = self._call(caller, service, key, body.timeout_ms)
         reply = await self._transactions.begin(call)
         return TransactionReply(
             transaction=reply.transaction, request=call.request
@@ -187,9 +188,8 @@
         name: str,
     ) -> StatementReply:
         body = _decode(_CODECS.statement, req.body)
-        call = self._call(
-            caller, service, body.idempotency_key, body.timeout_ms
-        )
+        key = TransactionId.from_text(name).key
+        call = self._call(caller, service, key, body.timeout_ms)
         reply = await self._transactions.statement(call, name, body)
         return StatementReply(
             columns=reply.columns,
@@ -211,9 +211,8 @@
         name, verb = step
         body = _decode(_CODECS.transaction, req.body or _EMPTY)
         seen = self._signer.read(body.session)
-        call = self._call(
-            caller, service, body.idempotency_key, body.timeout_ms
-        )
+        key = TransactionId.from_text(name).key
+        call = self._call(caller, service, key, body.timeout_ms)
         if verb == 'commit':
             reply = await self._transactions.commit(call, name)
         else:
@@ -272,7 +271,7 @@
         key: str,
         timeout_ms: int,
     ) -> Call:
-        request = f'{service}{REQUEST_SEPARATOR}{key or self._new_id()}'
+        request = f'{service}{REQUEST_SEPARATOR}{key}'
         return Call(caller, service, request, deadline_after_ms(timeout_ms))
 
     def _session(
--- a/trefoilhitch/fleet.py
+++ b/trefoilhitch/fleet.py
@@ -1,5 +1,6 @@
 """What a node knows of the fleet: itself, its peers, and who owns what."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Literal, TypeAlias
@@ -16,6 +17,7 @@
 MONITORS = 2
 WATCHERS = 2
 AVOID_S = 1.0
+WORKERS_LIFE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,12 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Placed:
+    owner: str
+    nodes: list[PlacementNode]
+
+
 class Fleet:
     """Tracks live nodes, and places endpoints and monitors on them.
 
@@ -73,7 +81,9 @@
         self._counter = 0
         self._listed: dict[str, str] = {}
         self._avoided: dict[str, float] = {}
-        self._placed: dict[str, str] = {}
+        self._placed: dict[str, _Placed] = {}
+        self._worker_list: list[PlacementNode] = []
+        self._workers_until = -math.inf
         self.beat(0)
 
     def beat(self, revision: int) -> Heartbeat:
@@ -130,6 +140,7 @@
 
         """
         self._avoided[node] = self._clock() + AVOID_S
+        self._workers_until = -math.inf
 
     def reachable(self) -> list[MemberBeat]:
         """Return the newest heartbeats of all nodes that answer."""
@@ -184,9 +195,12 @@
 
         """
         nodes = self._workers()
+        placed = self._placed.get(endpoint.name)
+        if placed is not None and placed.nodes is nodes:
+            return placed.owner
         chosen = owner(place_of(endpoint), nodes) or self.identity.node
-        if self._placed.get(endpoint.name) != chosen:
-            self._placed[endpoint.name] = chosen
+        self._placed[endpoint.name] = _Placed(chosen, nodes)
+        if placed is None or placed.owner != chosen:
             self._note_placement(endpoint, nodes, chosen)
         return chosen
 
@@ -217,8 +231,11 @@
         return self.identity.node in monitors('watcher', here, WATCHERS)
 
     def _workers(self) -> list[PlacementNode]:
+        """Return the nodes that take work; the same list while they stay."""
         now = self._clock()
-        return [
+        if now < self._workers_until:
+            return self._worker_list
+        workers = [
             PlacementNode(
                 name=beat.node,
                 region=beat.region,
@@ -227,6 +244,10 @@
             for beat in self._membership.live(now)
             if self._avoided.get(beat.node, 0) <= now
         ]
+        if workers != self._worker_list:
+            self._worker_list = workers
+        self._workers_until = now + WORKERS_LIFE_S
+        return self._worker_list
 
     def _note_placement(
         self,
--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -6,14 +6,9 @@
 from typing import Self
 
 from httptools import HttpParserError, HttpResponseParser
-from trio import (
-    BrokenResourceError,
-    CancelScope,
-    ClosedResourceError,
-    SocketStream,
-    open_tcp_stream,
-)
+from trio import CancelScope, open_tcp_stream
 
+from trefoilhitch.byte_stream import ByteStream, ByteStreamError
 from trefoilhitch.errors import (
     ConnectionLostError,
     DeadlineError,
@@ -99,7 +94,7 @@
 
     """
 
-    def __init__(self, stream: SocketStream, host: str) -> None:
+    def __init__(self, stream: ByteStream, host: str) -> None:
         """Keep the stream."""
         self.closed = False
         self._stream = stream
@@ -123,7 +118,8 @@
         address, _, port = host.rpartition(':')
         with CancelScope(deadline=deadline):
             try:
-                return cls(await open_tcp_stream(address, int(port)), host)
+                stream = await open_tcp_stream(address, int(port))
+                return cls(ByteStream.from_trio(stream.socket), host)
             except OSError as exc:
                 raise UnreachableError(f'{host}: {exc}') from exc
         raise UnreachableError(f'{host}: no connection before the deadline')
@@ -150,7 +146,7 @@
         try:
             with CancelScope(deadline=deadline):
                 resp = await self._exchange(req)
-        except (BrokenResourceError, ClosedResourceError) as exc:
+        except ByteStreamError as exc:
             raise ConnectionLostError(f'{self._host}: {exc}') from exc
         finally:
             if resp is None or resp.close:
@@ -162,7 +158,7 @@
     def close(self) -> None:
         """Close at once."""
         self.closed = True
-        self._stream.socket.close()
+        self._stream.close()
 
     def has_ended(self) -> bool:
         """Tell whether the server ended or misused an idle connection.
@@ -171,13 +167,13 @@
             True if the connection must not be used.
 
         """
-        return self.closed or is_readable(self._stream.socket.fileno())
+        return self.closed or is_readable(self._stream.descriptor)
 
     async def _exchange(self, req: HttpRequest) -> HttpResponse:
-        await self._stream.send_all(encode_request(req, self._host))
+        await self._stream.send(encode_request(req, self._host))
         reader = ResponseReader()
         while not reader.complete:
-            chunk = await self._stream.receive_some(RECEIVE_BYTES)
+            chunk = await self._stream.receive(RECEIVE_BYTES)
             if not chunk:
                 raise ConnectionLostError(
                     f'{self._host}: closed before the answer'
--- a/trefoilhitch/http_server.py
+++ b/trefoilhitch/http_server.py
@@ -2,24 +2,22 @@
 
 import math
 from collections import deque
+from dataclasses import replace
 from typing import Protocol
 
 from httptools import HttpParserError, HttpRequestParser
 from msgspec.json import encode
 from trio import (
-    BrokenResourceError,
     CancelScope,
-    ClosedResourceError,
     Nursery,
     SocketListener,
-    SocketStream,
-    aclose_forcefully,
     current_time,
     open_nursery,
     open_tcp_listeners,
     sleep_forever,
 )
 
+from trefoilhitch.byte_stream import ByteStream, ByteStreamError
 from trefoilhitch.errors import (
     BadRequestError,
     BodyTooLargeError,
@@ -241,7 +239,7 @@
         self._limits = limits or HttpLimits()
         self._draining = False
         self._stopping = False
-        self._waiting: set[CancelScope] = set()
+        self._idle: set[CancelScope] = set()
         self._accepting = CancelScope()
 
     async def listen(self, nursery: Nursery, address: str, port: int) -> int:
@@ -271,47 +269,60 @@
         self._draining = True
         self._stopping = True
         self._accepting.cancel()
-        for scope in self._waiting:
+        for scope in self._idle:
             scope.cancel()
 
     async def _accept(self, listener: SocketListener) -> None:
         async with listener, open_nursery() as nursery:
             with self._accepting:
                 while not self._stopping:
-                    nursery.start_soon(self._serve, await listener.accept())
+                    accepted = await listener.accept()
+                    stream = ByteStream.from_trio(accepted.socket)
+                    nursery.start_soon(self._serve, stream)
 
-    async def _serve(self, stream: SocketStream) -> None:
+    async def _serve(self, stream: ByteStream) -> None:
         self.connections += 1
         answerer = self._factory.connect()
         try:
             await self._converse(stream, answerer)
-        except (BrokenResourceError, ClosedResourceError):
+        except ByteStreamError:
             return
         finally:
-            self._release(answerer)
-            await aclose_forcefully(stream)
+            self._release(stream, answerer)
 
-    def _release(self, answerer: Answerer) -> None:
+    def _release(self, stream: ByteStream, answerer: Answerer) -> None:
+        stream.close()
         self.connections -= 1
         self._factory.disconnect(answerer)
 
-    async def _converse(self, stream: SocketStream, answerer: Answerer) -> None:
+    async def _converse(self, stream: ByteStream, answerer: Answerer) -> None:
         if self.connections > self._limits.connections:
             await _send(stream, _refuse(ConnectionLimitError(), close=True))
             return
         reader = RequestReader(self._limits)
-        keep = True
-        while keep and not self._stopping:
-            keep = await self._exchange(stream, reader, answerer)
+        scope = CancelScope()
+        with scope:
+            keep = True
+            while keep and not self._stopping:
+                keep = await self._exchange(stream, reader, answerer, scope)
+        if scope.cancelled_caught and reader.partial:
+            await _send(stream, _refuse(RequestTimeoutError(), close=True))
 
     async def _exchange(
         self,
-        stream: SocketStream,
+        stream: ByteStream,
         reader: RequestReader,
         answerer: Answerer,
+        scope: CancelScope,
     ) -> bool:
+        """Receive and answer one request.
+
+        Returns:
+            Whether the connection stays open.
+
+        """
         try:
-            req = await self._receive(stream, reader)
+            req = await self._receive(stream, reader, scope)
         except BodyTooLargeError as too_large:
             await _send(stream, _refuse(too_large))
             return True
@@ -323,9 +334,7 @@
         resp = await self._answer(answerer, req)
         keep = not (resp.close or self._draining or _wants_close(req))
         if not keep:
-            resp = HttpResponse(
-                resp.status, resp.body, resp.headers, close=True
-            )
+            resp = replace(resp, close=True)
         await _send(stream, resp)
         return keep
 
@@ -342,40 +351,33 @@
 
     async def _receive(
         self,
-        stream: SocketStream,
-        reader: RequestReader,
-    ) -> HttpRequest | None:
-        req = reader.next_request()
-        if req is not None:
-            return req
-        with CancelScope() as scope:
-            self._waiting.add(scope)
-            try:
-                return await self._read(stream, reader, scope)
-            finally:
-                self._waiting.discard(scope)
-        if reader.partial:
-            raise RequestTimeoutError('the request did not arrive in time')
-        return None
-
-    async def _read(
-        self,
-        stream: SocketStream,
+        stream: ByteStream,
         reader: RequestReader,
         scope: CancelScope,
     ) -> HttpRequest | None:
-        req = None
-        while req is None:
-            chunk = await stream.receive_some(RECEIVE_BYTES)
-            if not chunk:
-                return None
-            reader.feed(chunk)
-            req = reader.next_request()
-            if reader.partial and scope.deadline == math.inf:
-                scope.deadline = current_time() + self._limits.request_read_s
-                self._waiting.discard(scope)
+        """Wait for a whole request; the scope ends waits that are too long."""
+        req = reader.next_request()
+        self._idle.add(scope)
+        try:
+            while req is None:
+                chunk = await stream.receive(RECEIVE_BYTES)
+                if not chunk:
+                    return None
+                reader.feed(chunk)
+                req = reader.next_request()
+                self._limit_wait(reader, scope)
+        finally:
+            self._idle.discard(scope)
         return req
 
+    def _limit_wait(self, reader: RequestReader, scope: CancelScope) -> None:
+        if not reader.partial:
+            scope.deadline = math.inf
+            return
+        self._idle.discard(scope)
+        if scope.deadline == math.inf:
+            scope.deadline = current_time() + self._limits.request_read_s
+
 
 async def serve_until_cancelled(
     server: HttpServer, address: str, port: int
@@ -401,5 +403,5 @@
     return HttpResponse(exc.status, encode(exc.refusal()), close=close)
 
 
-async def _send(stream: SocketStream, resp: HttpResponse) -> None:
-    await stream.send_all(encode_response(resp))
+async def _send(stream: ByteStream, resp: HttpResponse) -> None:
+    await stream.send(encode_response(resp))
--- a/trefoilhitch/peer_auth.py
+++ b/trefoilhitch/peer_auth.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from hmac import compare_digest, digest
+from hashlib import blake2b, sha256
+from hmac import compare_digest
 from typing import Self
 
 from trefoilhitch.errors import UnauthorisedError
@@ -11,7 +12,8 @@
 SIGNATURE_HEADER = 'trefoilhitch-signature'
 TIME_HEADER = 'trefoilhitch-time'
 MAX_SKEW_S = 300
-_DIGEST = 'sha256'
+_PURPOSE = b'peer'
+_SIGNATURE_BYTES = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +41,7 @@
         """
         return cls(
             tuple(
-                digest(secret.encode(), b'peer', _DIGEST)
+                sha256(_PURPOSE + secret.encode()).digest()
                 for secret in (current, previous)
                 if secret
             )
@@ -101,4 +103,9 @@
 
 def _signature(secret: bytes, req: HttpRequest, sent_at: str) -> str:
     head = f'{req.method} {req.target} {sent_at}\n'.encode()
-    return digest(secret, head + req.body, _DIGEST).hex()
+    signed = blake2b(
+        head + req.body,
+        key=secret,
+        digest_size=_SIGNATURE_BYTES,
+    )
+    return signed.hexdigest()
--- a/trefoilhitch/router.py
+++ b/trefoilhitch/router.py
@@ -1,8 +1,7 @@
 """Routes statements with what this node knows, and logs each decision."""
 
 from collections import Counter
-from collections.abc import Collection, Iterator
-from contextlib import contextmanager
+from collections.abc import Collection
 from random import Random
 
 from trio import current_time
@@ -46,22 +45,23 @@
         self._random = random
         self._load: Counter[str] = Counter()
 
-    @contextmanager
-    def carrying(self, endpoint: str) -> Iterator[None]:
-        """Count a request as load of an endpoint for the length of a block.
+    def began(self, endpoint: str) -> None:
+        """Count a request as load of an endpoint.
 
         Args:
             endpoint: its name.
 
-        Yields:
-            Nothing.
-
         """
         self._load[endpoint] += 1
-        try:
-            yield
-        finally:
-            self._load[endpoint] -= 1
+
+    def ended(self, endpoint: str) -> None:
+        """Take a request off the load of an endpoint.
+
+        Args:
+            endpoint: its name.
+
+        """
+        self._load[endpoint] -= 1
 
     def need(
         self,
--- a/trefoilhitch/token.py
+++ b/trefoilhitch/token.py
@@ -3,8 +3,8 @@
 from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections.abc import Mapping
 from dataclasses import dataclass
-from hashlib import sha256
-from hmac import compare_digest, digest
+from hashlib import blake2b, sha256
+from hmac import compare_digest
 from typing import Self
 
 from msgspec import DecodeError, ValidationError
@@ -15,7 +15,8 @@
 
 _SEPARATOR = '.'
 _KEY_NAME_LENGTH = 8
-_DIGEST = 'sha256'
+_PURPOSE = b'session token'
+_SIGNATURE_BYTES = 32
 _DECODER = Decoder(SessionToken)
 _ENCODER = Encoder()
 
@@ -90,7 +91,7 @@
 
 
 def _derive(secret: str) -> bytes:
-    return digest(secret.encode(), b'session token', _DIGEST)
+    return sha256(_PURPOSE + secret.encode()).digest()
 
 
 def _key_name(secret: bytes) -> str:
@@ -98,7 +99,8 @@
 
 
 def _signature(secret: bytes, body: bytes) -> str:
-    return digest(secret, body, _DIGEST).hex()
+    signed = blake2b(body, key=secret, digest_size=_SIGNATURE_BYTES)
+    return signed.hexdigest()
 
 
 def _decode(body: str) -> SessionToken:
--- a/trefoilhitch/transactions.py
+++ b/trefoilhitch/transactions.py
@@ -23,7 +23,7 @@
 from trefoilhitch.pool import EndpointPool
 
 _SEPARATOR = '.'
-_PARTS = 3
+_PARTS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +34,14 @@
         node: name of the owner.
         incarnation: the owner's incarnation.
         number: number that the owner gave.
+        key: idempotency key of the later commit.
 
     """
 
     node: str
     incarnation: int
     number: int
+    key: str
 
     @classmethod
     def from_text(cls, text: str) -> 'TransactionId':
@@ -55,17 +57,17 @@
             BadRequestError: it is not one.
 
         """
-        parts = text.split(_SEPARATOR)
+        parts = text.split(_SEPARATOR, _PARTS - 1)
         if len(parts) != _PARTS:
             raise BadRequestError('not a transaction id')
-        node, incarnation, number = parts
+        node, incarnation, number, key = parts
         if not (incarnation.isdecimal() and number.isdecimal()):
             raise BadRequestError('not a transaction id')
-        return cls(node, int(incarnation), int(number))
+        return cls(node, int(incarnation), int(number), key)
 
     def __str__(self) -> str:
         """Return the text that callers see."""
-        return f'{self.node}.{self.incarnation}.{self.number}'
+        return f'{self.node}.{self.incarnation}.{self.number}.{self.key}'
 
 
 @dataclass(slots=True)
@@ -125,7 +127,10 @@
                 conn.close()
                 pool.give_back(conn)
         self._number += 1
-        name = str(TransactionId(self._node, self._incarnation, self._number))
+        _, _, key = fwd.request.partition(':')
+        name = str(
+            TransactionId(self._node, self._incarnation, self._number, key),
+        )
         self._open[name] = _Open(
             caller=fwd.caller,
             pool=pool,
--- a/trefoilhitch_lab/cli.py
+++ b/trefoilhitch_lab/cli.py
@@ -5,14 +5,18 @@
 from typing import Annotated
 
 import cappa
+from msgspec import json
+from trio import run
 
 from trefoilhitch.cli import load_declaration
 from trefoilhitch.daemon import load_settings
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.failing import failing
 from trefoilhitch_lab import demo
+from trefoilhitch_lab.cost import CostRun
 from trefoilhitch_lab.serve import serve
 
+COST_CONNECTIONS = 20
 SeedArg = Annotated[
     int,
     cappa.Arg(long='--seed', help='all random choices follow from it'),
@@ -62,12 +66,47 @@
         )
 
 
+@cappa.command(name='cost')
+@dataclass(frozen=True)
+class Cost:
+    """Measure what a statement costs a node that runs on its own."""
+
+    declaration: Annotated[
+        Path,
+        cappa.Arg(help='INI file that declares the endpoints'),
+    ]
+    settings: Annotated[Path, cappa.Arg(help='settings of the node')]
+    key: Annotated[str, cappa.Arg(long='--key', help='key of a caller')]
+    node_pid: Annotated[int, cappa.Arg(long='--node-pid')]
+    platform_pid: Annotated[int, cappa.Arg(long='--platform-pid')]
+    rate: Annotated[float, cappa.Arg(long='--rate')] = 600
+    seconds: Annotated[float, cappa.Arg(long='--seconds')] = 10
+    seed: SeedArg = 1
+
+    def __call__(self) -> None:
+        """Print the report as one JSON object."""
+        cfg = load_settings(self.settings)
+        measurement = CostRun(
+            address=f'{cfg.node.address}:{cfg.node.port}',
+            key=self.key,
+            endpoints=load_declaration(self.declaration).endpoints,
+            node_pid=self.node_pid,
+            platform_pid=self.platform_pid,
+            rate=self.rate,
+            seconds=self.seconds,
+            connections=COST_CONNECTIONS,
+            seed=self.seed,
+        )
+        report = run(measurement.measure)
+        print(json.format(json.encode(report)).decode())
+
+
 @cappa.command(name='trefoilhitch-lab')
 @dataclass(frozen=True)
 class Lab:
     """Try trefoilhitch out without a platform."""
 
-    command: cappa.Subcommands[Demo | Serve]
+    command: cappa.Subcommands[Demo | Serve | Cost]
 
 
 def main() -> None:
--- /dev/null
+++ b/trefoilhitch_lab/load.py
@@ -0,0 +1,291 @@
+"""Load at a steady rate on many connections, against nodes or an endpoint."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Protocol
+
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+from msgspec.json import encode
+from trio import current_time, open_nursery, sleep_until
+
+from trefoilhitch._generated.endpoint import RunRequest
+from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.endpoint_client import HttpEndpointConnection
+from trefoilhitch.errors import RefusalError
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest
+
+READ_SHARE = 0.8
+TIMEOUT_MS = 5000
+CLOCK_TICKS_PER_S = 100
+PRODUCTS = 1000
+_HTTP_OK = 200
+_US_PER_S = 1_000_000
+_US_PER_MS = 1000
+_MEDIAN = 50
+_TAIL = 99
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
+READ_SQL = 'SELECT quantity FROM load WHERE product = ?'
+WRITE_SQL = 'UPDATE load SET quantity = quantity + 1 WHERE product = ?'
+CREATE_SQL = 'CREATE TABLE load (product INTEGER PRIMARY KEY, quantity INTEGER)'
+FILL_SQL = (
+    'INSERT INTO load WITH RECURSIVE numbers (n) AS '
+    '(SELECT 0 UNION ALL SELECT n + 1 FROM numbers WHERE n < ?) '
+    'SELECT n, 0 FROM numbers'
+)
+
+
+class LoadReport(Struct, frozen=True, kw_only=True):
+    """What a load measured.
+
+    Args:
+        target: what was loaded.
+        seed: all random choices followed from it.
+        seconds: how long.
+        statements: statements answered.
+        failures: statements refused or lost.
+        statements_per_s: statements answered a second.
+        p50_ms: median latency.
+        p99_ms: 99th percentile of the latency.
+        cpu_share: share of a core that the watched process used.
+        cpu_ms_per_statement: its processor time for each statement.
+        memory_kb: its resident memory at the end.
+
+    """
+
+    target: str
+    seed: int
+    seconds: float
+    statements: int
+    failures: int
+    statements_per_s: float
+    p50_ms: float
+    p99_ms: float
+    cpu_share: float
+    cpu_ms_per_statement: float
+    memory_kb: int
+
+
+class Target(Protocol):
+    """Runs the statements of one connection."""
+
+    async def run(self, *, write: bool, product: int) -> bool:
+        """Run a statement.
+
+        Args:
+            write: change the row rather than read it.
+            product: which row.
+
+        Returns:
+            True if it was answered.
+
+        """
+
+
+class NodeTarget:
+    """A connection to a node.
+
+    Args:
+        address: `ADDRESS:PORT`.
+        key: key of the organisation.
+        service: name of the service.
+
+    """
+
+    def __init__(self, address: str, *, key: str, service: str) -> None:
+        """Open nothing yet."""
+        self._client = HttpClient(address, max_idle=1)
+        self._path = f'/v1/services/{service}/statements'
+        self._headers = {'authorization': f'Bearer {key}'}
+
+    async def run(self, *, write: bool, product: int) -> bool:
+        """Run a statement."""
+        body = encode(
+            {
+                'sql': WRITE_SQL if write else READ_SQL,
+                'args': [product],
+                'access': 'write' if write else 'read',
+            }
+        )
+        req = HttpRequest('POST', self._path, self._headers, body)
+        try:
+            resp = await self._client.request(
+                req, deadline_after_ms(TIMEOUT_MS)
+            )
+        except RefusalError:
+            return False
+        return resp.status == _HTTP_OK
+
+    async def execute(self, sql: str, args: Sequence[int]) -> bool:
+        """Run any write."""
+        body = encode({'sql': sql, 'args': args, 'access': 'write'})
+        req = HttpRequest('POST', self._path, self._headers, body)
+        resp = await self._client.request(req, deadline_after_ms(TIMEOUT_MS))
+        return resp.status == _HTTP_OK
+
+
+@dataclass(slots=True)
+class EndpointTarget:
+    """A statement connection straight to an endpoint.
+
+    Args:
+        address: its statement address.
+        term: its term.
+
+    """
+
+    address: str
+    term: int
+    _conn: HttpEndpointConnection | None = None
+
+    async def run(self, *, write: bool, product: int) -> bool:
+        """Run a statement."""
+        deadline = deadline_after_ms(TIMEOUT_MS)
+        if self._conn is None:
+            self._conn = await HttpEndpointConnection.open(
+                self.address,
+                'load',
+                deadline,
+            )
+        req = RunRequest(
+            sql=WRITE_SQL if write else READ_SQL,
+            term=self.term,
+            args=[product],
+            access='write' if write else 'read',
+        )
+        await self._conn.run(req, deadline)
+        return True
+
+
+@dataclass(slots=True)
+class Load:
+    """An open-loop load.
+
+    Args:
+        rate: statements a second in all.
+        seconds: how long.
+        seed: all random choices follow from it.
+
+    """
+
+    rate: float
+    seconds: float
+    seed: int
+    statements: int = 0
+    failures: int = 0
+    _latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, 60 * _US_PER_S, 2),
+    )
+
+    async def run(self, targets: Sequence[Target]) -> None:
+        """Load the targets, each at its share of the rate.
+
+        Args:
+            targets: connections.
+
+        """
+        interval = len(targets) / self.rate
+        async with open_nursery() as nursery:
+            for number, target in enumerate(targets):
+                offset = interval * number / len(targets)
+                random = Random(self.seed + number)
+                start = current_time() + offset
+                nursery.start_soon(self._drive, target, start, interval, random)
+
+    def report(
+        self,
+        target: str,
+        before: 'ProcessUse',
+        after: 'ProcessUse',
+    ) -> LoadReport:
+        """Return what was measured.
+
+        Args:
+            target: what was loaded.
+            before: use of the watched process before.
+            after: use of the watched process after.
+
+        Returns:
+            The report.
+
+        """
+        cpu_s = after.cpu_s - before.cpu_s
+        return LoadReport(
+            target=target,
+            seed=self.seed,
+            seconds=self.seconds,
+            statements=self.statements,
+            failures=self.failures,
+            statements_per_s=round(self.statements / self.seconds, 1),
+            p50_ms=self._percentile_ms(_MEDIAN),
+            p99_ms=self._percentile_ms(_TAIL),
+            cpu_share=round(cpu_s / self.seconds, 3),
+            cpu_ms_per_statement=round(1000 * cpu_s / self.statements, 3),
+            memory_kb=after.memory_kb,
+        )
+
+    async def _drive(
+        self,
+        target: Target,
+        due: float,
+        interval: float,
+        random: Random,
+    ) -> None:
+        end = due + self.seconds
+        while due < end:
+            await sleep_until(due)
+            write = random.random() >= READ_SHARE
+            answered = await target.run(
+                write=write,
+                product=random.randrange(PRODUCTS),
+            )
+            self._note(answered, current_time() - due)
+            due += interval
+
+    def _note(self, answered: bool, seconds: float) -> None:
+        if not answered:
+            self.failures += 1
+            return
+        self.statements += 1
+        self._latency.record_value(max(1, int(seconds * _US_PER_S)))
+
+    def _percentile_ms(self, percentile: float) -> float:
+        return float(
+            self._latency.get_value_at_percentile(percentile) / _US_PER_MS,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessUse:
+    """What a process has used.
+
+    Args:
+        cpu_s: processor time in seconds.
+        memory_kb: resident memory in kilobytes.
+
+    """
+
+    cpu_s: float
+    memory_kb: int
+
+    @classmethod
+    def of(cls, pid: int) -> 'ProcessUse':
+        """Read what a process of this machine has used.
+
+        Args:
+            pid: its id.
+
+        Returns:
+            The use.
+
+        """
+        stat = Path(f'/proc/{pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = (fields[_USER_FIELD], fields[_SYSTEM_FIELD])
+        status = Path(f'/proc/{pid}/status').read_text()
+        resident = status.partition('VmRSS:')[2].split()[0]
+        return cls(sum(map(int, ticks)) / CLOCK_TICKS_PER_S, int(resident))
