Send reads to a replica that lags little, and check the answer

Cause: reads right after a write went to the primary, because what an entry knows of a replica is up to half a second old; routes: 133 of 150 session reads 'no_fresh_replica'. Ruled out: real lag, which is a few milliseconds. Change: monitors estimate each replica's lag from primary positions; a read goes to the replica nearest to the primary that lags little; an answer that is too old goes elsewhere at once and costs no retry budget.

--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -166,6 +166,15 @@
     applied_position: int
     reachable: bool
     leaving: bool = False
+    lag_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='How far the endpoint is behind the primary; unknown if null.'
+            ),
+        ]
+        | None
+    ) = None
 
 
 class GroupView(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/_generated/record.py
+++ b/trefoilhitch/_generated/record.py
@@ -26,6 +26,15 @@
     applied_position: int
     reachable: bool
     leaving: bool
+    expected: Annotated[
+        bool,
+        Meta(
+            description='It lags so little that it probably has newer positions by now.'
+        ),
+    ]
+    primary_distance: Annotated[
+        int, Meta(description='Distance from the primary, as below.')
+    ]
     distance: Annotated[
         int,
         Meta(description='0 same data centre, 1 same region, 2 other region.'),
@@ -59,6 +68,7 @@
         'write_to_primary',
         'strict_to_primary',
         'fresh_replica',
+        'expected_replica',
         'no_fresh_replica',
         'no_primary',
     ]
--- a/trefoilhitch/dispatcher.py
+++ b/trefoilhitch/dispatcher.py
@@ -160,6 +160,9 @@
         step = attempts.failed(failure)
         if step == 'give_up':
             raise attempts.final(failure)
+        if step == 'elsewhere':
+            self._router.was_behind(attempts.excluded[-1])
+            return None
         if step != 'wait' and not self._budget(call.service).spend():
             raise attempts.final(failure)
         if not await self._outcomes.pause(call, attempts.count):
@@ -167,8 +170,7 @@
         if step == 'settle':
             found = await self._outcomes.settle(call, failure)
             return None if found is None else Answered(found)
-        if failure.code != 'too_old':
-            await self._directory.refresh(call.service)
+        await self._directory.refresh(call.service)
         if self._is_exhausted(call.service, attempts):
             attempts.excluded.clear()
         return None
--- a/trefoilhitch/monitor.py
+++ b/trefoilhitch/monitor.py
@@ -23,6 +23,7 @@
 from trefoilhitch.endpoint_client import EndpointPlatform
 from trefoilhitch.errors import NoPrimaryError, RefusalError
 from trefoilhitch.fleet import Fleet
+from trefoilhitch.lag import LagEstimator
 from trefoilhitch.promoter import Promoter
 from trefoilhitch.promotion import SUSPICION_TIMEOUT_S, suspect
 
@@ -75,6 +76,7 @@
         self._promoter = promoter
         self._log = log
         self._probes: dict[str, Probe] = {}
+        self._lags = LagEstimator()
         self._unseen_since: float | None = None
         self._reason = ''
 
@@ -114,7 +116,7 @@
             proved_position=proof.position if proof else 0,
             proved_age_ms=_age_ms(serving) if serving and proof else None,
             endpoints=[
-                _endpoint_view(probe) for probe in self._probes.values()
+                self._endpoint_view(probe) for probe in self._probes.values()
             ],
         )
 
@@ -131,6 +133,8 @@
             with suppress(RefusalError):
                 reply = await control.confirm(ask, deadline)
                 confirmed = _own_position(reply, endpoint.name)
+        if confirmed is not None:
+            self._lags.sample(sent_at, confirmed)
         self._probes[endpoint.name] = Probe(
             endpoint, sent_at, status, confirmed
         )
@@ -169,6 +173,36 @@
             self._service, endpoints, sightings, preferred
         )
 
+    def _endpoint_view(self, probe: Probe) -> EndpointView:
+        status = probe.status
+        if status is None:
+            return EndpointView(
+                name=probe.endpoint.name,
+                role='replica',
+                term=0,
+                applied_term=0,
+                applied_position=0,
+                reachable=False,
+            )
+        return EndpointView(
+            name=probe.endpoint.name,
+            role=status.role,
+            term=status.term,
+            applied_term=status.applied_term,
+            applied_position=status.applied_position,
+            reachable=True,
+            leaving=status.leaving,
+            lag_ms=self._lag_ms(status, probe.sent_at),
+        )
+
+    def _lag_ms(self, status: StatusReply, now: float) -> int | None:
+        applied = LogPosition(
+            term=status.applied_term,
+            position=status.applied_position,
+        )
+        lag_s = self._lags.lag_s(applied, now)
+        return None if lag_s is None else max(0, int(lag_s * _MS_PER_S))
+
     def _serving(self) -> Probe | None:
         primaries = [
             probe
@@ -333,25 +367,3 @@
         reachable=True,
         silent=status.role != 'primary' and silent_s >= SUSPICION_TIMEOUT_S,
     )
-
-
-def _endpoint_view(probe: Probe) -> EndpointView:
-    status = probe.status
-    if status is None:
-        return EndpointView(
-            name=probe.endpoint.name,
-            role='replica',
-            term=0,
-            applied_term=0,
-            applied_position=0,
-            reachable=False,
-        )
-    return EndpointView(
-        name=probe.endpoint.name,
-        role=status.role,
-        term=status.term,
-        applied_term=status.applied_term,
-        applied_position=status.applied_position,
-        reachable=True,
-        leaving=status.leaving,
-    )
--- a/trefoilhitch/retry.py
+++ b/trefoilhitch/retry.py
@@ -9,7 +9,7 @@
 MAX_DELAY_S = 0.5
 GROWTH = 2.0
 RETRY_COST = 1.0
-Step: TypeAlias = Literal['give_up', 'wait', 'again', 'settle']
+Step: TypeAlias = Literal['give_up', 'elsewhere', 'wait', 'again', 'settle']
 _FINAL = frozenset(
     (
         'bad_request',
@@ -38,13 +38,16 @@
         repeatable: whether the caller allows the statement to run again.
 
     Returns:
-        `give_up`; `wait` for the group to change and try again, which costs an
-        endpoint nothing; `again` as a retry; or `settle`: look the outcome up
-        first, because the statement may have run.
+        `give_up`; `elsewhere`: at once, on another endpoint; `wait` for the
+        group to change and try again, which costs an endpoint nothing; `again`
+        as a retry; or `settle`: look the outcome up first, because the
+        statement may have run.
 
     """
     if refusal.code in _FINAL:
         return 'give_up'
+    if refusal.code == 'too_old':
+        return 'elsewhere'
     if refusal.run == 'no':
         return 'wait' if refusal.code in _WAITING else 'again'
     if access == 'read' or repeatable:
--- a/trefoilhitch/router.py
+++ b/trefoilhitch/router.py
@@ -7,6 +7,7 @@
 from trio import current_time
 
 from trefoilhitch._generated.messages import LogPosition, StatementRequest
+from trefoilhitch._generated.peer import EndpointView
 from trefoilhitch._generated.record import Candidate, RouteRecord
 from trefoilhitch.config import ConfigHolder, place_of
 from trefoilhitch.decision_log import DecisionLog
@@ -16,6 +17,8 @@
 from trefoilhitch.position import ORIGIN
 from trefoilhitch.routing import Route, RouteNeed, choose
 
+EXPECTED_LAG_MS = 600
+BEHIND_S = 0.05
 _MS_PER_S = 1000
 
 
@@ -44,6 +47,7 @@
         self._log = log
         self._random = random
         self._load: Counter[str] = Counter()
+        self._behind_until: dict[str, float] = {}
 
     def began(self, endpoint: str) -> None:
         """Count a request as load of an endpoint.
@@ -63,6 +67,15 @@
         """
         self._load[endpoint] -= 1
 
+    def was_behind(self, endpoint: str) -> None:
+        """Expect nothing of a replica for a while: it proved to be too old.
+
+        Args:
+            endpoint: its name.
+
+        """
+        self._behind_until[endpoint] = current_time() + BEHIND_S
+
     def need(
         self,
         req: StatementRequest,
@@ -128,6 +141,8 @@
     def _candidates(self, state: GroupState) -> list[Candidate]:
         declared = self._config.current.endpoints
         here = self._fleet.identity.place
+        primary = declared.get(state.primary)
+        there = place_of(primary) if primary else here
         return [
             Candidate(
                 name=view.name,
@@ -136,9 +151,16 @@
                 applied_position=view.applied_position,
                 reachable=view.reachable,
                 leaving=view.leaving,
+                expected=self._is_expected(view),
+                primary_distance=distance(there, place_of(declared[view.name])),
                 distance=distance(here, place_of(declared[view.name])),
                 load=self._load[view.name],
             )
             for view in state.endpoints
             if view.name in declared
         ]
+
+    def _is_expected(self, view: EndpointView) -> bool:
+        if view.lag_ms is None or view.lag_ms > EXPECTED_LAG_MS:
+            return False
+        return self._behind_until.get(view.name, 0) <= current_time()
--- a/trefoilhitch/routing.py
+++ b/trefoilhitch/routing.py
@@ -12,6 +12,7 @@
     'write_to_primary',
     'strict_to_primary',
     'fresh_replica',
+    'expected_replica',
     'no_fresh_replica',
     'no_primary',
 ]
@@ -55,8 +56,11 @@
 ) -> Route:
     """Choose the endpoint for a statement.
 
-    A read that may go to a replica goes to the nearest one that has applied
-    what it needs, then to the least loaded; the draw breaks ties.
+    A read that may go to a replica goes to the nearest one that is known to
+    have applied what it needs, then to the least loaded; the draw breaks ties.
+    If none is known to, it goes to the one nearest to the primary that lags
+    little, because a majority held the position before the session was told of
+    it, and the owner checks the answer.
 
     Args:
         need: what the statement asks.
@@ -71,10 +75,15 @@
         return _to_primary(need, candidates, 'write_to_primary')
     if need.freshness == 'strict':
         return _to_primary(need, candidates, 'strict_to_primary')
-    fresh = [each for each in candidates if _is_fresh_replica(each, need)]
-    if not fresh:
-        return _to_primary(need, candidates, 'no_fresh_replica')
-    return Route(_nearest(fresh, draw).name, 'fresh_replica')
+    replicas = [each for each in candidates if _is_usable_replica(each, need)]
+    fresh = [each for each in replicas if _has_applied(each, need.minimum)]
+    if fresh:
+        return Route(_nearest(fresh, draw).name, 'fresh_replica')
+    expected = [each for each in replicas if each.expected]
+    if expected:
+        chosen = min(expected, key=_cost_when_expected)
+        return Route(chosen.name, 'expected_replica')
+    return _to_primary(need, candidates, 'no_fresh_replica')
 
 
 def replay(record: RouteRecord) -> Route:
@@ -106,16 +115,18 @@
     return Route(NO_ENDPOINT, 'no_primary')
 
 
-def _is_fresh_replica(candidate: Candidate, need: RouteNeed) -> bool:
+def _is_usable_replica(candidate: Candidate, need: RouteNeed) -> bool:
     if candidate.role != 'replica' or candidate.name in need.excluded:
         return False
-    if candidate.leaving or not candidate.reachable:
-        return False
+    return candidate.reachable and not candidate.leaving
+
+
+def _has_applied(candidate: Candidate, minimum: LogPosition) -> bool:
     applied = LogPosition(
         term=candidate.applied_term,
         position=candidate.applied_position,
     )
-    return at_least(applied, need.minimum)
+    return at_least(applied, minimum)
 
 
 def _nearest(fresh: Sequence[Candidate], draw: float) -> Candidate:
@@ -126,3 +137,7 @@
 
 def _cost(candidate: Candidate) -> tuple[int, int]:
     return candidate.distance, candidate.load
+
+
+def _cost_when_expected(candidate: Candidate) -> tuple[int, int, int]:
+    return candidate.primary_distance, candidate.distance, candidate.load
