--- a/trefoilhitch/_generated/record.py
+++ b/trefoilhitch/_generated/record.py
@@ -95,10 +95,10 @@
     last_term: int
     last_position: int
     reachable: bool
-    silent: Annotated[
-        bool,
+    silent_ms: Annotated[
+        int,
         Meta(
-            description='It has not heard the primary for the suspicion period.'
+            description='How long it has not heard the primary; 0 at the primary.'
         ),
     ]
 
@@ -152,7 +152,7 @@
     members: int
     votes: list[Vote]
     primary: str
-    reason: Literal['most_advanced', 'no_majority']
+    reason: Literal['most_advanced', 'preferred', 'no_majority']
     preferred: str = ''
 
 
--- a/trefoilhitch/_generated/settings.py
+++ b/trefoilhitch/_generated/settings.py
@@ -50,6 +50,7 @@
     connections: Annotated[int, Meta(ge=1, le=1000000)] = 10000
     request_read_ms: Annotated[int, Meta(ge=100, le=600000)] = 10000
     transaction_ms: Annotated[int, Meta(ge=100, le=600000)] = 10000
+    transaction_idle_ms: Annotated[int, Meta(ge=100, le=600000)] = 3000
     drain_ms: Annotated[int, Meta(ge=0, le=600000)] = 15000
 
 
--- a/trefoilhitch/dispatcher.py
+++ b/trefoilhitch/dispatcher.py
@@ -170,14 +170,10 @@
         if step == 'settle':
             found = await self._outcomes.settle(call, failure)
             return None if found is None else Answered(found)
-        await self._directory.refresh(call.service)
-        if self._is_exhausted(call.service, attempts):
+        if step == 'wait':
             attempts.excluded.clear()
+        await self._directory.refresh(call.service)
         return None
 
-    def _is_exhausted(self, service: str, attempts: _Attempts) -> bool:
-        known = self._directory.endpoints(service)
-        return all(name in attempts.excluded for name in known)
-
     def _budget(self, service: str) -> RetryBudget:
         return self._budgets.setdefault(service, RetryBudget())
--- a/trefoilhitch/entry.py
+++ b/trefoilhitch/entry.py
@@ -25,6 +25,7 @@
 from trefoilhitch.errors import (
     BadRequestError,
     NotFoundError,
+    NotReadyError,
     RefusalError,
     UnauthorisedError,
     UnknownServiceError,
@@ -243,6 +244,8 @@
 
     def _admit(self, req: HttpRequest, service: str) -> Caller:
         cfg = self._config.current
+        if not cfg.revision:
+            raise NotReadyError('this node has no configuration yet')
         declared = cfg.services.get(service)
         if declared is None:
             raise UnknownServiceError(service)
--- a/trefoilhitch/errors.py
+++ b/trefoilhitch/errors.py
@@ -152,6 +152,14 @@
     default_run = 'no'
 
 
+class NotReadyError(RefusalError):
+    """The node has no configuration yet."""
+
+    code = 'not_ready'
+    status = 503
+    default_run = 'no'
+
+
 class ShuttingDownError(RefusalError):
     """The node is stopping and takes no new work."""
 
--- a/trefoilhitch/fleet.py
+++ b/trefoilhitch/fleet.py
@@ -146,6 +146,16 @@
         """Return the newest heartbeats of all nodes that answer."""
         return self._membership.reachable(self._clock())
 
+    def is_isolated(self) -> bool:
+        """Tell whether other nodes are known, but none answers.
+
+        Returns:
+            True if this node is cut off from all others.
+
+        """
+        others = len(self.reachable()) - 1
+        return not others and bool(self.contacts())
+
     def contacts(self) -> list[str]:
         """Return the addresses of all other nodes, heard or only listed."""
         heard = {beat.node: beat.address for beat in self.reachable()}
--- a/trefoilhitch/group_directory.py
+++ b/trefoilhitch/group_directory.py
@@ -60,19 +60,6 @@
                 await refreshed.wait()
         return state
 
-    def endpoints(self, service: str) -> list[str]:
-        """Return the endpoints that are known of a group.
-
-        Args:
-            service: name of the service.
-
-        Returns:
-            Their names.
-
-        """
-        state = self._states.get(service)
-        return [view.name for view in state.endpoints] if state else []
-
     async def refresh(self, service: str) -> None:
         """Ask the monitors now, because what is known proved wrong.
 
--- a/trefoilhitch/heartbeat.py
+++ b/trefoilhitch/heartbeat.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from trio import Nursery, current_time, sleep_until
+from trio import Event, Nursery, current_time, sleep_until
 
 from trefoilhitch._generated.peer import Heartbeat
 from trefoilhitch.clock import deadline_after_ms
@@ -44,6 +44,7 @@
         random: Random,
     ) -> None:
         """Keep the collaborators."""
+        self.joined = Event()
         self._fleet = fleet
         self._config = config
         self._peers = peers
@@ -88,7 +89,9 @@
                 self._log.event('vm_list_unavailable', detail=str(exc))
             else:
                 self._fleet.listed(vms)
-            await sleep_until(current_time() + LIST_INTERVAL_S)
+            settled = self.joined.is_set()
+            interval_s = LIST_INTERVAL_S if settled else HEARTBEAT_INTERVAL_S
+            await sleep_until(current_time() + interval_s)
 
     async def _exchange(self, address: str, heartbeat: Heartbeat) -> None:
         deadline = deadline_after_ms(HEARTBEAT_TIMEOUT_MS)
@@ -99,3 +102,4 @@
         except RefusalError:
             return
         self._fleet.observe(answer)
+        self.joined.set()
--- a/trefoilhitch/monitor.py
+++ b/trefoilhitch/monitor.py
@@ -25,10 +25,10 @@
 from trefoilhitch.fleet import Fleet
 from trefoilhitch.lag import LagEstimator
 from trefoilhitch.promoter import Promoter
-from trefoilhitch.promotion import SUSPICION_TIMEOUT_S, suspect
+from trefoilhitch.promotion import suspect
 
 PROBE_INTERVAL_S = 0.25
-PROBE_TIMEOUT_MS = 600
+PROBE_TIMEOUT_MS = 300
 _MS_PER_S = 1000
 
 
@@ -355,9 +355,8 @@
             last_term=0,
             last_position=0,
             reachable=False,
-            silent=False,
+            silent_ms=0,
         )
-    silent_s = status.primary_silent_ms / _MS_PER_S
     return Sighting(
         name=probe.endpoint.name,
         role=status.role,
@@ -365,5 +364,5 @@
         last_term=status.last_term,
         last_position=status.last_position,
         reachable=True,
-        silent=status.role != 'primary' and silent_s >= SUSPICION_TIMEOUT_S,
+        silent_ms=status.primary_silent_ms,
     )
--- a/trefoilhitch/node.py
+++ b/trefoilhitch/node.py
@@ -1,13 +1,21 @@
 """A node: all its parts on one trio loop, from start to graceful shutdown."""
 
-from trio import Event, Nursery, current_time, open_nursery, sleep
-
-from trefoilhitch._generated.peer import NodeStatus
+from trio import (
+    Event,
+    Nursery,
+    current_time,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from trefoilhitch._generated.peer import MemberBeat, NodeStatus
 from trefoilhitch._generated.store import Endpoint
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.http_server import HttpServer
 from trefoilhitch.node_parts import NodeContext, NodeParts
 
+JOIN_TIMEOUT_S = 2.0
 SWEEP_INTERVAL_S = 0.25
 PUBLISH_INTERVAL_S = 0.5
 LEAVING_NOTICE_S = 1.0
@@ -39,12 +47,13 @@
         """Tell whether the node can serve callers.
 
         Returns:
-            True if it has a configuration and is not leaving.
+            True if it has a configuration, is not leaving, and is not cut off
+            from all other nodes.
 
         """
-        return (
-            bool(self._ctx.config.current.revision) and not self._stop.is_set()
-        )
+        configured = bool(self._ctx.config.current.revision)
+        serving = self.started.is_set() and not self._stop.is_set()
+        return configured and serving and not self._ctx.fleet.is_isolated()
 
     async def run(self) -> None:
         """Serve until stopped, then drain."""
@@ -56,10 +65,8 @@
                 is_ready=self.is_ready,
             )
             self._server = parts.public
-            await self._listen(parts, nursery)
-            self._start_loops(parts, nursery)
-            self._ctx.log.event('started', node=self._ctx.cfg.node.name)
-            self.started.set()
+            await self._join(parts, nursery)
+            await self._start(parts, nursery)
             await self._stop.wait()
             await self._drain(parts)
             nursery.cancel_scope.cancel()
@@ -86,23 +93,31 @@
             p50_ms=ctx.metrics.latency_ms(_MEDIAN),
             p99_ms=ctx.metrics.latency_ms(_TAIL),
             owned=self._owned(),
-            members=ctx.fleet.reachable(),
+            members=self._members(),
         )
 
-    async def _listen(self, parts: NodeParts, nursery: Nursery) -> None:
+    async def _join(self, parts: NodeParts, nursery: Nursery) -> None:
+        """Learn who else is live before taking any work.
+
+        A node that knows nobody would think that it owns everything.
+        """
         node = self._ctx.cfg.node
         await parts.peer.listen(nursery, node.address, node.peer_port)
-        await parts.public.listen(nursery, node.address, node.port)
-
-    def _start_loops(self, parts: NodeParts, nursery: Nursery) -> None:
-        random = self._ctx.random
-        nursery.start_soon(parts.heartbeats.run, nursery)
         nursery.start_soon(parts.heartbeats.follow_list)
+        nursery.start_soon(parts.heartbeats.run, nursery)
         nursery.start_soon(parts.sync.follow_peers)
-        nursery.start_soon(parts.sync.watch_store, random)
-        nursery.start_soon(parts.monitors.run, nursery, random)
+        nursery.start_soon(parts.sync.watch_store, self._ctx.random)
+        with move_on_after(JOIN_TIMEOUT_S):
+            await parts.heartbeats.joined.wait()
+
+    async def _start(self, parts: NodeParts, nursery: Nursery) -> None:
+        node = self._ctx.cfg.node
+        nursery.start_soon(parts.monitors.run, nursery, self._ctx.random)
         nursery.start_soon(self._sweep, parts)
         nursery.start_soon(self._publish, parts)
+        await parts.public.listen(nursery, node.address, node.port)
+        self._ctx.log.event('started', members=len(self._members()))
+        self.started.set()
 
     async def _sweep(self, parts: NodeParts) -> None:
         while True:
@@ -129,6 +144,9 @@
         parts.owner.close()
         await parts.promoter.publish_pending()
 
+    def _members(self) -> list[MemberBeat]:
+        return self._ctx.fleet.reachable()
+
     def _owned(self) -> list[str]:
         cfg = self._ctx.config.current
         return [
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -229,6 +229,7 @@
             node=identity.node,
             incarnation=identity.incarnation,
             life_ms=ctx.cfg.limits.transaction_ms,
+            idle_ms=ctx.cfg.limits.transaction_idle_ms,
         ),
     )
 
--- a/trefoilhitch/promoter.py
+++ b/trefoilhitch/promoter.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Iterable, Sequence
 from contextlib import suppress
+from dataclasses import dataclass, field
 
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode, encode
-from trio import current_time, open_nursery
+from trio import Event, current_time, open_nursery
 
 from trefoilhitch._generated.endpoint import (
     FenceRequest,
@@ -20,6 +21,7 @@
 from trefoilhitch.endpoint_client import EndpointPlatform
 from trefoilhitch.errors import RefusalError, StoreConflictError, StoreError
 from trefoilhitch.fleet import Identity
+from trefoilhitch.position import majority
 from trefoilhitch.promotion import NO_PRIMARY, choose_primary, next_term
 from trefoilhitch.store import ObjectStore
 
@@ -30,6 +32,30 @@
 _VERSION_UNKNOWN = 0
 
 
+@dataclass(slots=True)
+class _Ballot:
+    needed: int
+    preferred: str
+    outstanding: int
+    votes: list[Vote] = field(default_factory=list)
+    decided: Event = field(default_factory=Event)
+
+    def answered(self, vote: Vote | None) -> None:
+        """Take an answer, or that there was none."""
+        self.outstanding -= 1
+        if vote is not None:
+            self.votes.append(vote)
+        if self._is_decided():
+            self.decided.set()
+
+    def _is_decided(self) -> bool:
+        if not self.outstanding:
+            return True
+        taken = {vote.name for vote in self.votes if vote.accepted}
+        wanted = not self.preferred or self.preferred in taken
+        return wanted and len(taken) >= self.needed
+
+
 class Promoter:
     """Promotes endpoints as a claimant.
 
@@ -80,7 +106,7 @@
 
         """
         term = next_term(sightings)
-        votes = await self._fence(endpoints, term)
+        votes = await self._fence(endpoints, term, preferred)
         choice = choose_primary(
             votes,
             term=term,
@@ -112,35 +138,45 @@
                 self._unpublished.pop(service, None)
 
     async def _fence(
-        self, endpoints: Sequence[Endpoint], term: int
+        self,
+        endpoints: Sequence[Endpoint],
+        term: int,
+        preferred: str,
     ) -> list[Vote]:
-        votes: list[Vote] = []
+        """Collect votes until a majority took the term."""
+        ballot = _Ballot(
+            majority(len(endpoints)),
+            preferred,
+            len(endpoints),
+        )
         async with open_nursery() as nursery:
             for endpoint in endpoints:
-                nursery.start_soon(self._fence_one, endpoint, term, votes)
-        return sorted(votes, key=lambda vote: vote.name)
+                nursery.start_soon(self._fence_one, endpoint, term, ballot)
+            await ballot.decided.wait()
+            nursery.cancel_scope.cancel()
+        return sorted(ballot.votes, key=lambda vote: vote.name)
 
     async def _fence_one(
         self,
         endpoint: Endpoint,
         term: int,
-        votes: list[Vote],
+        ballot: _Ballot,
     ) -> None:
         req = FenceRequest(term=term, claimant=self._claimant)
         control = self._platform.control(endpoint)
+        vote = None
         with suppress(RefusalError):
             reply = await control.fence(
                 req, deadline_after_ms(FENCE_TIMEOUT_MS)
             )
-            votes.append(
-                Vote(
-                    name=endpoint.name,
-                    accepted=reply.accepted,
-                    term=reply.term,
-                    last_term=reply.last_term,
-                    last_position=reply.last_position,
-                ),
+            vote = Vote(
+                name=endpoint.name,
+                accepted=reply.accepted,
+                term=reply.term,
+                last_term=reply.last_term,
+                last_position=reply.last_position,
             )
+        ballot.answered(vote)
 
     async def _install(
         self,
--- a/trefoilhitch/promotion.py
+++ b/trefoilhitch/promotion.py
@@ -18,7 +18,7 @@
 )
 from trefoilhitch.position import majority
 
-SUSPICION_TIMEOUT_S = 1.0
+SUSPICION_TIMEOUT_S = 1.5
 RANK_DELAY_S = 1.0
 SuspicionReason: TypeAlias = Literal[
     'primary_seen',
@@ -28,9 +28,13 @@
     'fence_unresolved',
     'primary_lost',
 ]
-ChoiceReason: TypeAlias = Literal['most_advanced', 'no_majority']
+ChoiceReason: TypeAlias = Literal[
+    'most_advanced',
+    'preferred',
+    'no_majority',
+]
 NO_PRIMARY = ''
-_CLAIMING = frozenset(('fence_unresolved', 'primary_lost'))
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,10 +76,10 @@
 ) -> Suspicion:
     """Decide whether a monitor claims the next term.
 
-    The monitor must have missed the primary for the suspicion timeout, plus a
-    delay for each monitor that ranks before it, and a majority of the group
-    must be reachable and must not have heard the primary either. A lossy link
-    between monitor and primary alone therefore leads to no promotion. A term
+    A primary counts as lost when a majority of the group has not heard it for
+    the suspicion timeout, plus a delay for each monitor that ranks before this
+    one: it cannot confirm anything then, even if this monitor still reaches it.
+    A lossy link between monitor and primary alone leads to no promotion. A term
     that a claimant fenced and never finished is claimed anew, so that no
     endpoint stays fenced.
 
@@ -89,11 +93,15 @@
         The decision.
 
     """
+    silent = sum(each.silent_ms >= _patience_ms(rank) for each in sightings)
+    if silent >= majority(len(sightings)):
+        return Suspicion(claim=True, reason='primary_lost', unseen_since=None)
     if _serving_primary(sightings) is not None:
         return Suspicion(claim=False, reason='primary_seen', unseen_since=None)
     since = now if unseen_since is None else unseen_since
-    reason = _reason(sightings, due=now >= since + _patience(rank))
-    return Suspicion(reason in _CLAIMING, reason, since)
+    due = (now - since) * _MS_PER_S >= _patience_ms(rank)
+    reason = _reason(sightings, due=due)
+    return Suspicion(reason == 'fence_unresolved', reason, since)
 
 
 def choose_primary(
@@ -109,20 +117,22 @@
         votes: an answer from each endpoint that gave one.
         term: the term that was claimed.
         members: size of the group.
-        preferred: endpoint to take if it is as advanced as any, for a planned
-            switch-over.
+        preferred: endpoint to take, for a planned switch-over, if it is the
+            most advanced of some majority; what only others hold was never
+            acknowledged.
 
     Returns:
         The most advanced of a majority that took the term, else none.
 
     """
     taken = [vote for vote in votes if vote.accepted and vote.term == term]
-    if len(taken) < majority(members):
+    needed = majority(members)
+    if len(taken) < needed:
         return Choice(NO_PRIMARY, 'no_majority')
-    best = max(
-        taken,
-        key=lambda vote: (*_log_end(vote), vote.name == preferred, vote.name),
-    )
+    covered = {vote.name: _covered(vote, taken) for vote in taken}
+    if covered.get(preferred, 0) >= needed:
+        return Choice(preferred, 'preferred')
+    best = max(taken, key=_by_log_end)
     return Choice(best.name, 'most_advanced')
 
 
@@ -191,21 +201,26 @@
 
 
 def _reason(sightings: Sequence[Sighting], *, due: bool) -> SuspicionReason:
-    if not due:
-        return 'not_yet'
     reachable = [each for each in sightings if each.reachable]
-    needed = majority(len(sightings))
-    if len(reachable) < needed:
+    if len(reachable) < majority(len(sightings)):
         return 'no_majority'
-    if sum(each.silent for each in reachable) >= needed:
-        return 'primary_lost'
+    if not due:
+        return 'not_yet'
     if any(each.role == 'fenced' for each in reachable):
         return 'fence_unresolved'
     return 'replicas_hear_primary'
 
 
-def _patience(rank: int) -> float:
-    return SUSPICION_TIMEOUT_S + rank * RANK_DELAY_S
+def _patience_ms(rank: int) -> float:
+    return (SUSPICION_TIMEOUT_S + rank * RANK_DELAY_S) * _MS_PER_S
+
+
+def _by_log_end(vote: Vote) -> tuple[int, int, str]:
+    return vote.last_term, vote.last_position, vote.name
+
+
+def _covered(vote: Vote, taken: Sequence[Vote]) -> int:
+    return sum(_log_end(other) <= _log_end(vote) for other in taken)
 
 
 def _log_end(vote: Vote) -> tuple[int, int]:
--- a/trefoilhitch/transactions.py
+++ b/trefoilhitch/transactions.py
@@ -78,8 +78,14 @@
     request: str
     term: int
     expires_at: float
+    idle_until: float
     busy: bool = False
 
+    def is_over(self, now: float) -> bool:
+        """Tell whether the transaction has been open or idle for too long."""
+        idle = not self.busy and now >= self.idle_until
+        return idle or now >= self.expires_at
+
 
 class Transactions:
     """The transactions that are open at an owner.
@@ -88,14 +94,23 @@
         node: name of the owner.
         incarnation: its incarnation.
         life_ms: longest life of a transaction.
+        idle_ms: longest time between two requests of a transaction.
 
     """
 
-    def __init__(self, *, node: str, incarnation: int, life_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: int,
+        life_ms: int,
+        idle_ms: int,
+    ) -> None:
         """Start with none."""
         self._node = node
         self._incarnation = incarnation
         self._life_ms = life_ms
+        self._idle_ms = idle_ms
         self._number = 0
         self._open: dict[str, _Open] = {}
 
@@ -138,6 +153,7 @@
             request=fwd.request,
             term=fwd.term,
             expires_at=deadline_after_ms(self._life_ms),
+            idle_until=deadline_after_ms(self._idle_ms),
         )
         return name
 
@@ -197,11 +213,7 @@
 
         """
         for name, opened in list(self._open.items()):
-            caller = opened.caller
-            withdrawn = caller.key and not keyring.holds(
-                caller.key, caller.organisation
-            )
-            if now >= opened.expires_at or withdrawn:
+            if opened.is_over(now) or not _is_allowed(opened.caller, keyring):
                 self._drop(name)
 
     def close(self) -> None:
@@ -222,9 +234,13 @@
         try:
             yield opened
         finally:
-            opened.busy = False
-            if opened.conn.closed:
-                self._drop(name)
+            self._end_use(name, opened)
+
+    def _end_use(self, name: str, opened: _Open) -> None:
+        opened.busy = False
+        opened.idle_until = deadline_after_ms(self._idle_ms)
+        if opened.conn.closed:
+            self._drop(name)
 
     def _finish(self, name: str, opened: _Open, *, clean: bool) -> None:
         if not clean:
@@ -263,3 +279,7 @@
         access=req.access,
         in_transaction=True,
     )
+
+
+def _is_allowed(caller: Caller, keyring: KeyRing) -> bool:
+    return not caller.key or keyring.holds(caller.key, caller.organisation)
--- a/trefoilhitch_lab/caller.py
+++ b/trefoilhitch_lab/caller.py
@@ -1,6 +1,6 @@
 """A caller of the proxy, as an application would be."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, TypeAlias
@@ -33,14 +33,14 @@
 
     Args:
         key: its key.
-        addresses: nodes that it may go to.
+        addresses: returns the nodes that it may go to.
         random: chooses the node of each request.
         session: newest session token.
 
     """
 
     key: str
-    addresses: Sequence[str]
+    addresses: Callable[[], Sequence[str]]
     random: Random
     session: str = ''
     _clients: dict[str, HttpClient] = field(default_factory=dict)
@@ -126,7 +126,7 @@
         kind: type[ReplyT],
         timeout_s: float,
     ) -> ReplyT:
-        address = self.random.choice(self.addresses)
+        address = self.random.choice(self.addresses())
         client = self._clients.setdefault(address, HttpClient(address))
         deadline = current_time() + timeout_s + CLIENT_GRACE_S
         resp = await client.request(req, deadline)
--- a/trefoilhitch_lab/demo.py
+++ b/trefoilhitch_lab/demo.py
@@ -145,7 +145,7 @@
     """
     ledger = Ledger()
     async with running_stack(SMALL, seed=seed) as stack:
-        addresses = [running.address for running in stack.nodes.values()]
+        addresses = stack.addresses
         key = stack.keys['himal'].text
         await _create_tables(Caller(key, addresses, Random(seed)))
         async with open_nursery() as nursery:
--- a/trefoilhitch_lab/ledger.py
+++ b/trefoilhitch_lab/ledger.py
@@ -61,6 +61,7 @@
     wrong_answers: int = 0
     replica_reads: int = 0
     eligible_reads: int = 0
+    cut_requests: int = 0
     refusals: Counter[str] = field(default_factory=Counter)
     acked: set[str] = field(default_factory=set)
     not_run: set[str] = field(default_factory=set)
--- a/trefoilhitch_lab/stack.py
+++ b/trefoilhitch_lab/stack.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from functools import cache
+from os import getpid
 from random import Random
 from socket import AF_INET, SOCK_STREAM, socket
 
@@ -42,7 +44,8 @@
 from trefoilhitch_lab.object_api import ObjectApi
 from trefoilhitch_lab.vm_list import VmListApi
 
-LOOPBACK = '127.0.0.1'
+LOOPBACK_NETWORK = '127.{0}.{1}.1'
+_OCTET = 256
 FLEET_SECRET = 'lab-fleet-secret-0123456789'
 READY_TIMEOUT_S = 15
 READY_POLL_S = 0.02
@@ -183,7 +186,7 @@
             random=Random(self.random.random()),
             incarnation=self._incarnation,
         )
-        self._names[f'{LOOPBACK}:{cfg.node.peer_port}'] = name
+        self._names[f'{loopback_address()}:{cfg.node.peer_port}'] = name
         peers = FaultyPeers(
             auth=ctx.auth,
             network=self.network,
@@ -195,7 +198,7 @@
             Node(ctx),
             ctx,
             CancelScope(),
-            f'{LOOPBACK}:{cfg.node.port}',
+            f'{loopback_address()}:{cfg.node.port}',
         )
         self.nodes[name] = running
         self._publish_list()
@@ -271,6 +274,34 @@
             if each.service == service
         ]
 
+    def node_beside(self, endpoint: str) -> str:
+        """Return a node in the data centre of an endpoint.
+
+        Args:
+            endpoint: its name.
+
+        Returns:
+            Name of the node.
+
+        """
+        place = self.network.places[endpoint]
+        return next(
+            name for name in self.nodes if self.network.places[name] == place
+        )
+
+    def addresses(self) -> list[str]:
+        """Return the callers' addresses of the nodes that a balancer uses.
+
+        Returns:
+            Addresses of all nodes that were not stopped or killed.
+
+        """
+        return [
+            running.address
+            for running in self.nodes.values()
+            if running.node.is_ready()
+        ]
+
     def _is_ready(self) -> bool:
         nodes = self.nodes.values()
         if not all(running.node.is_ready() for running in nodes):
@@ -320,8 +351,8 @@
 
     async def _serve(self, factory: AnswererFactory) -> str:
         server = HttpServer(factory=factory, reporter=self.reporter)
-        port = await server.listen(self._nursery, LOOPBACK, 0)
-        return f'{LOOPBACK}:{port}'
+        port = await server.listen(self._nursery, loopback_address(), 0)
+        return f'{loopback_address()}:{port}'
 
     def _settings(self, name: str) -> Settings:
         data_centre = self.deployment.nodes[name]
@@ -331,7 +362,7 @@
                 name=name,
                 region=self.deployment.places[data_centre],
                 data_centre=data_centre,
-                address=LOOPBACK,
+                address=loopback_address(),
                 port=free_port(),
                 peer_port=free_port(),
             ),
@@ -400,6 +431,18 @@
         nursery.cancel_scope.cancel()
 
 
+@cache
+def loopback_address() -> str:
+    """Return a loopback address that other processes of the lab do not use.
+
+    Returns:
+        IPv4 address.
+
+    """
+    high, low = divmod(getpid(), _OCTET)
+    return LOOPBACK_NETWORK.format(high % _OCTET, low)
+
+
 def free_port() -> int:
     """Return a TCP port of the loopback address that nobody listens on.
 
@@ -408,5 +451,5 @@
 
     """
     with socket(AF_INET, SOCK_STREAM) as probe:
-        probe.bind((LOOPBACK, 0))
+        probe.bind((loopback_address(), 0))
         return int(probe.getsockname()[1])
