--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of trefoilhitch and its lab."""
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,67 @@
+"""Helpers of the tests: a virtual clock, stacks and callers."""
+
+from collections.abc import Awaitable, Callable
+from functools import wraps
+from random import Random
+from typing import Any
+
+from trio import run
+from trio.testing import MockClock
+
+from trefoilhitch_lab.caller import Caller
+from trefoilhitch_lab.stack import Stack
+
+SERVICE = 'orders'
+CREATE = 'CREATE TABLE orders (mark TEXT, session TEXT)'
+INSERT = 'INSERT INTO orders VALUES (?, ?)'
+COUNT = 'SELECT count(*) FROM orders WHERE mark = ?'
+
+
+def virtual(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    """Run an asynchronous test on a virtual clock, which waits for nothing."""
+
+    @wraps(test)
+    def wrapper() -> None:
+        run(test, clock=MockClock(autojump_threshold=0))
+
+    return wrapper
+
+
+def caller(stack: Stack, *nodes: str, organisation: str = 'himal') -> Caller:
+    """Return a caller that goes to some nodes, or to all that are ready."""
+
+    def chosen() -> list[str]:
+        return [stack.nodes[name].address for name in nodes]
+
+    key = stack.keys[organisation].text
+    return Caller(key, chosen if nodes else stack.addresses, Random(0))
+
+
+def write(mark: str, **fields: Any) -> dict[str, Any]:
+    """Return the fields of an order."""
+    return {
+        'sql': INSERT,
+        'args': [mark, 'session'],
+        'access': 'write',
+        'idempotency_key': mark,
+        **fields,
+    }
+
+
+def count(mark: str, **fields: Any) -> dict[str, Any]:
+    """Return the fields of a read that counts an order."""
+    return {'sql': COUNT, 'args': [mark], **fields}
+
+
+async def create_table(stack: Stack) -> None:
+    """Create the orders' table."""
+    creator = caller(stack)
+    await creator.statement(SERVICE, {'sql': CREATE, 'access': 'write'})
+    creator.close()
+
+
+def runs(stack: Stack, mark: str) -> int:
+    """Return how often the current primary's tables hold an order."""
+    primary = stack.primary_of(SERVICE)
+    assert primary is not None
+    return int(primary.database.read(COUNT, [mark]).rows[0][0])
--- /dev/null
+++ b/tests/test_declaration.py
@@ -0,0 +1,67 @@
+"""Declarations: read whole or not at all, and compared."""
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from trefoilhitch._generated.store import Bundle
+from trefoilhitch.declaration import differences, read_declaration
+from trefoilhitch.ini import IniFile
+from trefoilhitch.setting_error import SettingErrorGroup
+
+GOOD = """
+[service orders]
+[endpoint orders-a]
+service = orders
+region = east
+data_centre = dc-a
+address = 10.0.0.1:5000
+control = 10.0.0.1:5001
+slots = 5
+[organisation himal]
+rate = 100
+burst = 20
+"""
+
+
+def _read(text: str) -> Bundle:
+    return read_declaration(IniFile.from_text('shop.ini', text))
+
+
+def test_a_good_file_is_read_whole() -> None:
+    bundle = _read(GOOD)
+    assert [service.name for service in bundle.services] == ['orders']
+    assert bundle.endpoints[0].slots == 5
+    assert bundle.organisations[0].rate == 100
+
+
+def test_every_fault_is_named(snapshot: SnapshotAssertion) -> None:
+    text = (
+        GOOD.replace('service = orders', 'service = order')
+        .replace('slots = 5', 'slots = none')
+        .replace('rate = 100', 'rate = 0')
+        + '[tenant x]\n'
+    )
+    with pytest.raises(SettingErrorGroup) as caught:
+        _read(text)
+    assert [str(exc) for exc in caught.value.exceptions] == snapshot
+
+
+def test_a_bundle_above_one_megabyte_is_refused() -> None:
+    many = ''.join(
+        f'[organisation o{number}]\nrate = 1\nburst = 1\n'
+        for number in range(30_000)
+    )
+    with pytest.raises(SettingErrorGroup) as caught:
+        _read(many)
+    assert 'at most 1000000 bytes' in str(caught.value.exceptions[0])
+
+
+def test_differences_name_what_changes() -> None:
+    before = _read(GOOD)
+    after = _read(GOOD.replace('rate = 100', 'rate = 50') + '[service stock]\n')
+    changes = differences(before, after)
+    assert [(each.action, each.kind, each.name) for each in changes] == [
+        ('add', 'service', 'stock'),
+        ('change', 'organisation', 'himal'),
+    ]
+    assert not differences(before, before)
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -112,12 +112,23 @@
     revision: int = 0
 
 
+class GroupChange(Message, frozen=True, kw_only=True):
+    """
+    A recent change of primary.
+    """
+
+    service: str
+    term: int
+    primary: str
+
+
 class Heartbeat(Message, frozen=True, kw_only=True):
     """
-    Heartbeats that the sender knows, its own first.
+    Heartbeats that the sender knows, its own first, and recent changes of primaries.
     """
 
     beats: list[MemberBeat]
+    changes: list[GroupChange] = field(default_factory=list)
 
 
 class ConfigQuery(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/dispatcher.py
+++ b/trefoilhitch/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatch of single statements: routes, forwards, and retries them."""
 
 from dataclasses import dataclass, field
+from functools import partial
 
 from trefoilhitch._generated.messages import LogPosition, StatementRequest
 from trefoilhitch._generated.peer import ForwardStatement, OwnerReply
@@ -9,7 +10,7 @@
 from trefoilhitch.group_directory import GroupDirectory
 from trefoilhitch.group_state import GroupState
 from trefoilhitch.outcomes import Outcomes
-from trefoilhitch.owners import Owners
+from trefoilhitch.owners import Owners, OwnerService
 from trefoilhitch.retry import RetryBudget, Step, next_step
 from trefoilhitch.router import Router
 
@@ -144,12 +145,23 @@
         owner = self._owners.of_endpoint(fwd.endpoint)
         self._router.began(fwd.endpoint)
         try:
-            reply = await owner.statement(fwd)
+            reply = await self._ask(owner, fwd, state)
         finally:
             self._router.ended(fwd.endpoint)
         state.learn(fwd.endpoint, reply)
         return Answered(reply, fwd.endpoint)
 
+    async def _ask(
+        self,
+        owner: OwnerService,
+        fwd: ForwardStatement,
+        state: GroupState,
+    ) -> OwnerReply:
+        if fwd.endpoint != state.primary:
+            return await owner.statement(fwd)
+        ask = partial(owner.statement, fwd)
+        return await self._directory.guard.run(fwd.service, ask)
+
     async def _recover(
         self,
         call: Call,
--- a/trefoilhitch/fleet.py
+++ b/trefoilhitch/fleet.py
@@ -1,15 +1,16 @@
 """What a node knows of the fleet: itself, its peers, and who owns what."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Literal, TypeAlias
 
-from trefoilhitch._generated.peer import Heartbeat, MemberBeat
+from trefoilhitch._generated.peer import GroupChange, Heartbeat, MemberBeat
 from trefoilhitch._generated.record import PlacementNode, PlacementRecord
 from trefoilhitch._generated.store import Endpoint, VmList
 from trefoilhitch.config import place_of
 from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.group_changes import GroupChanges
 from trefoilhitch.membership import Membership
 from trefoilhitch.placement import monitors, owner
 
@@ -81,6 +82,8 @@
         self._counter = 0
         self._listed: dict[str, str] = {}
         self._avoided: dict[str, float] = {}
+        self._changes = GroupChanges()
+        self._listeners: list[Callable[[GroupChange], None]] = []
         self._placed: dict[str, _Placed] = {}
         self._worker_list: list[PlacementNode] = []
         self._workers_until = -math.inf
@@ -93,7 +96,7 @@
             revision: configuration that is in force here.
 
         Returns:
-            All heartbeats known, this node's first.
+            All heartbeats known, and recent changes of primaries.
 
         """
         self._counter += 1
@@ -108,8 +111,19 @@
             revision=revision,
         )
         self.observe(Heartbeat(beats=[own]))
-        others = [beat for beat in self.reachable() if beat.node != own.node]
-        return Heartbeat(beats=[own, *others])
+        return self.heartbeat()
+
+    def heartbeat(self) -> Heartbeat:
+        """Return all that this node would tell a peer now.
+
+        Returns:
+            Heartbeats, and recent changes of primaries.
+
+        """
+        return Heartbeat(
+            beats=self.reachable(),
+            changes=self._changes.to_pass_on(self._clock()),
+        )
 
     def observe(self, heartbeat: Heartbeat) -> None:
         """Take heartbeats that were heard.
@@ -119,9 +133,32 @@
 
         """
         now = self._clock()
-        self._membership = self._membership.observe(
-            heartbeat.beats, now
-        ).forget(now)
+        observed = self._membership.observe(heartbeat.beats, now)
+        self._membership = observed.forget(now)
+        if heartbeat.changes:
+            self.announce(heartbeat.changes)
+
+    def announce(self, changes: Iterable[GroupChange]) -> None:
+        """Take changes of primaries, and pass on what is news.
+
+        Args:
+            changes: what was heard, or what this node did.
+
+        """
+        news = self._changes.news(changes)
+        self._changes = self._changes.adopt(news, self._clock())
+        for change in news:
+            for notify in self._listeners:
+                notify(change)
+
+    def on_change(self, notify: Callable[[GroupChange], None]) -> None:
+        """Have a function called for each news of a primary.
+
+        Args:
+            notify: the function.
+
+        """
+        self._listeners.append(notify)
 
     def listed(self, vms: VmList) -> None:
         """Take the platform's list of VMs.
--- a/trefoilhitch/group_directory.py
+++ b/trefoilhitch/group_directory.py
@@ -2,13 +2,14 @@
 
 from trio import Event, Nursery, current_time
 
-from trefoilhitch._generated.peer import GroupQuery, GroupView
+from trefoilhitch._generated.peer import GroupChange, GroupQuery, GroupView
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.errors import NoPrimaryError, RefusalError
 from trefoilhitch.fleet import Fleet
 from trefoilhitch.group_state import GroupState
 from trefoilhitch.monitor import Monitors
 from trefoilhitch.peer_client import PeerClients
+from trefoilhitch.term_guard import TermGuard
 
 VIEW_LIFE_S = 0.25
 QUERY_TIMEOUT_MS = 500
@@ -40,6 +41,8 @@
         self._nursery = nursery
         self._states: dict[str, GroupState] = {}
         self._refreshing: dict[str, Event] = {}
+        self.guard = TermGuard()
+        fleet.on_change(self._take_change)
 
     async def state(self, service: str) -> GroupState:
         """Return what is known of a group.
@@ -70,6 +73,11 @@
         state = self._states.setdefault(service, GroupState())
         await self._refresh(service, state).wait()
 
+    def _take_change(self, change: GroupChange) -> None:
+        state = self._states.get(change.service)
+        if state is not None and state.replace_primary(change):
+            self.guard.end_term(change.service)
+
     def _refresh(self, service: str, state: GroupState) -> Event:
         running = self._refreshing.get(service)
         if running is None:
--- a/trefoilhitch/group_state.py
+++ b/trefoilhitch/group_state.py
@@ -6,7 +6,12 @@
 from msgspec.structs import replace
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch._generated.peer import EndpointView, GroupView, OwnerReply
+from trefoilhitch._generated.peer import (
+    EndpointView,
+    GroupChange,
+    GroupView,
+    OwnerReply,
+)
 from trefoilhitch.position import at_least
 
 MARKS_KEPT = 256
@@ -81,6 +86,25 @@
             )
             self._marks.append(Mark(proved_at, position))
 
+    def replace_primary(self, change: GroupChange) -> bool:
+        """Take a change of primary before a monitor's view shows it.
+
+        Args:
+            change: the change.
+
+        Returns:
+            True if it was news.
+
+        """
+        if self.view is None or change.term <= self.view.term:
+            return False
+        self.view = replace(
+            self.view,
+            term=change.term,
+            primary=change.primary,
+        )
+        return True
+
     def learn(self, endpoint: str, reply: OwnerReply) -> None:
         """Take the position that an answer was read at.
 
--- a/trefoilhitch/monitor.py
+++ b/trefoilhitch/monitor.py
@@ -28,7 +28,7 @@
 from trefoilhitch.promotion import suspect
 
 PROBE_INTERVAL_S = 0.25
-PROBE_TIMEOUT_MS = 300
+PROBE_TIMEOUT_MS = 240
 _MS_PER_S = 1000
 
 
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -194,7 +194,7 @@
 
 def _promoter(ctx: NodeContext) -> Promoter:
     return Promoter(
-        identity=ctx.fleet.identity,
+        fleet=ctx.fleet,
         platform=ctx.platform.endpoints,
         store=ctx.platform.store,
         log=ctx.log,
--- a/trefoilhitch/outcomes.py
+++ b/trefoilhitch/outcomes.py
@@ -1,5 +1,6 @@
 """Finds out what became of requests, and waits for groups to change."""
 
+from functools import partial
 from random import Random
 
 from trio import current_time, sleep_until
@@ -144,4 +145,6 @@
             request=call.request,
             timeout_ms=call.attempt_ms(),
         )
-        return await self._owners.of_endpoint(state.primary).lookup(fwd)
+        owner = self._owners.of_endpoint(state.primary)
+        ask = partial(owner.lookup, fwd)
+        return await self._directory.guard.run(call.service, ask)
--- a/trefoilhitch/peer_server.py
+++ b/trefoilhitch/peer_server.py
@@ -101,7 +101,7 @@
 
     async def _heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
         self._fleet.observe(heartbeat)
-        return Heartbeat(beats=self._fleet.reachable())
+        return self._fleet.heartbeat()
 
     async def _group(self, query: GroupQuery) -> Struct:
         return self._monitors.view(query)
--- a/trefoilhitch/promoter.py
+++ b/trefoilhitch/promoter.py
@@ -14,13 +14,14 @@
     PromoteRequest,
     StatusReply,
 )
+from trefoilhitch._generated.peer import GroupChange
 from trefoilhitch._generated.record import PromotionRecord, Sighting, Vote
 from trefoilhitch._generated.store import Endpoint, GroupRecord
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.endpoint_client import EndpointPlatform
 from trefoilhitch.errors import RefusalError, StoreConflictError, StoreError
-from trefoilhitch.fleet import Identity
+from trefoilhitch.fleet import Fleet
 from trefoilhitch.position import majority
 from trefoilhitch.promotion import NO_PRIMARY, choose_primary, next_term
 from trefoilhitch.store import ObjectStore
@@ -64,7 +65,7 @@
     no promotion up.
 
     Args:
-        identity: this node, the claimant.
+        fleet: this node, the claimant, which tells the others.
         platform: reaches the endpoints.
         store: keeps the published record.
         log: takes note of decisions.
@@ -74,13 +75,15 @@
     def __init__(
         self,
         *,
-        identity: Identity,
+        fleet: Fleet,
         platform: EndpointPlatform,
         store: ObjectStore,
         log: DecisionLog,
     ) -> None:
         """Keep the collaborators."""
+        identity = fleet.identity
         self._claimant = f'{identity.node}.{identity.incarnation}'
+        self._fleet = fleet
         self._platform = platform
         self._store = store
         self._log = log
@@ -203,6 +206,8 @@
                 code=exc.code,
             )
             return False
+        change = GroupChange(service=service, term=term, primary=chosen.name)
+        self._fleet.announce([change])
         self._unpublished[service] = GroupRecord(
             service=service,
             term=term,
--- a/trefoilhitch/router.py
+++ b/trefoilhitch/router.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Collection
 from random import Random
+from typing import Literal, TypeAlias
 
 from trio import current_time
 
@@ -17,6 +18,7 @@
 from trefoilhitch.position import ORIGIN
 from trefoilhitch.routing import Route, RouteNeed, choose
 
+Role: TypeAlias = Literal['primary', 'replica', 'fenced']
 EXPECTED_LAG_MS = 600
 BEHIND_S = 0.05
 _MS_PER_S = 1000
@@ -146,7 +148,7 @@
         return [
             Candidate(
                 name=view.name,
-                role='primary' if view.name == state.primary else view.role,
+                role=_role(view, state.primary),
                 applied_term=view.applied_term,
                 applied_position=view.applied_position,
                 reachable=view.reachable,
@@ -164,3 +166,10 @@
         if view.lag_ms is None or view.lag_ms > EXPECTED_LAG_MS:
             return False
         return self._behind_until.get(view.name, 0) <= current_time()
+
+
+def _role(view: EndpointView, primary: str) -> Role:
+    """Return the role by the newest term known, whatever the view says."""
+    if view.name == primary:
+        return 'primary'
+    return 'fenced' if view.role == 'fenced' else 'replica'
--- a/trefoilhitch_lab/bench.py
+++ b/trefoilhitch_lab/bench.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping
+from functools import partial
 from random import Random
 from types import MappingProxyType
 
@@ -38,6 +39,7 @@
     {
         'steady': Steady,
         'failover': Failover,
+        'island': partial(Failover, with_node=True),
         'node_loss': NodeLoss,
         'drain': Drain,
         'store_outage': StoreOutage,
--- a/trefoilhitch_lab/scenario.py
+++ b/trefoilhitch_lab/scenario.py
@@ -42,11 +42,17 @@
 
 
 class Failover:
-    """Cuts a primary off with a node beside it, and lets them return."""
+    """Cuts a primary off, and lets it return.
 
-    def __init__(self) -> None:
+    Args:
+        with_node: cut a node of its data centre off together with it.
+
+    """
+
+    def __init__(self, *, with_node: bool = False) -> None:
         """Start before the fault."""
         self.lost_at: float | None = None
+        self._with_node = with_node
 
     async def run(self, stack: Stack) -> None:
         """Cut, wait, heal.
@@ -61,8 +67,9 @@
             return
         self.lost_at = current_time()
         everyone = {*stack.endpoints, *stack.nodes, 'store'}
-        near = stack.node_beside(primary.name)
-        island = {primary.name, near}
+        island = {primary.name}
+        if self._with_node:
+            island.add(stack.node_beside(primary.name))
         stack.network.cut(island, everyone - island)
         await sleep(PRIMARY_CUT_S)
         stack.network.heal()
--- a/trefoilhitch_lab/workload.py
+++ b/trefoilhitch_lab/workload.py
@@ -1,8 +1,10 @@
 """A steady workload of all tenants, and the outside record of it."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import pairwise
 from random import Random
 from typing import Any
 
@@ -21,6 +23,7 @@
 CLIENT_LATENCY_S = 0.001
 TIMEOUT_MS = 5000
 MAX_AGE_S = 2.0
+GAP_FROM_S = 1.0
 WRITE_SHARE = 0.2
 TRANSACTION_SHARE = 0.1
 STRICT_SHARE = 0.1
@@ -80,15 +83,14 @@
             at: monotonic time at which the primary was lost.
 
         Returns:
-            Seconds from the last acknowledgement before to the first after;
-            infinite if there was none after.
+            The longest time between two acknowledgements from just before the
+            loss on; infinite if there was none after.
 
         """
-        before = [each for each in self.acked[service] if each <= at]
-        after = [each for each in self.acked[service] if each > at]
-        if not before or not after:
-            return float('inf')
-        return min(after) - max(before)
+        acked = [each for each in self.acked[service] if each > at - GAP_FROM_S]
+        if not acked or max(acked) < at + GAP_FROM_S:
+            return math.inf
+        return max(later - earlier for earlier, later in pairwise(acked))
 
     def latency_ms(self, percentile: float) -> float:
         """Return a percentile of the latency of answered statements.
