--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/lint-imports
 
 bench: $(VENV)/.installed
-	$(BIN)/trefoilhitch-lab bench $(ARGS)
+	benchmarks/bench.sh $(ARGS)
 
 cost: $(VENV)/.installed
 	benchmarks/cost.sh $(ARGS)
--- /dev/null
+++ b/trefoilhitch_lab/baseline_stack.py
@@ -0,0 +1,155 @@
+"""A deployment whose nodes are plain poolers."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from trio import CancelScope, Event, open_nursery, sleep, sleep_forever
+
+from trefoilhitch._generated.endpoint import (
+    FenceRequest,
+    GroupMember,
+    PromoteRequest,
+)
+from trefoilhitch.decision_log import SilentLog
+from trefoilhitch.endpoint_client import HttpEndpointPlatform
+from trefoilhitch.http_server import HttpServer, SharedAnswerer
+from trefoilhitch.keyring import KeyRing
+from trefoilhitch_lab.baseline import EvenShare, PlainPooler, PublishedPrimary
+from trefoilhitch_lab.deployment import Deployment
+from trefoilhitch_lab.faulty import FaultyEndpoints
+from trefoilhitch_lab.stack import Stack, loopback_address
+
+STOP_POLL_S = 0.05
+CLAIMANT = 'platform'
+
+
+@dataclass(slots=True)
+class RunningPooler:
+    """A plain pooler of the stack.
+
+    Args:
+        server: serves its callers.
+        scope: cancelling it kills the pooler at once.
+        address: where callers reach it.
+        ended: set when it has stopped.
+
+    """
+
+    server: HttpServer
+    scope: CancelScope = field(default_factory=CancelScope)
+    address: str = ''
+    ended: Event = field(default_factory=Event)
+
+
+class BaselineStack(Stack):
+    """Plain poolers before the same endpoints; nobody orders promotions."""
+
+    async def start(self) -> None:
+        """Start platform and poolers, with a published primary each."""
+        await self.start_platform()
+        self._published: dict[str, PublishedPrimary] = {}
+        self._poolers: dict[str, Any] = self.nodes
+        for service in self.deployment.services:
+            self._publish(service)
+        for name in self.deployment.nodes:
+            self.start_node(name)
+        for name in list(self.nodes):
+            await self._wait_for(name)
+
+    def start_node(self, name: str) -> Any:
+        """Start a pooler."""
+        self._settings(name)
+        pooler = PlainPooler(
+            platform=FaultyEndpoints(
+                HttpEndpointPlatform(name),
+                self.network,
+                name,
+            ),
+            primary=self._published.get,
+            keyring=KeyRing.from_keys(made.key for made in self.keys.values()),
+            shares={
+                tenant.name: EvenShare(tenant, len(self.deployment.nodes))
+                for tenant in self.deployment.tenants
+            },
+            random=self.random,
+        )
+        server = HttpServer(
+            factory=SharedAnswerer(pooler),
+            reporter=SilentLog(),
+        )
+        running = RunningPooler(server)
+        self._poolers[name] = running
+        self._nursery.start_soon(self._run_pooler, running)
+        return running
+
+    async def stop_node(self, name: str) -> None:
+        """Stop a pooler and wait until its requests have ended."""
+        running = self._poolers.pop(name)
+        running.server.stop()
+        while running.server.connections:
+            await sleep(STOP_POLL_S)
+        running.scope.cancel()
+
+    def kill_node(self, name: str) -> None:
+        """End a pooler at once."""
+        self._poolers.pop(name).scope.cancel()
+
+    def addresses(self) -> list[str]:
+        """Return the callers' addresses of all poolers."""
+        return [each.address for each in self._poolers.values() if each.address]
+
+    async def _run_pooler(self, running: RunningPooler) -> None:
+        with running.scope:
+            async with open_nursery() as nursery:
+                address = loopback_address()
+                port = await running.server.listen(nursery, address, 0)
+                running.address = f'{address}:{port}'
+                await sleep_forever()
+        running.ended.set()
+
+    async def _wait_for(self, name: str) -> None:
+        while not self._poolers[name].address:
+            await sleep(STOP_POLL_S)
+
+    def _publish(self, service: str) -> None:
+        declared = [each for each in self._declared if each.service == service]
+        members = [
+            GroupMember(name=each.name, control=each.control)
+            for each in declared
+        ]
+        for server in self.group(service):
+            server.fence(FenceRequest(term=1, claimant=CLAIMANT))
+        self.endpoints[declared[0].name].promote(
+            PromoteRequest(term=1, claimant=CLAIMANT, members=members),
+        )
+        self._published[service] = PublishedPrimary(declared[0], 1)
+
+
+@asynccontextmanager
+async def running_baseline(
+    deployment: Deployment,
+    *,
+    seed: int = 1,
+) -> AsyncIterator[BaselineStack]:
+    """Run the baseline for the length of a block.
+
+    Args:
+        deployment: what to build.
+        seed: all random choices follow from it.
+
+    Yields:
+        The stack, ready to serve.
+
+    """
+    async with open_nursery() as nursery:
+        stack = BaselineStack(
+            deployment=deployment,
+            seed=seed,
+            nursery=nursery,
+            log=lambda _: SilentLog(),
+        )
+        await stack.start()
+        yield stack
+        nursery.cancel_scope.cancel()
--- a/trefoilhitch_lab/bench.py
+++ b/trefoilhitch_lab/bench.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager
 from functools import partial
 from random import Random
 from types import MappingProxyType
@@ -11,6 +12,7 @@
 from trio import current_time, open_nursery, run, sleep
 from trio.testing import MockClock
 
+from trefoilhitch_lab.baseline_stack import running_baseline
 from trefoilhitch_lab.caller import Caller
 from trefoilhitch_lab.deployment import Deployment, Tenant
 from trefoilhitch_lab.ledger import Ledger
@@ -32,6 +34,10 @@
     rate_excess,
 )
 
+PRODUCT = 'trefoilhitch'
+SYSTEMS: Mapping[str, Callable[..., AbstractAsyncContextManager[Stack]]] = (
+    MappingProxyType({PRODUCT: running_stack, 'baseline': running_baseline})
+)
 DURATION_S = 20.0
 SETTLE_S = 4.0
 OFFERED_SHARE = 0.6
@@ -102,7 +108,10 @@
 
 
 def run_scenario(
-    deployment: Deployment, scenario: str, seed: int
+    deployment: Deployment,
+    scenario: str,
+    seed: int,
+    system: str = PRODUCT,
 ) -> BenchEntry:
     """Run a scenario on the virtual clock.
 
@@ -110,13 +119,14 @@
         deployment: what to build.
         scenario: its name.
         seed: all random choices follow from it.
+        system: `trefoilhitch` or `baseline`.
 
     Returns:
         What was measured.
 
     """
     clock = MockClock(autojump_threshold=0)
-    bench = _Bench(deployment, scenario, seed)
+    bench = _Bench(deployment, scenario, seed, system)
     return run(bench.run, clock=clock)
 
 
@@ -126,16 +136,19 @@
         deployment: Deployment,
         scenario: str,
         seed: int,
+        system: str,
     ) -> None:
         self._deployment = deployment
         self._name = scenario
         self._scenario = SCENARIOS[scenario]()
         self._seed = seed
+        self._system = system
         self._ledger = Ledger()
         self._timeline = Timeline()
 
     async def run(self) -> BenchEntry:
-        async with running_stack(self._deployment, seed=self._seed) as stack:
+        running = SYSTEMS[self._system]
+        async with running(self._deployment, seed=self._seed) as stack:
             await _create_tables(stack)
             cpu_before = time.process_time()
             workload = Workload(
@@ -164,7 +177,12 @@
                     name=f's{number}',
                     tenant=tenant,
                     service=service,
-                    caller=Caller(key, stack.addresses, random),
+                    caller=Caller(
+                        key,
+                        stack.addresses,
+                        random,
+                        sticky=self._system != PRODUCT,
+                    ),
                     random=random,
                     ledger=self._ledger,
                     timeline=self._timeline,
@@ -178,7 +196,7 @@
         return BenchEntry(
             deployment=self._deployment.name,
             scenario=self._name,
-            system='trefoilhitch',
+            system=self._system,
             seed=self._seed,
             requests=verdict.requests,
             replica_read_share=round(verdict.replica_read_share, 4),
--- a/trefoilhitch_lab/caller.py
+++ b/trefoilhitch_lab/caller.py
@@ -36,6 +36,7 @@
         addresses: returns the nodes that it may go to.
         random: chooses the node of each request.
         session: newest session token.
+        sticky: stay on one node for the length of a transaction.
 
     """
 
@@ -43,6 +44,8 @@
     addresses: Callable[[], Sequence[str]]
     random: Random
     session: str = ''
+    sticky: bool = False
+    _pinned: str = ''
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
     async def statement(self, service: str, fields: Fields) -> StatementReply:
@@ -126,7 +129,7 @@
         kind: type[ReplyT],
         timeout_s: float,
     ) -> ReplyT:
-        address = self.random.choice(self.addresses())
+        address = self._choose(req.target)
         client = self._clients.setdefault(address, HttpClient(address))
         deadline = current_time() + timeout_s + CLIENT_GRACE_S
         resp = await client.request(req, deadline)
@@ -134,6 +137,12 @@
             return decode(resp.body, type=kind)
         raise _failure(resp.body)
 
+    def _choose(self, target: str) -> str:
+        if self.sticky and '/transactions/' in target:
+            return self._pinned
+        self._pinned = self.random.choice(self.addresses())
+        return self._pinned
+
     def _headers(self) -> dict[str, str]:
         return {'authorization': f'Bearer {self.key}'}
 
--- a/trefoilhitch_lab/cli.py
+++ b/trefoilhitch_lab/cli.py
@@ -6,6 +6,7 @@
 
 import cappa
 from msgspec import json
+from rich.console import Console
 from trio import run
 
 from trefoilhitch.cli import load_declaration
@@ -13,10 +14,14 @@
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.failing import failing
 from trefoilhitch_lab import demo
+from trefoilhitch_lab.bench import PRODUCT, BenchEntry, run_scenario
 from trefoilhitch_lab.cost import CostRun
+from trefoilhitch_lab.deployment import DEPLOYMENTS
+from trefoilhitch_lab.report import broken_promises, summarise
 from trefoilhitch_lab.serve import serve
 
 COST_CONNECTIONS = 20
+REPORT_WIDTH = 160
 SeedArg = Annotated[
     int,
     cappa.Arg(long='--seed', help='all random choices follow from it'),
@@ -66,6 +71,49 @@
         )
 
 
+@cappa.command(name='bench')
+@dataclass(frozen=True)
+class Bench:
+    """Run scenarios at the users' sizes, or report runs that were made."""
+
+    deployment: Annotated[str, cappa.Arg(long='--deployment')] = 'himal'
+    scenario: Annotated[str, cappa.Arg(long='--scenario')] = 'steady'
+    system: Annotated[str, cappa.Arg(long='--system')] = PRODUCT
+    seed: SeedArg = 1
+
+    def __call__(self) -> None:
+        """Print one entry as JSON."""
+        entry = run_scenario(
+            DEPLOYMENTS[self.deployment],
+            self.scenario,
+            self.seed,
+            self.system,
+        )
+        print(json.encode(entry).decode())
+
+
+@cappa.command(name='report')
+@dataclass(frozen=True)
+class Report:
+    """Gather bench entries into one file, and print them as a table."""
+
+    entries: Annotated[Path, cappa.Arg(help='file with one entry a line')]
+    target: Annotated[Path, cappa.Arg(help='file for all entries')]
+
+    def __call__(self) -> None:
+        """Print the table; fail if a promise was broken."""
+        lines = self.entries.read_text().splitlines()
+        entries = [json.decode(line, type=BenchEntry) for line in lines]
+        self.target.write_bytes(json.format(json.encode(entries)))
+        Console(width=REPORT_WIDTH).print(summarise(entries))
+        broken = sum(
+            broken_promises(entry)
+            for entry in entries
+            if entry.system == PRODUCT
+        )
+        raise cappa.Exit(code=ExitCode.REFUSED if broken else ExitCode.DONE)
+
+
 @cappa.command(name='cost')
 @dataclass(frozen=True)
 class Cost:
@@ -106,7 +154,7 @@
 class Lab:
     """Try trefoilhitch out without a platform."""
 
-    command: cappa.Subcommands[Demo | Serve | Cost]
+    command: cappa.Subcommands[Demo | Serve | Bench | Report | Cost]
 
 
 def main() -> None:
--- /dev/null
+++ b/trefoilhitch_lab/report.py
@@ -0,0 +1,105 @@
+"""The bench's report: medians and worst of the seeds, beside the baseline."""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from statistics import median
+
+from rich.table import Table
+
+from trefoilhitch_lab.bench import BenchEntry
+
+ZERO_COUNTS = (
+    'lost_acked_writes',
+    'duplicate_runs',
+    'stale_reads',
+    'false_not_run',
+    'wrong_answers',
+)
+_PERCENT = 100
+
+
+def summarise(entries: Iterable[BenchEntry]) -> Table:
+    """Return a table with a row for each deployment, scenario and system.
+
+    Args:
+        entries: all runs.
+
+    Returns:
+        The table.
+
+    """
+    table = Table(title='bench: median (worst) of the seeds')
+    for heading in (
+        'deployment',
+        'scenario',
+        'system',
+        'seeds',
+        'replica reads',
+        'failover gap s',
+        'worst org served',
+        'refused %',
+        'cut',
+        'broken promises',
+        'p50 ms',
+        'p99 ms',
+    ):
+        table.add_column(heading, justify='right')
+    for key, runs in _grouped(entries).items():
+        table.add_row(*key, *_cells(runs))
+    return table
+
+
+def broken_promises(entry: BenchEntry) -> int:
+    """Return how many promises a run broke.
+
+    Args:
+        entry: the run.
+
+    Returns:
+        The sum of the counts that have to be 0.
+
+    """
+    return sum(getattr(entry, name) for name in ZERO_COUNTS)
+
+
+def _grouped(
+    entries: Iterable[BenchEntry],
+) -> dict[tuple[str, str, str], list[BenchEntry]]:
+    grouped: defaultdict[tuple[str, str, str], list[BenchEntry]] = defaultdict(
+        list,
+    )
+    for each in entries:
+        grouped[each.deployment, each.scenario, each.system].append(each)
+    return dict(sorted(grouped.items()))
+
+
+def _cells(runs: Sequence[BenchEntry]) -> list[str]:
+    return [
+        str(len(runs)),
+        _spread(runs, lambda run: run.replica_read_share, min),
+        _spread(runs, _gap_s, max),
+        _spread(runs, lambda run: run.worst_org_served_share, min),
+        _spread(runs, _refused_percent, max),
+        str(sum(run.cut_requests for run in runs)),
+        str(sum(broken_promises(run) for run in runs)),
+        _spread(runs, lambda run: run.p50_ms, max),
+        _spread(runs, lambda run: run.p99_ms, max),
+    ]
+
+
+def _gap_s(run: BenchEntry) -> float:
+    return math.inf if run.failover_gap_s is None else run.failover_gap_s
+
+
+def _refused_percent(run: BenchEntry) -> float:
+    return run.wrongful_refusals / run.requests * _PERCENT
+
+
+def _spread(
+    runs: Sequence[BenchEntry],
+    figure: Callable[[BenchEntry], float],
+    worst: Callable[[Iterable[float]], float],
+) -> str:
+    figures = [figure(run) for run in runs]
+    return f'{median(figures):.3g} ({worst(figures):.3g})'
