Heartbeats within their byte budget; slopes of control

Cause: make slopes showed 27.7 KB a second and node at 8 nodes for heartbeats, above the target of 10 KB: 4 rounds a second to 3 peers, everything both ways. Change: 2 rounds a second to 2 peers; answers hold only what is news; a node fails after 3 s of silence instead of 2 s.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -73,6 +73,14 @@
     assert members.observe([_beat(1, incarnation=3)], 3).live(3)
 
 
+def test_a_peer_is_told_only_what_it_lacks() -> None:
+    members = Membership().observe([_beat(5, incarnation=2)], 0)
+    assert members.newer_than([], 1) == [_beat(5, 2)]
+    assert members.newer_than([_beat(4, 2)], 1) == [_beat(5, 2)]
+    assert not members.newer_than([_beat(5, 2)], 1)
+    assert not members.newer_than([], FAILURE_TIMEOUT_S)
+
+
 def test_a_leaving_node_answers_but_gets_no_work() -> None:
     members = Membership().observe([_beat(1, state='leaving')], 0)
     assert members.reachable(1)
--- a/trefoilhitch/fleet.py
+++ b/trefoilhitch/fleet.py
@@ -125,6 +125,23 @@
             changes=self._changes.to_pass_on(self._clock()),
         )
 
+    def exchange(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Take a peer's heartbeat, and answer with what it does not know.
+
+        Args:
+            heartbeat: all that the peer knows.
+
+        Returns:
+            Newer heartbeats, and recent changes of primaries.
+
+        """
+        self.observe(heartbeat)
+        now = self._clock()
+        return Heartbeat(
+            beats=self._membership.newer_than(heartbeat.beats, now),
+            changes=self._changes.to_pass_on(now),
+        )
+
     def observe(self, heartbeat: Heartbeat) -> None:
         """Take heartbeats that were heard.
 
--- a/trefoilhitch/heartbeat.py
+++ b/trefoilhitch/heartbeat.py
@@ -13,9 +13,9 @@
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.store import VmDirectory
 
-HEARTBEAT_INTERVAL_S = 0.25
+HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_MS = 750
-FANOUT = 3
+FANOUT = 2
 LIST_INTERVAL_S = 5.0
 LIST_TIMEOUT_MS = 2000
 
--- a/trefoilhitch/membership.py
+++ b/trefoilhitch/membership.py
@@ -6,7 +6,7 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 
-FAILURE_TIMEOUT_S = 2.0
+FAILURE_TIMEOUT_S = 3.0
 FORGET_TIMEOUT_S = 600.0
 
 
@@ -88,6 +88,28 @@
             }
         )
 
+    def newer_than(
+        self,
+        beats: Iterable[MemberBeat],
+        now: float,
+    ) -> list[MemberBeat]:
+        """Return what the sender of some heartbeats does not know yet.
+
+        Args:
+            beats: all heartbeats that the sender knows.
+            now: monotonic time.
+
+        Returns:
+            Heartbeats that are newer here, of nodes that did not fail.
+
+        """
+        told = {beat.node: _age(beat) for beat in beats}
+        return [
+            beat
+            for beat in self.reachable(now)
+            if beat.node not in told or _age(beat) > told[beat.node]
+        ]
+
     def live(self, now: float) -> list[MemberBeat]:
         """Return the nodes that may be given work.
 
--- a/trefoilhitch/peer_server.py
+++ b/trefoilhitch/peer_server.py
@@ -100,8 +100,7 @@
         return HttpResponse(body=encode(await route(req.body)))
 
     async def _heartbeat(self, heartbeat: Heartbeat) -> Heartbeat:
-        self._fleet.observe(heartbeat)
-        return self._fleet.heartbeat()
+        return self._fleet.exchange(heartbeat)
 
     async def _group(self, query: GroupQuery) -> Struct:
         return self._monitors.view(query)
--- a/trefoilhitch_lab/cli.py
+++ b/trefoilhitch_lab/cli.py
@@ -19,6 +19,7 @@
 from trefoilhitch_lab.deployment import DEPLOYMENTS
 from trefoilhitch_lab.report import broken_promises, summarise
 from trefoilhitch_lab.serve import serve
+from trefoilhitch_lab.slopes import measure
 
 COST_CONNECTIONS = 20
 REPORT_WIDTH = 160
@@ -114,6 +115,21 @@
         raise cappa.Exit(code=ExitCode.REFUSED if broken else ExitCode.DONE)
 
 
+@cappa.command(name='slopes')
+@dataclass(frozen=True)
+class Slopes:
+    """Measure what control costs an idle node, by nodes and services."""
+
+    nodes: Annotated[int, cappa.Arg(long='--nodes')] = 8
+    services: Annotated[int, cappa.Arg(long='--services')] = 3
+    seed: SeedArg = 1
+
+    def __call__(self) -> None:
+        """Print one point as JSON."""
+        point = measure(self.nodes, self.services, self.seed)
+        print(json.encode(point).decode())
+
+
 @cappa.command(name='cost')
 @dataclass(frozen=True)
 class Cost:
@@ -154,7 +170,7 @@
 class Lab:
     """Try trefoilhitch out without a platform."""
 
-    command: cappa.Subcommands[Demo | Serve | Bench | Report | Cost]
+    command: cappa.Subcommands[Demo | Serve | Bench | Report | Slopes | Cost]
 
 
 def main() -> None:
--- a/trefoilhitch_lab/network.py
+++ b/trefoilhitch_lab/network.py
@@ -1,5 +1,6 @@
 """A network between places: latency, cuts and loss."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -50,6 +51,7 @@
         places: place of each process by name.
         random: decides about jitter and loss.
         loss: share of messages that are lost.
+        messages: how many messages each process sent to each other one.
 
     """
 
@@ -57,6 +59,7 @@
     places: Mapping[str, Place] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(0))
     loss: float = 0
+    messages: Counter[tuple[str, str]] = field(default_factory=Counter)
     _cut: set[frozenset[str]] = field(default_factory=set)
 
     def cut(self, left: Iterable[str], right: Iterable[str]) -> None:
@@ -104,6 +107,7 @@
             DeadlineError: the message was dropped; the sender waited in vain.
 
         """
+        self.messages[source, target] += 1
         if self.is_cut(source, target) or self.random.random() < self.loss:
             await sleep_until(deadline)
             raise DeadlineError(f'{target} did not answer {source}')
--- /dev/null
+++ b/trefoilhitch_lab/slopes.py
@@ -0,0 +1,123 @@
+"""What control costs a node, by the number of nodes and of services."""
+
+import time
+from collections.abc import Sequence
+
+from msgspec import Struct
+from msgspec.json import encode
+from trio import current_time, run, sleep
+from trio.testing import MockClock
+
+from trefoilhitch_lab.deployment import Deployment
+from trefoilhitch_lab.network import Latency
+from trefoilhitch_lab.stack import Stack, running_stack
+
+SETTLE_S = 5.0
+SPAN_S = 20.0
+SLOTS = 3
+DATA_CENTRES = 3
+_MS_PER_S = 1000
+
+
+class SlopePoint(Struct, frozen=True, kw_only=True):
+    """What an idle fleet used.
+
+    Args:
+        nodes: number of nodes.
+        services: number of services, with three endpoints each.
+        heartbeat_bytes: size of one heartbeat message.
+        peer_messages_per_node_s: messages of a node to other nodes a second.
+        probe_messages_per_node_s: messages of a node to endpoints a second.
+        peer_bytes_per_node_s: bytes of heartbeat requests that a node sends a
+            second; answers hold only what is news.
+        store_calls_s: calls of all nodes to the object API a second.
+        cpu_ms_per_node_s: processor time of the process, stand-ins included,
+            for each node and second.
+
+    """
+
+    nodes: int
+    services: int
+    heartbeat_bytes: int
+    peer_messages_per_node_s: float
+    probe_messages_per_node_s: float
+    peer_bytes_per_node_s: float
+    store_calls_s: float
+    cpu_ms_per_node_s: float
+
+
+def measure(nodes: int, services: int, seed: int) -> SlopePoint:
+    """Measure an idle fleet on the virtual clock.
+
+    Args:
+        nodes: number of nodes.
+        services: number of services.
+        seed: all random choices follow from it.
+
+    Returns:
+        What it used.
+
+    """
+    return run(
+        _measure,
+        _deployment(nodes, services),
+        seed,
+        clock=MockClock(autojump_threshold=0),
+    )
+
+
+def _deployment(nodes: int, services: int) -> Deployment:
+    places = {f'dc-{each}': f'region-{each}' for each in range(DATA_CENTRES)}
+    return Deployment(
+        name=f'{nodes}x{services}',
+        places=places,
+        nodes={
+            f'n{each}': f'dc-{each % DATA_CENTRES}' for each in range(nodes)
+        },
+        services=tuple(f'service-{each}' for each in range(services)),
+        slots=SLOTS,
+        connections=0,
+        connect_s=0,
+        latency=Latency(),
+    )
+
+
+async def _measure(deployment: Deployment, seed: int) -> SlopePoint:
+    async with running_stack(deployment, seed=seed) as stack:
+        await sleep(SETTLE_S)
+        stack.network.messages.clear()
+        stack.store.calls.clear()
+        cpu_before = time.process_time()
+        began = current_time()
+        await sleep(SPAN_S)
+        cpu_s = time.process_time() - cpu_before
+        return _point(stack, current_time() - began, cpu_s)
+
+
+def _point(stack: Stack, span_s: float, cpu_s: float) -> SlopePoint:
+    count = len(stack.nodes)
+    node_seconds = count * span_s
+    first = next(iter(stack.nodes.values()))
+    heartbeat_bytes = len(encode(first.ctx.fleet.heartbeat()))
+    peer = _messages(stack, list(stack.nodes)) / node_seconds
+    return SlopePoint(
+        nodes=count,
+        services=len(stack.deployment.services),
+        heartbeat_bytes=heartbeat_bytes,
+        peer_messages_per_node_s=round(peer, 2),
+        probe_messages_per_node_s=round(
+            _messages(stack, list(stack.endpoints)) / node_seconds,
+            2,
+        ),
+        peer_bytes_per_node_s=round(peer / 2 * heartbeat_bytes, 1),
+        store_calls_s=round(sum(stack.store.calls.values()) / span_s, 3),
+        cpu_ms_per_node_s=round(cpu_s * _MS_PER_S / node_seconds, 3),
+    )
+
+
+def _messages(stack: Stack, targets: Sequence[str]) -> int:
+    return sum(
+        count
+        for (source, target), count in stack.network.messages.items()
+        if source in stack.nodes and target in targets
+    )
