A promotion attempt never shares its claimant: two primaries of one term

Cause: the longer model search (2000 examples) found a term promoted twice by one claimant: it decides, the answer of the promotion is lost, what it read is old, it claims the same term again, and endpoints that the first attempt fenced accept the second. Ruled out as a fault of the model: the same steps on the stack gave two primaries in one term (test_a_term_is_never_promoted_twice). Change: each attempt fences with a claimant of its own and decides once.

--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -37,6 +37,7 @@
     refuses_older_terms: bool = True
     records_outcomes: bool = True
     settles_first: bool = True
+    decides_once: bool = True
 
 
 @dataclass
@@ -69,9 +70,11 @@
 
 @dataclass
 class Claim:
-    """A promotion in progress, at any pace."""
+    """A promotion in progress, at any pace; it is decided once."""
 
     term: int = 0
+    attempt: int = 0
+    primary: int | None = None
     votes: dict[int, Vote] = field(default_factory=dict)
 
 
@@ -86,6 +89,7 @@
         self.endpoints = [Endpoint() for _ in range(MEMBERS)]
         self.claims = [Claim(), Claim()]
         self.sent: list[Replication] = []
+        self.attempts = 0
         self.promoted: dict[int, int] = {}
         self.acked: dict[int, LogPosition] = {}
         self.unknown: set[int] = set()
@@ -107,7 +111,8 @@
             )
             for number, each in enumerate(self.endpoints)
         ]
-        self.claims[claimant] = Claim(next_term(sightings))
+        self.attempts += 1
+        self.claims[claimant] = Claim(next_term(sightings), self.attempts)
 
     @rule(claimant=CLAIMANTS, member=ENDPOINTS)
     def fence(self, claimant: int, member: int) -> None:
@@ -116,12 +121,12 @@
         endpoint = self.endpoints[member]
         same = claimed.term == endpoint.term and endpoint.role == 'fenced'
         if self.contract.one_claimant:
-            same = same and endpoint.claimant == claimant
+            same = same and endpoint.claimant == claimed.attempt
         later = claimed.term > endpoint.term
         accepted = bool(claimed.term) and (later or same)
         if accepted:
             endpoint.term = claimed.term
-            endpoint.claimant = claimant
+            endpoint.claimant = claimed.attempt
             endpoint.role = 'fenced'
         end = endpoint.end()
         claimed.votes[member] = Vote(
@@ -136,18 +141,15 @@
     def promote(self, claimant: int) -> None:
         """Finish a promotion, perhaps long after the fence."""
         claimed = self.claims[claimant]
-        choice = self.contract.choose(
-            list(claimed.votes.values()),
-            term=claimed.term,
-            members=MEMBERS,
-        )
-        if not choice.primary:
+        number = self._chosen(claimed)
+        if number is None:
             return
-        number = int(choice.primary)
         endpoint = self.endpoints[number]
-        mine = endpoint.term == claimed.term and endpoint.claimant == claimant
+        mine = endpoint.claimant == claimed.attempt
         if not mine or endpoint.role != 'fenced':
             return
+        if endpoint.term != claimed.term:
+            return
         assert self.promoted.setdefault(claimed.term, number) == number
         endpoint.role = 'primary'
         endpoint.held = {}
@@ -173,7 +175,7 @@
 
     @rule(number=ENDPOINTS, request=REQUESTS)
     def settle(self, number: int, request: int) -> None:
-        """Look an outcome up in a confirmed term; send again if it is absent."""
+        """Look an outcome up in a confirmed term; if absent, send again."""
         endpoint = self.endpoints[number]
         if request not in self.unknown or not self._is_current(number):
             return
@@ -299,6 +301,18 @@
             endpoint.log += ((endpoint.term, request),)
         self.unknown.add(request)
 
+    def _chosen(self, claimed: Claim) -> int | None:
+        """Return whom a claim promotes, as decided when it first could be."""
+        if claimed.primary is not None and self.contract.decides_once:
+            return claimed.primary
+        choice = self.contract.choose(
+            list(claimed.votes.values()),
+            term=claimed.term,
+            members=MEMBERS,
+        )
+        claimed.primary = int(choice.primary) if choice.primary else None
+        return claimed.primary
+
     def _acked(self, request: int, term: int, index: int) -> None:
         position = LogPosition(term=term, position=index)
         self.unknown.discard(request)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -18,8 +18,10 @@
     PromoteRequest,
 )
 from trefoilhitch._generated.peer import SwitchOrder
+from trefoilhitch._generated.record import Sighting
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.errors import RefusalError
+from trefoilhitch.promoter import Promoter
 from trefoilhitch_lab.caller import Caller
 from trefoilhitch_lab.deployment import SMALL
 from trefoilhitch_lab.endpoint_server import (
@@ -138,6 +140,44 @@
         assert runs(stack, 'between') == 1
 
 
+@virtual
+async def test_a_term_is_never_promoted_twice() -> None:
+    """Trap 2: the answer to a promotion is lost, and what was read is old."""
+    async with running_stack(SMALL) as stack:
+        await create_table(stack)
+        ctx = stack.nodes['n1'].ctx
+        declared = ctx.config.current.groups[SERVICE]
+        promoter = Promoter(
+            fleet=ctx.fleet,
+            platform=ctx.platform.endpoints,
+            store=ctx.platform.store,
+            log=ctx.log,
+        )
+        stack.network.cut(stack.endpoints, stack.endpoints)
+        before = [_sighting(server) for server in stack.group(SERVICE)]
+        assert await promoter.promote(SERVICE, declared, before)
+        first = _primary(stack)
+        assert not await promoter.promote(SERVICE, declared, before)
+        promoted = [
+            server.name
+            for server in stack.group(SERVICE)
+            if server.role == 'primary' and server.term == first.term
+        ]
+        assert promoted == [first.name]
+
+
+def _sighting(server: EndpointServer) -> Sighting:
+    return Sighting(
+        name=server.name,
+        role=server.role,
+        term=server.term,
+        last_term=server.database.end.term,
+        last_position=server.database.end.position,
+        reachable=True,
+        silent_ms=0,
+    )
+
+
 @virtual
 async def test_a_fence_that_nobody_finishes_is_resolved() -> None:
     async with running_stack(SMALL) as stack:
--- a/tests/test_promotion_model.py
+++ b/tests/test_promotion_model.py
@@ -55,6 +55,7 @@
     'acknowledges without a majority': replace(GOOD, confirmed=_anyone_holds),
     'compares positions without terms': replace(GOOD, covers=_positions_only),
     'takes a term for two claimants': replace(GOOD, one_claimant=False),
+    'decides a term twice': replace(GOOD, decides_once=False),
     'follows an older primary': replace(GOOD, refuses_older_terms=False),
     'repeats without a record': replace(
         GOOD,
--- a/trefoilhitch/promoter.py
+++ b/trefoilhitch/promoter.py
@@ -63,6 +63,16 @@
         return wanted and len(taken - {self.avoided}) >= self.needed
 
 
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """One claim of one term; another attempt never shares its claimant."""
+
+    service: str
+    term: int
+    claimant: str
+    endpoints: Sequence[Endpoint]
+
+
 class Promoter:
     """Promotes endpoints as a claimant.
 
@@ -89,6 +99,7 @@
         """Keep the collaborators."""
         identity = fleet.identity
         self._claimant = f'{identity.node}.{identity.incarnation}'
+        self._attempts = 0
         self._fleet = fleet
         self._platform = platform
         self._store = store
@@ -114,13 +125,13 @@
             True if an endpoint was promoted.
 
         """
-        term = next_term(sightings)
+        attempt = self._attempt(service, endpoints, next_term(sightings))
         avoided = newest_primary(sightings)
         ballot = _Ballot(majority(len(endpoints)), preferred, avoided)
-        votes = await self._fence(endpoints, term, ballot)
+        votes = await self._fence(attempt, ballot)
         choice = choose_primary(
             votes,
-            term=term,
+            term=attempt.term,
             members=len(endpoints),
             preferred=preferred,
             avoided=avoided,
@@ -130,7 +141,7 @@
                 kind='promotion',
                 at=current_time(),
                 service=service,
-                term=term,
+                term=attempt.term,
                 members=len(endpoints),
                 votes=votes,
                 preferred=preferred,
@@ -142,7 +153,7 @@
         if choice.primary == NO_PRIMARY:
             return False
         chosen = next(each for each in endpoints if each.name == choice.primary)
-        return await self._install(service, term, chosen, endpoints)
+        return await self._install(attempt, chosen)
 
     async def publish_pending(self) -> None:
         """Publish promotions that the store has not taken yet."""
@@ -150,17 +161,22 @@
             if await self._publish(record):
                 self._unpublished.pop(service, None)
 
-    async def _fence(
+    def _attempt(
         self,
+        service: str,
         endpoints: Sequence[Endpoint],
         term: int,
-        ballot: _Ballot,
-    ) -> list[Vote]:
+    ) -> _Attempt:
+        self._attempts += 1
+        claimant = f'{self._claimant}.{self._attempts}'
+        return _Attempt(service, term, claimant, endpoints)
+
+    async def _fence(self, attempt: _Attempt, ballot: _Ballot) -> list[Vote]:
         """Collect votes until a majority took the term."""
-        ballot.outstanding = len(endpoints)
+        ballot.outstanding = len(attempt.endpoints)
         async with open_nursery() as nursery:
-            for endpoint in endpoints:
-                nursery.start_soon(self._fence_one, endpoint, term, ballot)
+            for endpoint in attempt.endpoints:
+                nursery.start_soon(self._fence_one, endpoint, attempt, ballot)
             await ballot.decided.wait()
             nursery.cancel_scope.cancel()
         return sorted(ballot.votes, key=lambda vote: vote.name)
@@ -168,10 +184,10 @@
     async def _fence_one(
         self,
         endpoint: Endpoint,
-        term: int,
+        attempt: _Attempt,
         ballot: _Ballot,
     ) -> None:
-        req = FenceRequest(term=term, claimant=self._claimant)
+        req = FenceRequest(term=attempt.term, claimant=attempt.claimant)
         control = self._platform.control(endpoint)
         vote = None
         with suppress(RefusalError):
@@ -187,38 +203,38 @@
             )
         ballot.answered(vote)
 
-    async def _install(
-        self,
-        service: str,
-        term: int,
-        chosen: Endpoint,
-        endpoints: Sequence[Endpoint],
-    ) -> bool:
+    async def _install(self, attempt: _Attempt, chosen: Endpoint) -> bool:
         members = [
             GroupMember(name=each.name, control=each.control)
-            for each in endpoints
+            for each in attempt.endpoints
         ]
         req = PromoteRequest(
-            term=term, claimant=self._claimant, members=members
+            term=attempt.term,
+            claimant=attempt.claimant,
+            members=members,
         )
         try:
-            status = await self._promote_one(chosen, req)
+            await self._promote_one(chosen, req)
         except RefusalError as exc:
             self._log.event(
                 'promotion_failed',
-                service=service,
-                term=term,
+                service=attempt.service,
+                term=attempt.term,
                 endpoint=chosen.name,
                 code=exc.code,
             )
             return False
-        change = GroupChange(service=service, term=term, primary=chosen.name)
+        change = GroupChange(
+            service=attempt.service,
+            term=attempt.term,
+            primary=chosen.name,
+        )
         self._fleet.announce([change])
-        self._unpublished[service] = GroupRecord(
-            service=service,
-            term=term,
-            primary=status.endpoint,
-            claimant=self._claimant,
+        self._unpublished[attempt.service] = GroupRecord(
+            service=attempt.service,
+            term=attempt.term,
+            primary=chosen.name,
+            claimant=attempt.claimant,
         )
         return True
 
