Model check: rules that reach the rare states

Change: compound rules (a write through to its acknowledgement, a race of two claimants, a whole election), more requests, 1500 examples at most.

--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -20,7 +20,8 @@
 MEMBERS = 3
 ENDPOINTS = st.integers(0, MEMBERS - 1)
 CLAIMANTS = st.integers(0, 1)
-REQUESTS = st.integers(0, 3)
+REQUESTS = st.integers(0, 7)
+RACE = tuple((claimant, each) for claimant in (0, 1) for each in range(MEMBERS))
 ANY = st.integers(0, 10_000)
 Entry: TypeAlias = tuple[int, int | None]
 Log: TypeAlias = tuple[Entry, ...]
@@ -214,6 +215,22 @@
         if len(self.sent) > before:
             self.deliver(before)
 
+    @rule(number=ENDPOINTS, member=ENDPOINTS, request=REQUESTS)
+    def write(self, number: int, member: int, request: int) -> None:
+        """Run a write through to its acknowledgement."""
+        self.send(number, request)
+        self.synchronise(number, member)
+        self.acknowledge(number)
+
+    @rule(order=st.permutations(RACE))
+    def race(self, order: list[tuple[int, int]]) -> None:
+        """Have both claimants claim one term, in any order of fences."""
+        self.claim(0)
+        self.claim(1)
+        for claimant, member in order:
+            self.fence(claimant, member)
+            self.promote(claimant)
+
     @rule(which=ANY)
     def deliver(self, which: int) -> None:
         """Deliver a message, late, out of order or twice."""
--- a/tests/test_promotion_model.py
+++ b/tests/test_promotion_model.py
@@ -14,7 +14,7 @@
 from trefoilhitch.promotion import Choice, choose_primary
 
 STEPS = 60
-MUTATION_EXAMPLES = 4000
+MUTATION_EXAMPLES = 1500
 
 
 def _least_advanced(votes: list[Vote], **known: Any) -> Choice:
