--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -156,6 +156,14 @@
     service: str
 
 
+class DrainOrder(Message, frozen=True, kw_only=True):
+    """
+    An operator's order to a node to shut down gracefully.
+    """
+
+    node: str
+
+
 class SwitchOrder(Message, frozen=True, kw_only=True):
     """
     An operator's order for a planned switch-over.
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -14,12 +14,17 @@
 from msgspec.json import format as format_json
 from trio import run
 
-from trefoilhitch._generated.peer import NodeStatus, SwitchOrder
+from trefoilhitch._generated.peer import DrainOrder, NodeStatus, SwitchOrder
 from trefoilhitch._generated.store import Bundle
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.daemon import load_settings
 from trefoilhitch.declaration import Change, differences, read_declaration
-from trefoilhitch.errors import RefusalError, StoreError, TrefoilhitchError
+from trefoilhitch.errors import (
+    NotFoundError,
+    RefusalError,
+    StoreError,
+    TrefoilhitchError,
+)
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.failing import failing
 from trefoilhitch.ini import IniFile
@@ -201,6 +206,23 @@
         print(f'{self.service}: switch-over to {self.primary} ordered')
 
 
+@cappa.command(name='drain')
+@dataclass(frozen=True)
+class Drain:
+    """Have a node shut down gracefully, as SIGTERM does."""
+
+    node: Annotated[str, cappa.Arg(help='name of the node')]
+    settings: Annotated[
+        Path,
+        cappa.Arg(long='--settings', help='settings of any node of the fleet'),
+    ]
+
+    def __call__(self) -> None:
+        """Order the shutdown."""
+        _ask(partial(_drain, self.settings, self.node))
+        print(f'{self.node} is draining')
+
+
 @cappa.command(name='new')
 @dataclass(frozen=True)
 class KeyNew:
@@ -299,6 +321,7 @@
         | Show
         | Status
         | Switch
+        | Drain
         | KeyCommand
         | TraceCommand
     ]
@@ -356,6 +379,17 @@
     return await client.status(deadline_after_ms(CALL_TIMEOUT_MS))
 
 
+async def _drain(settings: Path, node: str) -> DrainOrder:
+    status = await _status(_peer(settings, None))
+    known = {beat.node: beat.address for beat in status.members}
+    if node not in known:
+        raise NotFoundError(f'no node {node} is known')
+    deadline = deadline_after_ms(CALL_TIMEOUT_MS)
+    client = _peer(settings, known[node])
+    order = DrainOrder(node=node)
+    return await client.ask('/peer/v1/drain', order, DrainOrder, deadline)
+
+
 async def _switch(client: PeerClient, order: SwitchOrder) -> SwitchOrder:
     deadline = deadline_after_ms(CALL_TIMEOUT_MS)
     return await client.ask('/peer/v1/switch', order, SwitchOrder, deadline)
--- a/trefoilhitch/node.py
+++ b/trefoilhitch/node.py
@@ -62,6 +62,7 @@
                 self._ctx,
                 nursery=nursery,
                 status=self.status,
+                stop=self.stop,
                 is_ready=self.is_ready,
             )
             self._server = parts.public
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -142,6 +142,7 @@
         *,
         nursery: Nursery,
         status: Callable[[], NodeStatus],
+        stop: Callable[[], None],
         is_ready: Callable[[], bool],
     ) -> Self:
         """Build the parts of a node.
@@ -150,6 +151,7 @@
             ctx: what they share.
             nursery: runs their background work.
             status: returns what the node says of itself.
+            stop: begins a graceful shutdown.
             is_ready: tells whether the node can serve callers.
 
         Returns:
@@ -169,6 +171,7 @@
             monitors=monitors,
             metrics=ctx.metrics,
             status=status,
+            stop=stop,
         )
         return cls(
             owner=owner,
--- a/trefoilhitch/peer_server.py
+++ b/trefoilhitch/peer_server.py
@@ -10,6 +10,7 @@
 from trefoilhitch._generated.peer import (
     ConfigOffer,
     ConfigQuery,
+    DrainOrder,
     ForwardBegin,
     ForwardEnd,
     ForwardLookup,
@@ -43,6 +44,7 @@
         monitors: answer for the groups that this node watches.
         metrics: rendered for the collector.
         status: returns what the node says of itself.
+        stop: begins a graceful shutdown.
 
     """
 
@@ -56,6 +58,7 @@
         monitors: Monitors,
         metrics: Metrics,
         status: Callable[[], NodeStatus],
+        stop: Callable[[], None],
     ) -> None:
         """Keep the collaborators."""
         self._auth = auth
@@ -64,6 +67,7 @@
         self._monitors = monitors
         self._metrics = metrics
         self._status = status
+        self._stop = stop
         self._routes: dict[str, Callable[[bytes], Awaitable[Struct]]] = {
             '/peer/v1/statement': _Route(ForwardStatement, owner.statement),
             '/peer/v1/begin': _Route(ForwardBegin, owner.begin),
@@ -73,6 +77,7 @@
             '/peer/v1/group': _Route(GroupQuery, self._group),
             '/peer/v1/config': _Route(ConfigQuery, self._offer),
             '/peer/v1/switch': _Route(SwitchOrder, self._switch),
+            '/peer/v1/drain': _Route(DrainOrder, self._drain),
         }
 
     async def answer(self, req: HttpRequest) -> HttpResponse:
@@ -113,6 +118,12 @@
             body=current.body if newer else '',
         )
 
+    async def _drain(self, order: DrainOrder) -> Struct:
+        if order.node != self._fleet.identity.node:
+            raise BadRequestError('this is another node')
+        self._stop()
+        return order
+
     async def _switch(self, order: SwitchOrder) -> Struct:
         self._monitors.order_switch(order.service, order.primary)
         return order
