A leaving primary hands over by itself

Cause: an endpoint that was leaving while it was primary refused new connections and kept its role; only replicas were avoided. Change: the first monitor claims the next term when the primary is leaving and a replica stays (reason primary_leaving). Measured: 60 writes over 6 virtual seconds around the hand-over: none refused, each run once (test_a_leaving_primary_hands_over_without_a_refusal).

--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -1,6 +1,7 @@
 """Suspicion, the choice of a primary, and retries."""
 
 import pytest
+from msgspec.structs import replace
 
 from trefoilhitch._generated.messages import Refusal
 from trefoilhitch._generated.record import Sighting, Vote
@@ -76,6 +77,17 @@
     assert (decided.claim, decided.reason) == expected
 
 
+def test_a_leaving_primary_is_replaced_if_a_replica_stays() -> None:
+    leaving = replace(PRIMARY, leaving=True)
+    decided = suspect([leaving, *HEARING], unseen_since=None, rank=0, now=1)
+    assert (decided.claim, decided.reason) == (True, 'primary_leaving')
+    gone = [replace(each, leaving=True) for each in HEARING]
+    assert not suspect([leaving, *gone], unseen_since=None, rank=0, now=1).claim
+    assert not suspect(
+        [leaving, *HEARING], unseen_since=None, rank=1, now=1
+    ).claim
+
+
 def test_a_later_rank_waits_longer() -> None:
     lost = [_gone('p'), *QUIET]
     assert not suspect(lost, unseen_since=0, rank=1, now=1.6).claim
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -200,6 +200,22 @@
             assert reply.endpoint != leaving.name
 
 
+@virtual
+async def test_a_leaving_primary_hands_over_without_a_refusal() -> None:
+    async with running_stack(SMALL) as stack:
+        await create_table(stack)
+        leaving = stack.primary_of(SERVICE)
+        assert leaving is not None
+        async with open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(_write_later, stack, number)
+            await sleep(1)
+            leaving.faults.leaving = True
+        assert leaving.role == 'replica'
+        assert stack.primary_of(SERVICE) is not leaving
+        assert all(runs(stack, f'o{number}') == 1 for number in range(60))
+
+
 @virtual
 async def test_a_withdrawn_key_stops_everywhere() -> None:
     """Trap 5: a keep-alive connection and an open transaction."""
--- a/trefoilhitch/_generated/record.py
+++ b/trefoilhitch/_generated/record.py
@@ -101,6 +101,7 @@
             description='How long it has not heard the primary; 0 at the primary.'
         ),
     ]
+    leaving: bool = False
 
 
 class SuspicionRecord(Message, frozen=True, kw_only=True):
@@ -124,6 +125,7 @@
         'no_majority',
         'replicas_hear_primary',
         'fence_unresolved',
+        'primary_leaving',
         'primary_lost',
     ]
 
--- a/trefoilhitch/monitor.py
+++ b/trefoilhitch/monitor.py
@@ -365,4 +365,5 @@
         last_position=status.last_position,
         reachable=True,
         silent_ms=status.primary_silent_ms,
+        leaving=status.leaving,
     )
--- a/trefoilhitch/promotion.py
+++ b/trefoilhitch/promotion.py
@@ -26,6 +26,7 @@
     'no_majority',
     'replicas_hear_primary',
     'fence_unresolved',
+    'primary_leaving',
     'primary_lost',
 ]
 ChoiceReason: TypeAlias = Literal[
@@ -81,7 +82,8 @@
     one: it cannot confirm anything then, even if this monitor still reaches it.
     A lossy link between monitor and primary alone leads to no promotion. A term
     that a claimant fenced and never finished is claimed anew, so that no
-    endpoint stays fenced.
+    endpoint stays fenced. A primary that is leaving is replaced by the first
+    monitor as soon as a replica can take over.
 
     Args:
         sightings: each endpoint of the group, as last read.
@@ -96,8 +98,9 @@
     silent = sum(each.silent_ms >= _patience_ms(rank) for each in sightings)
     if silent >= majority(len(sightings)):
         return Suspicion(claim=True, reason='primary_lost', unseen_since=None)
-    if _serving_primary(sightings) is not None:
-        return Suspicion(claim=False, reason='primary_seen', unseen_since=None)
+    serving = _serving_primary(sightings)
+    if serving is not None:
+        return _suspect_leaving(serving, sightings, rank)
     since = now if unseen_since is None else unseen_since
     due = (now - since) * _MS_PER_S >= _patience_ms(rank)
     reason = _reason(sightings, due=due)
@@ -222,6 +225,23 @@
     return None
 
 
+def _suspect_leaving(
+    serving: Sighting,
+    sightings: Sequence[Sighting],
+    rank: int,
+) -> Suspicion:
+    staying = [
+        each
+        for each in sightings
+        if each.reachable and each.role == 'replica' and not each.leaving
+    ]
+    if serving.leaving and staying and not rank:
+        return Suspicion(
+            claim=True, reason='primary_leaving', unseen_since=None
+        )
+    return Suspicion(claim=False, reason='primary_seen', unseen_since=None)
+
+
 def _reason(sightings: Sequence[Sighting], *, due: bool) -> SuspicionReason:
     reachable = [each for each in sightings if each.reachable]
     if len(reachable) < majority(len(sightings)):
