--- a/trefoilhitch/confirmer.py
+++ b/trefoilhitch/confirmer.py
@@ -5,12 +5,12 @@
 
 from trio import CancelScope, Event, Nursery, current_time, sleep
 
-from trefoilhitch._generated.endpoint import ConfirmReply, ConfirmRequest
+from trefoilhitch._generated.endpoint import ConfirmRequest
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.endpoint_client import EndpointControl
 from trefoilhitch.errors import RefusalError, StaleTermError, UnconfirmedError
-from trefoilhitch.position import majority_position
+from trefoilhitch.position import confirmed_position
 from trefoilhitch.retry import backoff
 
 ROUND_WAIT_MS = 1000
@@ -124,24 +124,6 @@
         )
 
 
-def confirmed_position(reply: ConfirmReply) -> LogPosition | None:
-    """Return what a majority holds, from the answer to a round.
-
-    Args:
-        reply: the primary's answer.
-
-    Returns:
-        The latest position that a majority holds, or None if fewer than a
-        majority confirmed the term.
-
-    """
-    held = [holding.position for holding in reply.holdings]
-    position = majority_position(reply.members, held)
-    if position is None:
-        return None
-    return LogPosition(term=reply.term, position=position)
-
-
 def _is_covered(needed: LogPosition, confirmed: LogPosition | None) -> bool:
     if confirmed is None or confirmed.term != needed.term:
         return False
--- a/trefoilhitch/group_directory.py
+++ b/trefoilhitch/group_directory.py
@@ -7,7 +7,7 @@
 from trefoilhitch.errors import NoPrimaryError, RefusalError
 from trefoilhitch.fleet import Fleet
 from trefoilhitch.group_state import GroupState
-from trefoilhitch.monitor import Monitors
+from trefoilhitch.monitors import Monitors
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.term_guard import TermGuard
 
--- /dev/null
+++ b/trefoilhitch/monitors.py
@@ -0,0 +1,132 @@
+"""Runs the monitors of the groups that are a node's to watch."""
+
+from random import Random
+
+from trio import Nursery, current_time, sleep_until
+
+from trefoilhitch._generated.peer import GroupQuery, GroupView
+from trefoilhitch.config import ConfigHolder
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.endpoint_client import EndpointPlatform
+from trefoilhitch.errors import NoPrimaryError
+from trefoilhitch.fleet import Fleet
+from trefoilhitch.monitor import GroupMonitor
+from trefoilhitch.promoter import Promoter
+
+PROBE_INTERVAL_S = 0.25
+
+
+class Monitors:
+    """Runs the monitors of the groups that are this node's to watch.
+
+    Args:
+        fleet: says which groups those are.
+        config: declares the groups.
+        platform: reaches the endpoints.
+        promoter: carries promotions out.
+        log: takes note of decisions.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        config: ConfigHolder,
+        platform: EndpointPlatform,
+        promoter: Promoter,
+        log: DecisionLog,
+    ) -> None:
+        """Start without monitors."""
+        self._fleet = fleet
+        self._config = config
+        self._platform = platform
+        self._promoter = promoter
+        self._log = log
+        self._monitors: dict[str, GroupMonitor] = {}
+        self._busy: set[str] = set()
+
+    def view(self, query: GroupQuery) -> GroupView:
+        """Return the view of a group that this node watches.
+
+        Args:
+            query: names the service.
+
+        Returns:
+            The view.
+
+        Raises:
+            NoPrimaryError: this node does not watch it, or not yet.
+
+        """
+        watched = self._monitors.get(query.service)
+        if watched is None:
+            raise NoPrimaryError('this node does not watch the group')
+        return watched.view()
+
+    def order_switch(self, service: str, primary: str) -> None:
+        """Have the next round promote an endpoint.
+
+        Args:
+            service: name of the service.
+            primary: endpoint that shall become primary.
+
+        Raises:
+            NoPrimaryError: this node does not watch the group.
+
+        """
+        watched = self._monitors.get(service)
+        if watched is None:
+            raise NoPrimaryError('this node does not watch the group')
+        watched.preferred = primary
+
+    async def run(self, nursery: Nursery, random: Random) -> None:
+        """Start a round of each monitor at each interval, for ever.
+
+        Args:
+            nursery: runs the rounds.
+            random: spreads the rounds of several nodes.
+
+        """
+        wake_at = current_time() + random.random() * PROBE_INTERVAL_S
+        while True:
+            await sleep_until(wake_at)
+            wake_at = max(wake_at, current_time()) + PROBE_INTERVAL_S
+            self._start_rounds(nursery)
+
+    def _start_rounds(self, nursery: Nursery) -> None:
+        ranks = self._ranks()
+        for service in self._monitors.keys() - ranks.keys():
+            self._monitors.pop(service)
+        for service, rank in ranks.items():
+            if service not in self._monitors:
+                self._monitors[service] = self._create(service)
+            if service not in self._busy:
+                nursery.start_soon(self._round, service, rank)
+
+    async def _round(self, service: str, rank: int) -> None:
+        self._busy.add(service)
+        try:
+            await self._monitors[service].round(
+                self._config.current.groups[service],
+                rank,
+            )
+        finally:
+            self._busy.discard(service)
+
+    def _ranks(self) -> dict[str, int]:
+        name = self._fleet.identity.node
+        ranks = {}
+        for service in self._config.current.groups:
+            chosen = self._fleet.monitors_of(service)
+            if name in chosen:
+                ranks[service] = chosen.index(name)
+        return ranks
+
+    def _create(self, service: str) -> GroupMonitor:
+        return GroupMonitor(
+            service=service,
+            platform=self._platform,
+            promoter=self._promoter,
+            log=self._log,
+        )
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -21,7 +21,7 @@
 from trefoilhitch.http_message import Answerer, HttpLimits
 from trefoilhitch.http_server import HttpServer, SharedAnswerer
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.monitor import Monitors
+from trefoilhitch.monitors import Monitors
 from trefoilhitch.outcomes import Outcomes
 from trefoilhitch.owner import Owner
 from trefoilhitch.owners import Owners
--- a/trefoilhitch/peer_server.py
+++ b/trefoilhitch/peer_server.py
@@ -25,7 +25,7 @@
 from trefoilhitch.fleet import Fleet
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.monitor import Monitors
+from trefoilhitch.monitors import Monitors
 from trefoilhitch.owners import OwnerService
 from trefoilhitch.peer_auth import PeerAuth
 
--- a/trefoilhitch/position.py
+++ b/trefoilhitch/position.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from trefoilhitch._generated.endpoint import ConfirmReply
 from trefoilhitch._generated.messages import LogPosition
 
 ORIGIN = LogPosition()
@@ -85,5 +86,23 @@
     return ranked[needed - 1]
 
 
+def confirmed_position(reply: ConfirmReply) -> LogPosition | None:
+    """Return what a majority holds, from the answer to a round.
+
+    Args:
+        reply: the primary's answer.
+
+    Returns:
+        The latest position that a majority holds, or None if fewer than a
+        majority confirmed the term.
+
+    """
+    held = [holding.position for holding in reply.holdings]
+    position = majority_position(reply.members, held)
+    if position is None:
+        return None
+    return LogPosition(term=reply.term, position=position)
+
+
 def _order(position: LogPosition) -> tuple[int, int]:
     return position.term, position.position
--- /dev/null
+++ b/trefoilhitch/request_reader.py
@@ -0,0 +1,137 @@
+"""Collects whole HTTP requests from bytes, within limits; httptools parses."""
+
+from collections import deque
+
+from httptools import HttpParserError, HttpRequestParser
+
+from trefoilhitch.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    HeadersTooLargeError,
+    RefusalError,
+)
+from trefoilhitch.http_message import HttpLimits, HttpRequest
+
+
+class RequestReader:
+    """Collects whole requests from the bytes of one connection.
+
+    Args:
+        limits: bounds on what is read.
+
+    """
+
+    def __init__(self, limits: HttpLimits) -> None:
+        """Start at the beginning of a connection."""
+        self.partial = False
+        self._limits = limits
+        self._parser = HttpRequestParser(self)
+        self._whole: deque[HttpRequest | RefusalError] = deque()
+        self._reset()
+
+    def feed(self, chunk: bytes) -> None:
+        """Take received bytes.
+
+        Args:
+            chunk: bytes in the order of their arrival.
+
+        Raises:
+            BadRequestError: they are not HTTP.
+            HeadersTooLargeError: the head of a request is over the limit.
+
+        """
+        try:
+            self._parser.feed_data(chunk)
+        except HttpParserError as exc:
+            raise BadRequestError('not an HTTP/1.1 request') from exc
+        if self.partial and not self._in_body:
+            self._count_head(len(chunk))
+
+    def next_request(self) -> HttpRequest | None:
+        """Return the next whole request.
+
+        Returns:
+            The request, or None if more bytes are needed.
+
+        Raises:
+            BodyTooLargeError: the request's body was over the limit.
+
+        """
+        if not self._whole:
+            return None
+        taken = self._whole.popleft()
+        if isinstance(taken, RefusalError):
+            raise taken
+        return taken
+
+    def on_message_begin(self) -> None:
+        """Note the first byte of a request."""
+        self._reset()
+        self.partial = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a part of the request target.
+
+        Args:
+            url: the part.
+
+        """
+        self._target += url
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Collect a header.
+
+        Args:
+            name: its name.
+            text: its text.
+
+        """
+        self._headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+
+    def on_headers_complete(self) -> None:
+        """Note the end of the head."""
+        self._in_body = True
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body; what exceeds the limit is dropped.
+
+        Args:
+            body: the part.
+
+        """
+        self._body_bytes += len(body)
+        if self._body_bytes <= self._limits.body_bytes:
+            self._body += body
+
+    def on_message_complete(self) -> None:
+        """Note the last byte of a request."""
+        self.partial = False
+        if self._body_bytes > self._limits.body_bytes:
+            refused = BodyTooLargeError(
+                f'at most {self._limits.body_bytes} bytes'
+            )
+            self._whole.append(refused)
+            return
+        self._whole.append(
+            HttpRequest(
+                self._parser.get_method().decode('latin-1'),
+                self._target.decode('latin-1'),
+                self._headers,
+                bytes(self._body),
+            ),
+        )
+
+    def _reset(self) -> None:
+        self._target = b''
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._in_body = False
+
+    def _count_head(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._limits.header_bytes:
+            raise HeadersTooLargeError(
+                f'at most {self._limits.header_bytes} bytes'
+            )
