A transaction that is being opened outlives a drain

A drain waited for open transactions, but not for one whose begin still waited for the endpoint's write lock; it opened after the check and was rolled back. Change: transactions that are being opened count.

--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -155,6 +155,43 @@
         assert all(runs(stack, f'o{number}') == 1 for number in range(60))
 
 
+@virtual
+async def test_a_transaction_that_is_being_opened_outlives_a_drain() -> None:
+    async with running_stack(SMALL) as stack:
+        await create_table(stack)
+        primary = stack.primary_of(SERVICE)
+        assert primary is not None
+        owner = await _owner_of_primary(stack)
+        entry = next(name for name in stack.nodes if name != owner)
+        async with open_nursery() as nursery:
+            async with primary.lock:
+                nursery.start_soon(_whole_transaction, stack, entry)
+                await sleep(0.1)
+                nursery.start_soon(stack.stop_node, owner)
+                await sleep(1.5)
+        assert runs(stack, 'slow') == 1
+
+
+async def _owner_of_primary(stack: Stack) -> str:
+    """Return the node that holds transactions of the primary."""
+    session = caller(stack)
+    opened = await session.begin(SERVICE, {})
+    step = f'{opened.transaction}/rollback'
+    await session.in_transaction(SERVICE, step, {})
+    return opened.transaction.partition('.')[0]
+
+
+async def _whole_transaction(stack: Stack, entry: str) -> None:
+    """Open a transaction while the write lock is held, and take one's time."""
+    session = caller(stack, entry)
+    opened = await session.begin(SERVICE, {})
+    await sleep(0.5)
+    fields = order('slow', idempotency_key='')
+    step = f'{opened.transaction}/statements'
+    await session.in_transaction(SERVICE, step, fields)
+    await session.in_transaction(SERVICE, f'{opened.transaction}/commit', {})
+
+
 async def _write_later(stack: Stack, number: int) -> None:
     await sleep(number * 0.1)
     await caller(stack).statement(SERVICE, order(f'o{number}'))
--- a/trefoilhitch/owner.py
+++ b/trefoilhitch/owner.py
@@ -46,11 +46,12 @@
         self._slots = slots
         self._transactions = transactions
         self._leaving = False
+        self._opening = 0
 
     @property
     def open_transactions(self) -> int:
-        """Return how many transactions are open."""
-        return len(self._transactions)
+        """Return how many transactions are open or being opened."""
+        return len(self._transactions) + self._opening
 
     async def statement(self, fwd: ForwardStatement) -> OwnerReply:
         """Run a statement, alone or in a transaction.
@@ -98,7 +99,11 @@
             raise ShuttingDownError('no new transactions')
         self._check(fwd.caller)
         pool = self._slots.pool(fwd.endpoint)
-        transaction = await self._transactions.begin(pool, fwd)
+        self._opening += 1
+        try:
+            transaction = await self._transactions.begin(pool, fwd)
+        finally:
+            self._opening -= 1
         return OwnerReply(transaction=transaction, term=fwd.term)
 
     async def end(self, fwd: ForwardEnd) -> OwnerReply:
