A step of a transaction waits for news of its owner's start

Change: only a later incarnation proves a transaction lost; an unknown or earlier one is waited for, at most 2 s, before anything is sent.

--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,5 +1,7 @@
 """Sessions that roam, transactions whose owner goes, drains, and keys."""
 
+from unittest.mock import patch
+
 import pytest
 from trio import open_nursery, sleep
 
@@ -79,6 +81,24 @@
         assert restarted.value.code == 'transaction_lost'
 
 
+@virtual
+async def test_a_step_waits_for_news_of_a_node_that_has_just_started() -> None:
+    async with running_stack(SMALL) as stack:
+        await create_table(stack)
+        entry, opened = await _open_elsewhere(stack)
+        held = int(opened.split('.')[1])
+        fleet = stack.nodes[entry].ctx.fleet
+        incarnations = [None, held - 1, held, held]
+        step = f'{opened}/statements'
+        with patch.object(fleet, 'incarnation_of', side_effect=incarnations):
+            reply = await caller(stack, entry).in_transaction(
+                SERVICE,
+                step,
+                count('in-t1'),
+            )
+        assert reply.rows == [[1]]
+
+
 @virtual
 async def test_a_commit_whose_answer_is_lost_is_found() -> None:
     """Trap 6: the owner is cut off from the entry at commit."""
--- a/trefoilhitch/errors.py
+++ b/trefoilhitch/errors.py
@@ -208,6 +208,14 @@
     default_run = 'no'
 
 
+class NotHeardError(RefusalError):
+    """The start of another node was not heard of yet."""
+
+    code = 'not_heard'
+    status = 503
+    default_run = 'no'
+
+
 class UnreachableError(RefusalError):
     """No connection could be made, so that nothing was sent."""
 
--- a/trefoilhitch/owners.py
+++ b/trefoilhitch/owners.py
@@ -17,6 +17,7 @@
     ConnectionLostError,
     NodeUnreachableError,
     NoPrimaryError,
+    NotHeardError,
     ShuttingDownError,
     TransactionLostError,
 )
@@ -103,15 +104,18 @@
             Its owner, here or on another node.
 
         Raises:
-            TransactionLostError: the owner has restarted or is not known.
+            TransactionLostError: the owner has restarted since.
+            NotHeardError: the owner's start was not heard of yet.
 
         """
         holder = TransactionId.from_text(transaction)
-        known = self._fleet.incarnation_of(holder.node)
-        if known != holder.incarnation:
+        known = self._fleet.incarnation_of(holder.node) or 0
+        if known > holder.incarnation:
             raise TransactionLostError(
                 f'{holder.node} has restarted; ask for the outcome',
             )
+        if known < holder.incarnation:
+            raise NotHeardError(f'{holder.node} was not heard since its start')
         return self._at(holder.node)
 
     def _at(self, node: str) -> OwnerService:
--- a/trefoilhitch/transaction_dispatcher.py
+++ b/trefoilhitch/transaction_dispatcher.py
@@ -1,5 +1,9 @@
 """Dispatch of transactions: opened at the primary, then kept at one owner."""
 
+from dataclasses import replace
+
+from trio import current_time
+
 from trefoilhitch._generated.messages import StatementRequest
 from trefoilhitch._generated.peer import (
     ForwardBegin,
@@ -9,10 +13,15 @@
 )
 from trefoilhitch.call import Call
 from trefoilhitch.clock import remaining_ms
-from trefoilhitch.errors import RefusalError, TransactionLostError
+from trefoilhitch.errors import (
+    NotHeardError,
+    RefusalError,
+    TransactionLostError,
+)
 from trefoilhitch.outcomes import Outcomes
-from trefoilhitch.owners import Owners
+from trefoilhitch.owners import Owners, OwnerService
 
+NEWS_TIMEOUT_S = 2.0
 _PROVES_NOTHING_RAN = frozenset(('bad_request', 'unauthorised'))
 
 
@@ -82,7 +91,8 @@
             timeout_ms=remaining_ms(call.deadline),
             transaction=transaction,
         )
-        return await self._owners.of_transaction(transaction).statement(fwd)
+        owner = await self._holder(call, transaction)
+        return await owner.statement(fwd)
 
     async def rollback(self, call: Call, transaction: str) -> OwnerReply:
         """Roll a transaction back.
@@ -125,6 +135,19 @@
             raise TransactionLostError(f'{failure.code}: {failure.detail}')
         return found
 
+    async def _holder(self, call: Call, transaction: str) -> OwnerService:
+        """Return the owner; wait for news of a node that has just started."""
+        deadline = min(call.deadline, current_time() + NEWS_TIMEOUT_S)
+        waiting = replace(call, deadline=deadline)
+        owner = None
+        while owner is None:
+            try:
+                owner = self._owners.of_transaction(transaction)
+            except NotHeardError:
+                if not await self._outcomes.pause(waiting, 1):
+                    raise
+        return owner
+
     async def _begin(self, call: Call) -> OwnerReply:
         state = await self._outcomes.primary_state(call)
         fwd = ForwardBegin(
@@ -150,4 +173,5 @@
             commit=commit,
             timeout_ms=call.attempt_ms(),
         )
-        return await self._owners.of_transaction(transaction).end(fwd)
+        owner = await self._holder(call, transaction)
+        return await owner.end(fwd)
