Remove what nothing calls

Measured: lint, types and the HTTP, interface, command-line, lab and session tests pass; the whole test command follows from a fresh clone.

--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from select import POLLIN, poll
-from types import TracebackType
 from typing import Self
 
 from httptools import HttpParserError, HttpResponseParser
@@ -225,19 +224,6 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def __aenter__(self) -> Self:
-        """Return the client itself."""
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Close the idle connections."""
-        self.close()
-
     def _take_idle(self) -> HttpConnection | None:
         while self._idle:
             conn = self._idle.pop()
--- a/trefoilhitch/http_server.py
+++ b/trefoilhitch/http_server.py
@@ -12,7 +12,6 @@
     current_time,
     open_nursery,
     open_tcp_listeners,
-    sleep_forever,
 )
 
 from trefoilhitch.byte_stream import ByteStream, ByteStreamError
@@ -252,22 +251,6 @@
             scope.deadline = current_time() + self._limits.request_read_s
 
 
-async def serve_until_cancelled(
-    server: HttpServer, address: str, port: int
-) -> None:
-    """Serve an address until the task is cancelled.
-
-    Args:
-        server: the server.
-        address: IPv4 address.
-        port: TCP port.
-
-    """
-    async with open_nursery() as nursery:
-        await server.listen(nursery, address, port)
-        await sleep_forever()
-
-
 def _wants_close(req: HttpRequest) -> bool:
     return req.headers.get('connection', '').lower() == 'close'
 
--- a/trefoilhitch/pool.py
+++ b/trefoilhitch/pool.py
@@ -47,11 +47,6 @@
         """Return how many slots carry work."""
         return self.endpoint.slots - self._free
 
-    @property
-    def waiting(self) -> int:
-        """Return how many requests wait for a slot."""
-        return len(self._queue)
-
     async def take(
         self, organisation: str, deadline: float
     ) -> EndpointConnection:
