One check of withdrawn keys for owners and open transactions

Change: Config.allows serves both; tests share primary_of and replica_of, their assertions as before. The rolled-back transaction itself was not reproduced.

--- a/tests/support.py
+++ b/tests/support.py
@@ -9,6 +9,7 @@
 from trio.testing import MockClock
 
 from trefoilhitch_lab.caller import Caller
+from trefoilhitch_lab.endpoint_server import EndpointServer
 from trefoilhitch_lab.stack import Stack
 
 SERVICE = 'orders'
@@ -60,8 +61,19 @@
     creator.close()
 
 
-def runs(stack: Stack, mark: str) -> int:
-    """Return how often the current primary's tables hold an order."""
+def primary_of(stack: Stack) -> EndpointServer:
+    """Return the current primary."""
     primary = stack.primary_of(SERVICE)
     assert primary is not None
-    return int(primary.database.read(COUNT, [mark]).rows[0][0])
+    return primary
+
+
+def replica_of(stack: Stack) -> EndpointServer:
+    """Return the first replica."""
+    group = stack.group(SERVICE)
+    return next(server for server in group if server.role == 'replica')
+
+
+def runs(stack: Stack, mark: str) -> int:
+    """Return how often the current primary's tables hold an order."""
+    return int(primary_of(stack).database.read(COUNT, [mark]).rows[0][0])
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -7,6 +7,7 @@
 from trio import open_nursery, sleep
 
 from tests.support import virtual
+from trefoilhitch._generated.peer import Caller
 from trefoilhitch._generated.store import Bundle, Service
 from trefoilhitch.config import Config, ConfigHolder
 from trefoilhitch.decision_log import SilentLog
@@ -127,6 +128,19 @@
     assert 'a' in holder.current.services
 
 
+@pytest.mark.parametrize(
+    ('key', 'revision', 'allowed'),
+    [('', 1, True), ('k1', 1, False), ('k1', 2, False), ('k1', 3, True)],
+)
+def test_a_key_of_a_later_revision_is_no_withdrawn_key(
+    key: str,
+    revision: int,
+    allowed: bool,
+) -> None:
+    caller = Caller(organisation='himal', key=key, revision=revision)
+    assert Config.from_body(2, '{}').allows(caller) is allowed
+
+
 async def _force(stack: Stack, *services: str) -> None:
     bundle = stack.bundle()
     changed = Bundle(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -9,6 +9,7 @@
     count,
     create_table,
     order,
+    primary_of,
     runs,
     virtual,
 )
@@ -33,12 +34,6 @@
 FAILOVER_BOUND_S = 11
 
 
-def _primary(stack: Stack) -> EndpointServer:
-    primary = stack.primary_of(SERVICE)
-    assert primary is not None
-    return primary
-
-
 def _isolate(stack: Stack, *names: str) -> None:
     everyone = {*stack.endpoints, *stack.nodes, 'store'}
     stack.network.cut(names, everyone - set(names))
@@ -61,7 +56,7 @@
     """Trap 1: callers still write to it through the node cut off with it."""
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        old = _primary(stack)
+        old = primary_of(stack)
         near = stack.node_beside(old.name)
         others = [name for name in stack.nodes if name != near]
         _isolate(stack, old.name, near)
@@ -93,7 +88,7 @@
     async with running_stack(SMALL) as stack:
         await create_table(stack)
         await caller(stack).statement(SERVICE, order('kept'))
-        old = _primary(stack)
+        old = primary_of(stack)
         stack.network.cut([old.name], set(stack.endpoints) - {old.name})
         for number in range(5):
             with pytest.raises(RefusalError):
@@ -103,7 +98,7 @@
                 )
         longest = len(old.database.log)
         await _until_written(caller(stack), 'after')
-        assert len(_primary(stack).database.log) < longest
+        assert len(primary_of(stack).database.log) < longest
         stack.network.heal()
         await sleep(3)
         logs = [server.database.log for server in stack.group(SERVICE)]
@@ -156,7 +151,7 @@
         stack.network.cut(stack.endpoints, stack.endpoints)
         before = [_sighting(server) for server in stack.group(SERVICE)]
         assert await promoter.promote(SERVICE, declared, before)
-        first = _primary(stack)
+        first = primary_of(stack)
         assert not await promoter.promote(SERVICE, declared, before)
         promoted = [
             server.name
@@ -212,7 +207,7 @@
 async def test_a_monitor_that_cannot_see_the_primary_lets_it_be() -> None:
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        primary = _primary(stack)
+        primary = primary_of(stack)
         term = primary.term
         stack.network.cut(stack.nodes, [primary.name])
         await sleep(8)
@@ -228,7 +223,7 @@
         await create_table(stack)
         await sleep(2)
         stack.store.faults.outage = True
-        _isolate(stack, _primary(stack).name)
+        _isolate(stack, primary_of(stack).name)
         gap_s = await _until_written(caller(stack), 'during')
         assert gap_s < FAILOVER_BOUND_S
         newcomer = stack.start_node('n1')
@@ -238,8 +233,8 @@
         stack.store.faults.outage = False
         await sleep(2)
         published = stack.store.stored(f'groups/{SERVICE}').body
-        assert f'"{_primary(stack).name}"' in published
-        assert f'"term":{_primary(stack).term}' in published
+        assert f'"{primary_of(stack).name}"' in published
+        assert f'"term":{primary_of(stack).term}' in published
 
 
 @virtual
@@ -284,7 +279,7 @@
     """Trap 7, and at most once: the write ran, its answer did not arrive."""
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        primary = _primary(stack)
+        primary = primary_of(stack)
         for number in range(5):
             primary.faults.drop_answers = 1
             mark = f'o{number}'
@@ -300,7 +295,7 @@
     """Trap 8: paused past its time, it wakes up with requests in hand."""
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        old = _primary(stack)
+        old = primary_of(stack)
         old.faults.frozen = True
         stack.network.cut([old.name], set(stack.endpoints) - {old.name})
         session = caller(stack)
@@ -318,7 +313,7 @@
 async def test_strict_reads_of_a_cut_off_primary_are_refused() -> None:
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        old = _primary(stack)
+        old = primary_of(stack)
         near = stack.node_beside(old.name)
         _isolate(stack, old.name, near)
         for freshness in (
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -11,6 +11,7 @@
     count,
     create_table,
     order,
+    primary_of,
     runs,
     virtual,
 )
@@ -179,8 +180,7 @@
 async def test_a_transaction_that_is_being_opened_outlives_a_drain() -> None:
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        primary = stack.primary_of(SERVICE)
-        assert primary is not None
+        primary = primary_of(stack)
         owner = await _owner_of_primary(stack)
         entry = next(name for name in stack.nodes if name != owner)
         async with open_nursery() as nursery:
@@ -221,8 +221,7 @@
 async def test_failover_during_drain_loses_nothing() -> None:
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        primary = stack.primary_of(SERVICE)
-        assert primary is not None
+        primary = primary_of(stack)
         near = stack.node_beside(primary.name)
         others = [name for name in stack.nodes if name != near]
         session = caller(stack, *others)
@@ -261,8 +260,7 @@
 async def test_a_leaving_primary_hands_over_without_a_refusal() -> None:
     async with running_stack(SMALL) as stack:
         await create_table(stack)
-        leaving = stack.primary_of(SERVICE)
-        assert leaving is not None
+        leaving = primary_of(stack)
         async with open_nursery() as nursery:
             for number in range(60):
                 nursery.start_soon(_write_later, stack, number)
--- a/trefoilhitch/config.py
+++ b/trefoilhitch/config.py
@@ -8,6 +8,7 @@
 from msgspec import DecodeError, ValidationError
 from msgspec.json import decode
 
+from trefoilhitch._generated.peer import Caller
 from trefoilhitch._generated.record import PlacementNode
 from trefoilhitch._generated.store import (
     Bundle,
@@ -77,6 +78,21 @@
             keyring=KeyRing.from_keys(bundle.keys),
         )
 
+    def allows(self, caller: Caller) -> bool:
+        """Tell whether a caller whose key an entry checked may still run.
+
+        Args:
+            caller: names the key, and the revision that it was checked in.
+
+        Returns:
+            False if the key was withdrawn; a key from a later revision than
+            this one is taken on the entry's word.
+
+        """
+        if not caller.key or self.revision < caller.revision:
+            return True
+        return self.keyring.holds(caller.key, caller.organisation)
+
     def weights(self) -> dict[str, float]:
         """Return each organisation's share of a contended slot.
 
--- a/trefoilhitch/owner.py
+++ b/trefoilhitch/owner.py
@@ -164,8 +164,7 @@
 
     def sweep(self) -> None:
         """Roll back transactions that expired or whose key was withdrawn."""
-        keyring = self._config.current.keyring
-        self._transactions.sweep(keyring, current_time())
+        self._transactions.sweep(self._config.current, current_time())
 
     def leave(self) -> None:
         """Take no new transactions."""
@@ -183,10 +182,7 @@
             return await conn.run(_run_request(fwd), deadline)
 
     def _check(self, caller: Caller) -> None:
-        cfg = self._config.current
-        if not caller.key or cfg.revision < caller.revision:
-            return
-        if not cfg.keyring.holds(caller.key, caller.organisation):
+        if not self._config.current.allows(caller):
             raise UnauthorisedError('the key was withdrawn')
 
 
--- a/trefoilhitch/transactions.py
+++ b/trefoilhitch/transactions.py
@@ -17,9 +17,9 @@
     ForwardStatement,
 )
 from trefoilhitch.clock import deadline_after_ms
+from trefoilhitch.config import Config
 from trefoilhitch.endpoint_client import EndpointConnection
 from trefoilhitch.errors import BadRequestError, TransactionLostError
-from trefoilhitch.keyring import KeyRing
 from trefoilhitch.pool import EndpointPool
 
 _SEPARATOR = '.'
@@ -204,16 +204,16 @@
                 self._finish(fwd.transaction, opened, clean=reply is not None)
             return opened.pool.endpoint.name, reply
 
-    def sweep(self, keyring: KeyRing, now: float) -> None:
+    def sweep(self, cfg: Config, now: float) -> None:
         """Roll back transactions that expired or whose key was withdrawn.
 
         Args:
-            keyring: keys in force.
+            cfg: the configuration in force.
             now: monotonic time.
 
         """
         for name, opened in list(self._open.items()):
-            if opened.is_over(now) or not _is_allowed(opened.caller, keyring):
+            if opened.is_over(now) or not cfg.allows(opened.caller):
                 self._drop(name)
 
     def close(self) -> None:
@@ -279,7 +279,3 @@
         access=req.access,
         in_transaction=True,
     )
-
-
-def _is_allowed(caller: Caller, keyring: KeyRing) -> bool:
-    return not caller.key or keyring.holds(caller.key, caller.organisation)
