--- a/tests/test_generated.py
+++ b/tests/test_generated.py
@@ -11,19 +11,22 @@
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def test_committed_code_is_what_the_schema_gives() -> None:
+sys.path.insert(0, str(ROOT / 'tools'))
+
+
+@pytest.mark.parametrize('schemas', import_module('generate').SCHEMA_DIRECTORIES)
+def test_committed_code_is_what_the_schema_gives(schemas: Path) -> None:
     pytest.importorskip('datamodel_code_generator', reason='no generator here')
-    sys.path.insert(0, str(ROOT / 'tools'))
     generator = import_module('generate')
     # The generator takes the line length from the project it writes into.
     build = ROOT / 'build'
     build.mkdir(exist_ok=True)
     with TemporaryDirectory(dir=build) as target:
-        generator.generate(Path(target))
+        generator.generate(schemas, Path(target))
         names = [path.name for path in Path(target).glob('*.py')]
         _, different, missing = filecmp.cmpfiles(
             target,
-            generator.GENERATED_DIRECTORY,
+            generator.committed(schemas),
             names,
             shallow=False,
         )
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -6,8 +6,11 @@
 from datamodel_code_generator.__main__ import main
 
 ROOT = Path(__file__).resolve().parent.parent
-SCHEMA_DIRECTORY = ROOT / 'trefoilhitch' / '_schema'
-GENERATED_DIRECTORY = ROOT / 'trefoilhitch' / '_generated'
+PACKAGE = ROOT / 'trefoilhitch'
+SCHEMA_DIRECTORIES = (
+    PACKAGE / '_schema',
+    PACKAGE / 'platform' / '_schema',
+)
 OPTIONS = (
     '--input-file-type=jsonschema',
     '--output-model-type=msgspec.Struct',
@@ -37,17 +40,18 @@
     module.write_text(frozen)
 
 
-def generate(target: Path) -> None:
+def generate(schemas: Path, target: Path) -> None:
     """Write one module for each schema file.
 
     Args:
+        schemas: directory of the schema files.
         target: directory that receives the modules.
 
     Raises:
         SystemExit: the generator refused a schema.
 
     """
-    for schema in sorted(SCHEMA_DIRECTORY.glob('*.json')):
+    for schema in sorted(schemas.glob('*.json')):
         module = target / f'{schema.stem}.py'
         paths = [f'--input={schema}', f'--output={module}']
         code = main([*paths, _base_class(schema.stem), *OPTIONS])
@@ -56,6 +60,19 @@
         _freeze(module)
 
 
+def committed(schemas: Path) -> Path:
+    """Return where the modules of a directory of schemas are kept.
+
+    Args:
+        schemas: directory of the schema files.
+
+    Returns:
+        Directory of the committed modules.
+
+    """
+    return schemas.parent / '_generated'
+
+
 if __name__ == '__main__':
-    targets = [Path(argument) for argument in sys.argv[1:]]
-    generate(targets[0] if targets else GENERATED_DIRECTORY)
+    for directory in SCHEMA_DIRECTORIES:
+        generate(directory, committed(directory))
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -235,3 +235,115 @@
     p99_ms: float
     owned: list[str]
     members: list[MemberBeat]
+
+
+class LeadProof(Message, frozen=True, kw_only=True):
+    """
+    Proof that an endpoint led a service: every commit acknowledged before the age lies at or before the position.
+    """
+
+    service: str
+    endpoint: str
+    term: Annotated[int, Meta(description='Term that the endpoint led.')]
+    position_term: int
+    position: int
+    age_ms: Annotated[
+        int, Meta(description='Age of the question that was answered.')
+    ]
+
+
+class CommitReport(Message, frozen=True, kw_only=True):
+    """
+    What a node saw of commits at a lead.
+    """
+
+    service: str
+    endpoint: str
+    acknowledged_age_ms: (
+        Annotated[
+            int,
+            Meta(description='Age of the newest commit that was acknowledged.'),
+        ]
+        | None
+    ) = None
+    overdue_age_ms: (
+        Annotated[
+            int,
+            Meta(
+                description='Age of the first commit since then whose acknowledgement is overdue.'
+            ),
+        ]
+        | None
+    ) = None
+
+
+class Exchange(Message, frozen=True, kw_only=True):
+    """
+    What a node tells another; the reply has the same form.
+    """
+
+    beats: Annotated[
+        list[MemberBeat], Meta(description="The sender's own heartbeat first.")
+    ]
+    proofs: list[LeadProof] = field(default_factory=list)
+    commits: list[CommitReport] = field(default_factory=list)
+
+
+class DeclarationRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks for the declaration that the other node has in force.
+    """
+
+    above: Annotated[int, Meta(description='Revision that the sender has.')]
+
+
+class DeclarationReply(Message, frozen=True, kw_only=True):
+    """
+    The declaration in force, in the form in which it is stored.
+    """
+
+    revision: int
+    document: Annotated[str, Meta(description='Empty if it is not newer.')]
+
+
+class RatePart(Message, frozen=True, kw_only=True):
+    """
+    A part of an organisation's rate and burst.
+    """
+
+    organisation: str
+    fraction: Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
+class CheckRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks a node to see for itself whether an endpoint leads.
+    """
+
+    service: str
+    endpoint: str
+
+
+class CheckReply(Message, frozen=True, kw_only=True):
+    """
+    What the node saw.
+    """
+
+    answered: bool
+    leads: bool
+
+
+class LoanRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks for a part of rates for a while.
+    """
+
+    wanted: list[RatePart]
+
+
+class LoanReply(Message, frozen=True, kw_only=True):
+    """
+    The parts that were lent.
+    """
+
+    lent: list[RatePart]
--- a/trefoilhitch/daemon.py
+++ b/trefoilhitch/daemon.py
@@ -19,7 +19,7 @@
 from trefoilhitch.ini import IniFile
 from trefoilhitch.node import Node
 from trefoilhitch.node_parts import NodeContext
-from trefoilhitch.platform import Platform
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.settings import read_settings
 
--- a/trefoilhitch/errors.py
+++ b/trefoilhitch/errors.py
@@ -253,6 +253,10 @@
     """The object API did not answer; a write may be in effect."""
 
 
+class StoreHistoryGoneError(StoreError):
+    """The store has forgotten the changes since the revision that was named."""
+
+
 class StoreTooLargeError(StoreError):
     """The object is larger than the object API takes."""
 
--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -5,7 +5,7 @@
 from typing import Self
 
 from httptools import HttpParserError, HttpResponseParser
-from trio import CancelScope, open_tcp_stream
+from trio import CancelScope
 
 from trefoilhitch.byte_stream import ByteStream, ByteStreamError
 from trefoilhitch.errors import (
@@ -14,6 +14,7 @@
     UnreachableError,
 )
 from trefoilhitch.http_message import HttpRequest, HttpResponse, encode_request
+from trefoilhitch.tcp import open_stream
 
 RECEIVE_BYTES = 65536
 
@@ -114,11 +115,9 @@
             UnreachableError: the server did not accept in time.
 
         """
-        address, _, port = host.rpartition(':')
         with CancelScope(deadline=deadline):
             try:
-                stream = await open_tcp_stream(address, int(port))
-                return cls(ByteStream.from_trio(stream.socket), host)
+                return cls(await open_stream(host), host)
             except OSError as exc:
                 raise UnreachableError(f'{host}: {exc}') from exc
         raise UnreachableError(f'{host}: no connection before the deadline')
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -28,7 +28,7 @@
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.peer_server import PeerAnswerer
-from trefoilhitch.platform import Platform
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.promoter import Promoter
 from trefoilhitch.router import Router
 from trefoilhitch.token import TokenSigner
--- /dev/null
+++ b/trefoilhitch/platform/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Classes generated from the JSON Schema files."""
--- /dev/null
+++ b/trefoilhitch/platform/client_codec.py
@@ -0,0 +1,177 @@
+"""The wire protocol as clients speak it."""
+
+from types import MappingProxyType
+from typing import Final
+
+from trefoilhitch.platform.codes import (
+    CODE_BY_REFUSAL,
+    LETTER_BY_STATE,
+    encode_position,
+)
+from trefoilhitch.platform.lines import WireError
+from trefoilhitch.pooler.answer import Answer, Refusal, SessionState
+from trefoilhitch.pooler.statement import (
+    Access,
+    PreparedShape,
+    SessionStart,
+    Statement,
+    Verb,
+)
+
+TERMINATE: Final = 'TERMINATE'
+_VERBS = MappingProxyType(
+    {
+        'BEGIN': Verb.BEGIN,
+        'COMMIT': Verb.COMMIT,
+        'ROLLBACK': Verb.ROLLBACK,
+        'READ': Verb.READ,
+        'WRITE': Verb.WRITE,
+        'SET': Verb.SET,
+        'PREPARE': Verb.PREPARE,
+        'EXECUTE': Verb.EXECUTE,
+        'DEALLOC': Verb.DEALLOCATE,
+    },
+)
+# Words after the verb that a text has at least.
+_LEAST_WORDS = MappingProxyType(
+    {
+        Verb.READ: 1,
+        Verb.WRITE: 2,
+        Verb.SET: 2,
+        Verb.PREPARE: 3,
+        Verb.EXECUTE: 2,
+        Verb.DEALLOCATE: 1,
+    },
+)
+_ACCESS: MappingProxyType[str, Access] = MappingProxyType(
+    {'READ': 'read', 'WRITE': 'write'},
+)
+_NAMING = frozenset((Verb.SET, Verb.PREPARE, Verb.EXECUTE, Verb.DEALLOCATE))
+_START_FIELDS = 3
+_QUERY_FIELDS = 3
+
+
+def decode_start(line: str) -> SessionStart:
+    """Read the message that opens a session.
+
+    Args:
+        line: the message.
+
+    Returns:
+        What it asks for.
+
+    Raises:
+        WireError: it is not such a message.
+
+    """
+    fields = line.split()
+    if not 1 < len(fields) <= _START_FIELDS or fields[0] != 'START':
+        raise WireError('expected START')
+    key = fields[2] if len(fields) == _START_FIELDS else ''
+    return SessionStart(fields[1], key)
+
+
+def decode_query(line: str) -> Statement:
+    """Read a client's statement.
+
+    Args:
+        line: the message.
+
+    Returns:
+        The statement.
+
+    Raises:
+        WireError: it is not a message that clients may send.
+
+    """
+    fields = line.split(' ', _QUERY_FIELDS - 1)
+    if len(fields) != _QUERY_FIELDS or fields[0] != 'QUERY':
+        raise WireError('expected QUERY')
+    _, request_id, text = fields
+    if not request_id or request_id == '-':
+        raise WireError('a statement needs an id')
+    return _decode_text(request_id, text)
+
+
+def _decode_text(request_id: str, text: str) -> Statement:
+    words = text.split(maxsplit=3)
+    verb = _VERBS.get(words[0]) if words else None
+    if verb is None or len(words) - 1 < _LEAST_WORDS.get(verb, 0):
+        raise WireError('unknown or incomplete statement')
+    if verb == Verb.BEGIN:
+        return _decode_begin(request_id, text, words[1:])
+    if verb in {Verb.COMMIT, Verb.ROLLBACK} and len(words) > 1:
+        raise WireError(f'{words[0]} takes no argument')
+    return Statement(
+        request_id,
+        verb,
+        text,
+        name=words[1] if verb in _NAMING else '',
+        argument=_after_name(text) if verb in _NAMING else '',
+        shape=_decode_shape(words) if verb == Verb.PREPARE else None,
+    )
+
+
+def _after_name(text: str) -> str:
+    parts = text.split(maxsplit=2)
+    return parts[2] if len(parts) > 2 else ''
+
+
+def _decode_begin(request_id: str, text: str, words: list[str]) -> Statement:
+    if words not in ([], ['READ']):
+        raise WireError('BEGIN takes READ or nothing')
+    return Statement(request_id, Verb.BEGIN, text, read_only=bool(words))
+
+
+def _decode_shape(words: list[str]) -> PreparedShape:
+    access = _ACCESS.get(words[2])
+    if access is None:
+        raise WireError('PREPARE needs READ or WRITE')
+    return PreparedShape(access, words[3])
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Return the bytes of the answer to a statement.
+
+    Args:
+        answer: the answer.
+
+    Returns:
+        Its rows, its outcome and the state of the session.
+
+    """
+    lines = [f'DATAROW {row}' for row in answer.rows]
+    if answer.refusal is None:
+        lines.append(f'COMPLETE {answer.receipt}')
+    else:
+        lines.append(_error_line(answer.refusal, answer.detail))
+    state = LETTER_BY_STATE[answer.state]
+    lines.append(f'READY {state} {encode_position(answer.position)}')
+    return _encode(lines)
+
+
+def encode_ready() -> bytes:
+    """Return the bytes that accept a session."""
+    return _encode([f'READY {LETTER_BY_STATE[SessionState.IDLE]} -'])
+
+
+def encode_error(refusal: Refusal, detail: str) -> bytes:
+    """Return the bytes that refuse a session.
+
+    Args:
+        refusal: why.
+        detail: what a person should know.
+
+    Returns:
+        One line.
+
+    """
+    return _encode([_error_line(refusal, detail)])
+
+
+def _error_line(refusal: Refusal, detail: str) -> str:
+    return f'ERROR {CODE_BY_REFUSAL[refusal]} {detail or refusal.value}'
+
+
+def _encode(lines: list[str]) -> bytes:
+    return '\r\n'.join((*lines, '')).encode('latin-1')
--- /dev/null
+++ b/trefoilhitch/platform/codes.py
@@ -0,0 +1,75 @@
+"""The wire protocol's words for states, refusals and positions."""
+
+from types import MappingProxyType
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.platform.lines import WireError
+from trefoilhitch.pooler.answer import Refusal, SessionState
+
+CODE_BY_REFUSAL = MappingProxyType(
+    {
+        Refusal.BUSY: 'BUSY',
+        Refusal.ABORTED: 'ABORTED',
+        Refusal.TOO_OLD: 'LAGGING',
+        Refusal.NOT_PRIMARY: 'READONLY',
+        Refusal.WRONG_ENDPOINT: 'WRONGNODE',
+        Refusal.CONNECTION_LIMIT: 'CONNLIMIT',
+        Refusal.OUTCOME_UNKNOWN: 'INDOUBT',
+        Refusal.TIMEOUT: 'TIMEOUT',
+        Refusal.FAILED: 'FAILED',
+        Refusal.UNKNOWN_DATABASE: 'NODB',
+        Refusal.UNAUTHORISED: 'AUTHFAIL',
+        Refusal.UNKNOWN_STATEMENT: 'NOSTMT',
+        Refusal.MALFORMED: 'MALFORMED',
+    },
+)
+REFUSAL_BY_CODE = MappingProxyType(
+    {code: refusal for refusal, code in CODE_BY_REFUSAL.items()},
+)
+LETTER_BY_STATE = MappingProxyType(
+    {
+        SessionState.IDLE: 'I',
+        SessionState.TRANSACTION: 'T',
+        SessionState.FAILED: 'E',
+    },
+)
+STATE_BY_LETTER = MappingProxyType(
+    {letter: state for state, letter in LETTER_BY_STATE.items()},
+)
+NO_POSITION = '-'
+
+
+def encode_position(position: LogPosition | None) -> str:
+    """Return a log position as the wire spells it.
+
+    Args:
+        position: the position, None if there is none.
+
+    Returns:
+        `TERM.NUMBER` or `-`.
+
+    """
+    if position is None:
+        return NO_POSITION
+    return f'{position.term}.{position.position}'
+
+
+def decode_position(text: str) -> LogPosition | None:
+    """Read a log position.
+
+    Args:
+        text: `TERM.NUMBER` or `-`.
+
+    Returns:
+        The position, None for `-`.
+
+    Raises:
+        WireError: the text is neither.
+
+    """
+    if text == NO_POSITION:
+        return None
+    term, _, number = text.partition('.')
+    if not (term.isdigit() and number.isdigit()):
+        raise WireError(f'not a position: {text[:40]}')
+    return LogPosition(term=int(term), position=int(number))
--- /dev/null
+++ b/trefoilhitch/platform/endpoint_codec.py
@@ -0,0 +1,179 @@
+"""The wire protocol as endpoints speak it."""
+
+from dataclasses import dataclass
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.platform.codes import (
+    REFUSAL_BY_CODE,
+    STATE_BY_LETTER,
+    decode_position,
+    encode_position,
+)
+from trefoilhitch.platform.lines import WireError
+from trefoilhitch.pooler.answer import Answer, Refusal, SessionState
+from trefoilhitch.pooler.ports import Command, EndpointStatus
+
+OWN_ID = '-'
+_STATUS_FIELDS = 7
+_READY_FIELDS = 3
+
+
+def encode_start(service: str, organisation: str, endpoint: str) -> bytes:
+    """Return the message that opens a connection to an endpoint.
+
+    Args:
+        service: database group that is expected there.
+        organisation: for whom statements will run.
+        endpoint: id of the endpoint that is expected there.
+
+    Returns:
+        One line.
+
+    """
+    return f'START {service} {organisation} {endpoint}\r\n'.encode('latin-1')
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the message for a statement.
+
+    Args:
+        command: the statement.
+
+    Returns:
+        One line.
+
+    """
+    text = command.text
+    if command.needed is not None:
+        text = f'MINLSN {encode_position(command.needed)} {text}'
+    request_id = command.request_id or OWN_ID
+    return f'QUERY {request_id} {text}\r\n'.encode('latin-1')
+
+
+@dataclass(slots=True)
+class AnswerCollector:
+    """Collects the lines of one answer.
+
+    Args:
+        rows: rows so far.
+        receipt: proof that it ran.
+        refusal: why it did not succeed.
+        detail: text of a refusal.
+
+    """
+
+    rows: list[str]
+    receipt: str | None = None
+    refusal: Refusal | None = None
+    detail: str = ''
+
+    def take(self, line: str) -> Answer | None:
+        """Take the next line.
+
+        Args:
+            line: a line from the endpoint.
+
+        Returns:
+            The whole answer after its last line, None before.
+
+        Raises:
+            WireError: the line does not belong to an answer.
+
+        """
+        word, _, rest = line.partition(' ')
+        if word == 'DATAROW':
+            self.rows.append(rest)
+        elif word == 'COMPLETE':
+            self.receipt = rest
+        elif word == 'ERROR':
+            self._take_error(rest)
+        elif word == 'READY':
+            return self._finish(rest)
+        else:
+            raise WireError(f'unexpected message {word[:20]}')
+        return None
+
+    def _take_error(self, rest: str) -> None:
+        code, _, self.detail = rest.partition(' ')
+        # A code that is not known promises nothing.
+        self.refusal = REFUSAL_BY_CODE.get(code, Refusal.FAILED)
+
+    def _finish(self, rest: str) -> Answer:
+        if self.receipt is None and self.refusal is None:
+            raise WireError('answer without an outcome')
+        state, position = decode_ready(f'READY {rest}')
+        return Answer(
+            rows=tuple(self.rows),
+            receipt=self.receipt or '-',
+            refusal=self.refusal,
+            detail=self.detail,
+            state=state,
+            position=position,
+        )
+
+
+def decode_ready(line: str) -> tuple[SessionState, LogPosition | None]:
+    """Read the line that ends an answer or accepts a connection.
+
+    Args:
+        line: the line.
+
+    Returns:
+        State of the connection and position of the endpoint's log.
+
+    Raises:
+        WireError: it is another line.
+
+    """
+    fields = line.split()
+    if len(fields) != _READY_FIELDS or fields[0] != 'READY':
+        raise WireError(f'expected READY, got {line[:40]}')
+    state = STATE_BY_LETTER.get(fields[1])
+    if state is None:
+        raise WireError(f'unknown state {fields[1][:8]}')
+    return state, decode_position(fields[2])
+
+
+def decode_start_refusal(line: str) -> Refusal:
+    """Read why an endpoint refused a connection.
+
+    Args:
+        line: its answer to the opening message.
+
+    Returns:
+        The refusal.
+
+    Raises:
+        WireError: it is not a refusal.
+
+    """
+    fields = line.split()
+    if len(fields) < 2 or fields[0] != 'ERROR':
+        raise WireError(f'expected READY or ERROR, got {line[:40]}')
+    return REFUSAL_BY_CODE.get(fields[1], Refusal.FAILED)
+
+
+def decode_status(answer: Answer) -> EndpointStatus | None:
+    """Read the answer to a question for an endpoint's status.
+
+    Args:
+        answer: the answer.
+
+    Returns:
+        The status, None if the endpoint refused to tell it.
+
+    Raises:
+        WireError: the row is not a status.
+
+    """
+    if not answer.ok:
+        return None
+    fields = answer.rows[0].split() if answer.rows else []
+    if len(fields) < _STATUS_FIELDS or not fields[1].isdigit():
+        raise WireError('not a status')
+    return EndpointStatus(
+        leads=fields[0] == 'primary',
+        term=int(fields[1]),
+        position=decode_position(fields[2]) or LogPosition(),
+        fenced_term=int(fields[3]) if fields[3].isdigit() else 0,
+    )
--- /dev/null
+++ b/trefoilhitch/platform/endpoint_link.py
@@ -0,0 +1,240 @@
+"""Connections to endpoints over the wire protocol."""
+
+from collections.abc import Callable, Sequence
+
+from trio import CancelScope
+
+from trefoilhitch.byte_stream import ByteStream, ByteStreamError
+from trefoilhitch.tcp import open_stream
+from trefoilhitch.platform.endpoint_codec import (
+    AnswerCollector,
+    decode_ready,
+    decode_start_refusal,
+    decode_status,
+    encode_command,
+    encode_start,
+)
+from trefoilhitch.platform.lines import LineBuffer, WireError
+from trefoilhitch.pooler.answer import Answer, SessionState
+from trefoilhitch.pooler.endpoint_book import EndpointRecord
+from trefoilhitch.pooler.outcome import Loss
+from trefoilhitch.pooler.ports import (
+    Command,
+    EndpointStatus,
+    LinkLostError,
+    LinkRefusedError,
+)
+from trefoilhitch.pooler.statement import PreparedShape
+from trefoilhitch.http_client import is_readable
+
+RECEIVE_BYTES = 65536
+# An answer may hold many rows; each of them is a message.
+MAX_LINE_BYTES = 2 * 1048576
+
+
+class WireLink:
+    """A connection to an endpoint, bound to one organisation.
+
+    Args:
+        stream: an open stream.
+        endpoint: id of the endpoint.
+        organisation: for whom statements run.
+
+    """
+
+    def __init__(
+        self, stream: ByteStream, endpoint: str, organisation: str
+    ) -> None:
+        """Keep the stream."""
+        self.endpoint = endpoint
+        self.organisation = organisation
+        self.state = SessionState.IDLE
+        self._stream = stream
+        self._lines = LineBuffer(MAX_LINE_BYTES)
+        self._open = True
+
+    async def start(self, service: str) -> None:
+        """Introduce the organisation to the endpoint.
+
+        Args:
+            service: database group that the endpoint should belong to.
+
+        Raises:
+            LinkRefusedError: the endpoint refused.
+            WireError: its answer cannot be read.
+            ByteStreamError: the connection failed.
+
+        """
+        await self._stream.send(
+            encode_start(service, self.organisation, self.endpoint)
+        )
+        line = await self._next_line()
+        if not line.startswith('READY'):
+            raise LinkRefusedError(decode_start_refusal(line))
+        self.state, _ = decode_ready(line)
+
+    async def run(
+        self, commands: Sequence[Command], deadline: float
+    ) -> list[Answer]:
+        """Send statements at once and wait for all their answers.
+
+        Args:
+            commands: statements in order.
+            deadline: monotonic time.
+
+        Returns:
+            One answer for each.
+
+        Raises:
+            LinkLostError: an answer did not arrive whole; the connection is
+                closed.
+
+        """
+        message = b''.join(encode_command(command) for command in commands)
+        answers: list[Answer] = []
+        try:
+            with CancelScope(deadline=deadline):
+                await self._stream.send(message)
+                await self._collect(len(commands), answers)
+        except (ByteStreamError, WireError) as exc:
+            raise LinkLostError(Loss.CONNECTION, str(exc)) from exc
+        finally:
+            if len(answers) < len(commands):
+                self.close()
+        if len(answers) < len(commands):
+            raise LinkLostError(Loss.DEADLINE, 'no answer before the deadline')
+        self.state = answers[-1].state
+        return answers
+
+    def is_usable(self) -> bool:
+        """Tell whether the connection is open and silent.
+
+        Returns:
+            False if it was closed or has something to read.
+
+        """
+        return self._open and not is_readable(self._stream.descriptor)
+
+    def close(self) -> None:
+        """Close at once; what runs on it is rolled back."""
+        self._open = False
+        self._stream.close()
+
+    async def _collect(self, count: int, answers: list[Answer]) -> None:
+        while len(answers) < count:
+            collector = AnswerCollector([])
+            answer = None
+            while answer is None:
+                answer = collector.take(await self._next_line())
+            answers.append(answer)
+
+    async def _next_line(self) -> str:
+        line = self._lines.next_line()
+        while line is None:
+            chunk = await self._stream.receive(RECEIVE_BYTES)
+            if not chunk:
+                raise WireError('closed before the answer')
+            self._lines.feed(chunk)
+            line = self._lines.next_line()
+        return line
+
+
+class WireDialer:
+    """Opens connections to endpoints.
+
+    Args:
+        find: returns the entry of an endpoint, None if there is none.
+
+    """
+
+    def __init__(self, find: Callable[[str], EndpointRecord | None]) -> None:
+        """Keep where endpoints are looked up."""
+        self._find = find
+
+    async def dial(
+        self, endpoint: str, organisation: str, deadline: float
+    ) -> WireLink:
+        """Open a connection.
+
+        Args:
+            endpoint: id of the endpoint.
+            organisation: for whom statements will run.
+            deadline: monotonic time.
+
+        Returns:
+            The connection.
+
+        Raises:
+            LinkLostError: no connection.
+            LinkRefusedError: the endpoint refused.
+
+        """
+        record = self._find(endpoint)
+        if record is None:
+            raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no entry')
+        try:
+            with CancelScope(deadline=deadline):
+                return await _open(record, organisation)
+        except (OSError, ByteStreamError, WireError) as exc:
+            raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: {exc}') from exc
+        raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no connection in time')
+
+    def set_value(self, name: str, text: str) -> Command:
+        """Return the statement that sets a session value."""
+        return Command(f'SET {name} {text}')
+
+    def prepare(self, shape: PreparedShape) -> Command:
+        """Return the statement that prepares a shape under its pooled name."""
+        access = shape.access.upper()
+        return Command(f'PREPARE {shape.pooled_name} {access} {shape.shape}')
+
+    def execute(
+        self, request_id: str, shape: PreparedShape, argument: str
+    ) -> Command:
+        """Return the statement that runs a prepared shape."""
+        return Command(f'EXECUTE {shape.pooled_name} {argument}', request_id)
+
+    def reset(self) -> Command:
+        """Return the statement that drops session values and prepared names."""
+        return Command('RESET')
+
+    def status(self) -> Command:
+        """Return the question for the endpoint's status."""
+        return Command('STATUS')
+
+    def fence(self, term: int) -> Command:
+        """Return the statement that stops a replica from receiving."""
+        return Command(f'PAUSE {term}')
+
+    def unfence(self) -> Command:
+        """Return the statement that lets a replica receive again."""
+        return Command('RESUME')
+
+    def demote(self, term: int) -> Command:
+        """Return the statement that makes a lead of a lower term a replica."""
+        return Command(f'STEPDOWN {term}')
+
+    def read_status(self, answer: Answer) -> EndpointStatus | None:
+        """Read a status, None if the endpoint refused to tell it.
+
+        Raises:
+            LinkLostError: the answer is not a status.
+
+        """
+        try:
+            return decode_status(answer)
+        except WireError as exc:
+            raise LinkLostError(Loss.CONNECTION, str(exc)) from exc
+
+
+async def _open(record: EndpointRecord, organisation: str) -> WireLink:
+    stream = await open_stream(record.address)
+    link = WireLink(stream, record.endpoint, organisation)
+    started = False
+    try:
+        await link.start(record.service)
+        started = True
+    finally:
+        if not started:
+            link.close()
+    return link
--- /dev/null
+++ b/trefoilhitch/platform/lease_store.py
@@ -0,0 +1,174 @@
+"""Leases and node entries in the platform's store."""
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode
+
+from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch.errors import StoreConflictError, StoreUnavailableError
+from trefoilhitch.platform._generated.platform import LeaseEntry, NodeEntry
+from trefoilhitch.platform.object_store import (
+    LEASE_KIND,
+    NODE_KIND,
+    ObjectStoreClient,
+    StoredObject,
+)
+from trefoilhitch.pooler.lease import LeaseRecord
+
+
+class StoredLeases:
+    """Keeps leases in the platform's store.
+
+    Args:
+        store: calls of the store.
+
+    """
+
+    def __init__(self, store: ObjectStoreClient) -> None:
+        """Keep the store."""
+        self._store = store
+
+    async def read_lease(self, service: str, deadline: float) -> LeaseRecord:
+        """Read a lease; one that does not exist has revision 0.
+
+        Args:
+            service: service that it is for.
+            deadline: monotonic time.
+
+        Returns:
+            The lease.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        stored = await self._store.get(LEASE_KIND, service, deadline)
+        return LeaseRecord() if stored is None else _lease(stored)
+
+    async def write_lease(
+        self, service: str, lease: LeaseRecord, deadline: float
+    ) -> LeaseRecord | None:
+        """Write a lease if the store still has the revision it names.
+
+        Args:
+            service: service that it is for.
+            lease: the lease; its revision is the one to replace.
+            deadline: monotonic time.
+
+        Returns:
+            The lease as stored, None if another revision is stored.
+
+        Raises:
+            StoreUnavailableError: no answer; it may still be written.
+
+        """
+        entry = LeaseEntry(
+            token=lease.token,
+            holder=lease.holder,
+            attempt=lease.attempt,
+            candidate=lease.candidate,
+        )
+        try:
+            stored = await self._store.put(
+                LEASE_KIND, service, entry, lease.revision, deadline
+            )
+        except StoreConflictError:
+            return None
+        return _lease(stored)
+
+
+class StoredNodes:
+    """Keeps an entry for each node in the platform's store.
+
+    Args:
+        store: calls of the store.
+
+    """
+
+    def __init__(self, store: ObjectStoreClient) -> None:
+        """Keep the store."""
+        self._store = store
+
+    async def list_nodes(self, deadline: float) -> list[MemberBeat]:
+        """Read the entries of all nodes.
+
+        Args:
+            deadline: monotonic time.
+
+        Returns:
+            Heartbeats that any heartbeat of the node itself replaces.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        listed = await self._store.list_kind(NODE_KIND, deadline)
+        beats = [_beat(change.stored) for change in listed.changes]
+        return [beat for beat in beats if beat is not None]
+
+    async def register(self, beat: MemberBeat, deadline: float) -> None:
+        """Write this node's entry.
+
+        Args:
+            beat: who and where the node is.
+            deadline: monotonic time.
+
+        Raises:
+            StoreConflictError: another write came first.
+            StoreUnavailableError: no answer; it may still be written.
+
+        """
+        entry = NodeEntry(
+            address=beat.address,
+            region=beat.region,
+            data_centre=beat.data_centre,
+            incarnation=beat.incarnation,
+        )
+        try:
+            await self._store.put(NODE_KIND, beat.node, entry, 0, deadline)
+        except StoreConflictError as exc:
+            await self._store.put(
+                NODE_KIND, beat.node, entry, exc.version, deadline
+            )
+
+    async def deregister(self, node: str, deadline: float) -> None:
+        """Remove this node's entry.
+
+        Args:
+            node: its name.
+            deadline: monotonic time.
+
+        Raises:
+            StoreUnavailableError: no answer; it may still be removed.
+
+        """
+        await self._store.delete(NODE_KIND, node, deadline)
+
+
+def _lease(stored: StoredObject) -> LeaseRecord:
+    try:
+        entry = decode(stored.spec, type=LeaseEntry)
+    except (DecodeError, ValidationError) as exc:
+        raise StoreUnavailableError(f'unreadable lease: {exc}') from exc
+    return LeaseRecord(
+        revision=stored.meta.revision,
+        token=entry.token,
+        holder=entry.holder,
+        attempt=entry.attempt,
+        candidate=entry.candidate,
+    )
+
+
+def _beat(stored: StoredObject) -> MemberBeat | None:
+    try:
+        entry = decode(stored.spec, type=NodeEntry)
+    except (DecodeError, ValidationError):
+        return None
+    return MemberBeat(
+        node=stored.meta.name,
+        address=entry.address,
+        region=entry.region,
+        data_centre=entry.data_centre,
+        incarnation=entry.incarnation,
+        counter=0,
+        state='live',
+    )
--- /dev/null
+++ b/trefoilhitch/platform/lines.py
@@ -0,0 +1,61 @@
+"""Lines that end in CR LF, out of the bytes of a connection."""
+
+MAX_MESSAGE_BYTES = 1048576
+_END = b'\r\n'
+
+
+class WireError(Exception):
+    """What arrived is not a message of the wire protocol."""
+
+
+class LineBuffer:
+    """Splits received bytes into lines.
+
+    Args:
+        limit: longest line in bytes.
+
+    """
+
+    def __init__(self, limit: int = MAX_MESSAGE_BYTES) -> None:
+        """Start empty."""
+        self._limit = limit
+        self._bytes = bytearray()
+        self._searched = 0
+
+    @property
+    def partial(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return bool(self._bytes)
+
+    def feed(self, chunk: bytes) -> None:
+        """Take received bytes.
+
+        Args:
+            chunk: bytes in the order of their arrival.
+
+        """
+        self._bytes += chunk
+
+    def next_line(self) -> str | None:
+        """Return the next whole line.
+
+        Returns:
+            The line without its end, or None if more bytes are needed.
+
+        Raises:
+            WireError: the line is too long or holds a stray line end.
+
+        """
+        end = self._bytes.find(_END, self._searched)
+        if end > self._limit or (end < 0 and len(self._bytes) > self._limit):
+            raise WireError('message too long')
+        if end < 0:
+            self._searched = max(0, len(self._bytes) - 1)
+            return None
+        line = bytes(self._bytes[:end])
+        del self._bytes[: end + len(_END)]
+        self._searched = 0
+        if b'\r' in line or b'\n' in line:
+            raise WireError('stray line end')
+        # One character a byte: what is forwarded leaves as it came.
+        return line.decode('latin-1')
--- /dev/null
+++ b/trefoilhitch/platform/object_store.py
@@ -0,0 +1,278 @@
+"""The platform's store: objects by kind and name, with revisions."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Final, TypeVar
+from urllib.parse import quote
+
+from msgspec import DecodeError, Raw, Struct, ValidationError
+from msgspec.json import decode, encode
+
+from trefoilhitch.errors import (
+    ConnectionLostError,
+    DeadlineError,
+    StoreConflictError,
+    StoreHistoryGoneError,
+    StoreUnavailableError,
+    UnreachableError,
+)
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.platform._generated.platform import ObjectMeta
+
+CONFIG_KIND: Final = 'config'
+CONFIG_NAME: Final = 'main'
+ENDPOINT_KIND: Final = 'servers'
+NODE_KIND: Final = 'trefoilhitch_nodes'
+LEASE_KIND: Final = 'trefoilhitch_leases'
+_ROOT = '/-/objects/'
+ReplyT = TypeVar('ReplyT')
+
+
+class StoredObject(Struct, frozen=True, kw_only=True):
+    """An object as the store keeps it.
+
+    Args:
+        meta: its name and revision.
+        spec: its content, not yet read.
+
+    """
+
+    meta: ObjectMeta
+    spec: Raw = Raw(b'null')
+
+
+class _Page(Struct, frozen=True, kw_only=True):
+    items: list[Raw]
+    has_more: bool = False
+    current_rev: int
+
+
+class _Event(Struct, frozen=True, kw_only=True):
+    object: Raw
+    tombstone: bool = False
+
+
+class _Events(Struct, frozen=True, kw_only=True):
+    events: list[_Event]
+    current_rev: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectChange:
+    """A change of one object.
+
+    Args:
+        stored: the object.
+        removed: whether it was removed.
+
+    """
+
+    stored: StoredObject
+    removed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeList:
+    """Objects or changes with the revision that they bring a reader to.
+
+    Args:
+        changes: what could be read.
+        revision: the store's revision.
+        unreadable: how many objects could not be read.
+
+    """
+
+    changes: tuple[ObjectChange, ...]
+    revision: int
+    unreadable: int = 0
+
+
+class ObjectStoreClient:
+    """Calls of the store.
+
+    Args:
+        address: `ADDRESS:PORT`.
+
+    """
+
+    def __init__(self, address: str) -> None:
+        """Open nothing yet."""
+        self._client = HttpClient(address, max_idle=4)
+
+    async def list_kind(self, kind: str, deadline: float) -> ChangeList:
+        """Read all objects of a kind.
+
+        Args:
+            kind: the kind.
+            deadline: monotonic time.
+
+        Returns:
+            The objects, and the revision to watch from.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        changes: list[ObjectChange] = []
+        unreadable = 0
+        after = ''
+        revision = 0
+        while True:
+            page = await self._page(kind, after, deadline)
+            # The first page's revision: later changes are watched.
+            revision = revision or page.current_rev
+            read = [_read_object(raw) for raw in page.items]
+            found = [each for each in read if each is not None]
+            unreadable += len(read) - len(found)
+            changes.extend(ObjectChange(each) for each in found)
+            if not (page.has_more and found):
+                return ChangeList(tuple(changes), revision, unreadable)
+            after = found[-1].meta.name
+
+    async def watch(
+        self, kind: str, revision: int, wait_ms: int, deadline: float
+    ) -> ChangeList:
+        """Wait for changes of a kind.
+
+        Args:
+            kind: the kind.
+            revision: what the caller has seen.
+            wait_ms: how long the store waits for a change, in ms.
+            deadline: monotonic time.
+
+        Returns:
+            The changes, none if there were none, and the new revision.
+
+        Raises:
+            StoreHistoryGoneError: the kind has to be listed again.
+            StoreUnavailableError: no answer.
+
+        """
+        target = f'{_ROOT}{kind}?watch={revision}&wait_ms={wait_ms}'
+        resp = await self._call(HttpRequest('GET', target), deadline)
+        if resp.status == HTTPStatus.GONE:
+            raise StoreHistoryGoneError(kind)
+        events = _decode(resp, _Events)
+        changes = [
+            ObjectChange(stored, removed=event.tombstone)
+            for event in events.events
+            if (stored := _read_object(event.object)) is not None
+        ]
+        unreadable = len(events.events) - len(changes)
+        return ChangeList(tuple(changes), events.current_rev, unreadable)
+
+    async def get(
+        self, kind: str, name: str, deadline: float
+    ) -> StoredObject | None:
+        """Read an object.
+
+        Args:
+            kind: its kind.
+            name: its name.
+            deadline: monotonic time.
+
+        Returns:
+            The object, None if there is none.
+
+        Raises:
+            StoreUnavailableError: no answer.
+
+        """
+        req = HttpRequest('GET', f'{_ROOT}{kind}/{quote(name, safe="")}')
+        resp = await self._call(req, deadline)
+        if resp.status == HTTPStatus.NOT_FOUND:
+            return None
+        return _decode(resp, StoredObject)
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        spec: Struct,
+        revision: int,
+        deadline: float,
+    ) -> StoredObject:
+        """Write an object if the store still has the revision named.
+
+        Args:
+            kind: its kind.
+            name: its name.
+            spec: its content.
+            revision: revision that the caller has seen, 0 for none.
+            deadline: monotonic time.
+
+        Returns:
+            The object as stored.
+
+        Raises:
+            StoreConflictError: the store has another revision.
+            StoreUnavailableError: no answer; the change may take effect.
+
+        """
+        meta: dict[str, Any] = {'name': name, 'finalizers': []}
+        path = f'{_ROOT}{kind}'
+        if revision:
+            meta['revision'] = revision
+            path = f'{path}/{quote(name, safe="")}'
+        body = encode({'meta': meta, 'spec': spec})
+        method = 'PUT' if revision else 'POST'
+        req = HttpRequest(method, path, body=body)
+        resp = await self._call(req, deadline)
+        if resp.status in {HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND}:
+            raise StoreConflictError(_stored_revision(resp))
+        return _decode(resp, StoredObject)
+
+    async def delete(self, kind: str, name: str, deadline: float) -> None:
+        """Remove an object, whatever its revision.
+
+        Args:
+            kind: its kind.
+            name: its name.
+            deadline: monotonic time.
+
+        Raises:
+            StoreUnavailableError: no answer; it may still be removed.
+
+        """
+        req = HttpRequest('DELETE', f'{_ROOT}{kind}/{quote(name, safe="")}')
+        await self._call(req, deadline)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+    async def _page(self, kind: str, after: str, deadline: float) -> _Page:
+        target = f'{_ROOT}{kind}'
+        if after:
+            target = f'{target}?after={quote(after, safe="")}'
+        return _decode(
+            await self._call(HttpRequest('GET', target), deadline), _Page
+        )
+
+    async def _call(self, req: HttpRequest, deadline: float) -> HttpResponse:
+        try:
+            return await self._client.request(req, deadline)
+        except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+
+
+def _decode(resp: HttpResponse, reply_type: type[ReplyT]) -> ReplyT:
+    if resp.status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
+        raise StoreUnavailableError(f'status {resp.status}')
+    try:
+        return decode(resp.body, type=reply_type)
+    except (DecodeError, ValidationError) as exc:
+        raise StoreUnavailableError(f'unreadable: {exc}') from exc
+
+
+def _read_object(raw: Raw) -> StoredObject | None:
+    try:
+        return decode(raw, type=StoredObject)
+    except (DecodeError, ValidationError):
+        return None
+
+
+def _stored_revision(resp: HttpResponse) -> int:
+    stored = _read_object(Raw(resp.body)) if resp.body else None
+    return stored.meta.revision if stored else 0
--- /dev/null
+++ b/trefoilhitch/platform/program.py
@@ -0,0 +1,201 @@
+"""The program of a node on the users' platform."""
+
+import os
+import sys
+from http import HTTPStatus
+from pathlib import Path
+from random import Random, SystemRandom
+from signal import SIGHUP, SIGINT, SIGTERM
+from time import CLOCK_BOOTTIME, clock_gettime, time_ns
+
+from trio import (
+    Nursery,
+    current_time,
+    open_nursery,
+    open_signal_receiver,
+    run,
+    sleep,
+    sleep_until,
+)
+
+from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
+from trefoilhitch.http_message import Answerer, HttpRequest, HttpResponse
+from trefoilhitch.http_server import HttpServer, SharedAnswerer
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.platform.endpoint_link import WireDialer
+from trefoilhitch.platform.front import FrontServer
+from trefoilhitch.platform.lease_store import StoredLeases, StoredNodes
+from trefoilhitch.platform.object_store import ObjectStoreClient
+from trefoilhitch.platform.promotion_call import PromotionCall
+from trefoilhitch.platform.settings import SettingsFileError, load_settings
+from trefoilhitch.platform.sources import (
+    DeclarationSource,
+    EndpointSource,
+    read_declaration,
+)
+from trefoilhitch.pooler.node import NodeTools, Outside, PoolerNode
+from trefoilhitch.pooler.settings import PoolerSettings
+from trefoilhitch.tcp import split_address
+
+SETTINGS_VARIABLE = 'TREFOILHITCH_CONFIG'
+READY_PATH = '/-/readyz'
+METRICS_PATH = '/metrics'
+METRICS_PORT = 9464
+_SEED_BITS = 128
+_NS_PER_MS = 1_000_000
+_CLOSE_EVERY_S = 0.2
+_USAGE_EXIT = 2
+
+
+class StatusAnswerer:
+    """Answers the balancer and whoever reads metrics.
+
+    Args:
+        node: the node.
+        metrics: its metrics.
+
+    """
+
+    def __init__(self, node: PoolerNode, metrics: Metrics) -> None:
+        """Keep what is told."""
+        self._node = node
+        self._metrics = metrics
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a question.
+
+        Args:
+            req: the question.
+
+        Returns:
+            The answer.
+
+        """
+        if req.path == METRICS_PATH:
+            text = self._metrics.render().encode()
+            return HttpResponse(
+                HTTPStatus.OK, text, {'content-type': 'text/plain'}
+            )
+        if req.path != READY_PATH:
+            return HttpResponse(HTTPStatus.NOT_FOUND)
+        ready = self._node.ready
+        return HttpResponse(
+            HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+
+
+def boot_time() -> float:
+    """Return seconds since boot, suspended time included."""
+    return clock_gettime(CLOCK_BOOTTIME)
+
+
+def main() -> None:
+    """Run a node until SIGTERM.
+
+    Raises:
+        SystemExit: the settings file cannot be read.
+
+    """
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    try:
+        cfg = load_settings(path)
+    except SettingsFileError as exc:
+        sys.stderr.write(f'{exc}\n')
+        sys.exit(_USAGE_EXIT)
+    run(_run_node, cfg, path)
+
+
+def make_outside(cfg: PoolerSettings, log: LogbookLog) -> Outside:
+    """Reach the platform.
+
+    Args:
+        cfg: settings of the node.
+        log: takes note of what cannot be read.
+
+    Returns:
+        What the node reaches.
+
+    """
+    store = ObjectStoreClient(cfg.store_address)
+    return Outside(
+        make_dialer=WireDialer,
+        leases=StoredLeases(store),
+        promotion=PromotionCall(cfg.promotion_address, cfg.node),
+        registry=StoredNodes(store),
+        declarations=DeclarationSource(store, log),
+        endpoints=EndpointSource(store, log),
+        read_declaration=read_declaration,
+    )
+
+
+async def _run_node(cfg: PoolerSettings, path: Path) -> None:
+    log = LogbookLog(node=cfg.node, sink=JsonLinesHandler(sys.stdout))
+    metrics = Metrics()
+    tools = NodeTools(
+        log=log,
+        metrics=metrics,
+        random=Random(SystemRandom().getrandbits(_SEED_BITS)),
+        clock=boot_time,
+        incarnation=time_ns() // _NS_PER_MS,
+    )
+    node = PoolerNode(cfg, make_outside(cfg, log), tools)
+    front = FrontServer(node.service)
+    log.event('started', data_centre=cfg.data_centre, seeds=list(cfg.seeds))
+    async with open_nursery() as nursery:
+        await _listen(cfg, node, metrics, log, nursery)
+        await front.listen(nursery, cfg.client_address)
+        node.start(nursery)
+        await _handle_signals(node, front, log, path)
+        log.event('stopped', sessions=front.connections)
+        nursery.cancel_scope.cancel()
+
+
+async def _listen(
+    cfg: PoolerSettings,
+    node: PoolerNode,
+    metrics: Metrics,
+    log: LogbookLog,
+    nursery: Nursery,
+) -> None:
+    status = StatusAnswerer(node, metrics)
+    host, port = split_address(cfg.ready_address)
+    await _serve(status, log).listen(nursery, host, port)
+    try:
+        await _serve(status, log).listen(nursery, host, METRICS_PORT)
+    except OSError as exc:
+        log.event('metrics_not_served', detail=str(exc))
+    host, port = split_address(cfg.peer_address)
+    await _serve(node.peers, log).listen(nursery, host, port)
+
+
+def _serve(answerer: Answerer, log: LogbookLog) -> HttpServer:
+    return HttpServer(factory=SharedAnswerer(answerer), reporter=log)
+
+
+async def _handle_signals(
+    node: PoolerNode, front: FrontServer, log: LogbookLog, path: Path
+) -> None:
+    with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+        async for number in signals:
+            if number != SIGHUP:
+                break
+            _check_settings(log, path)
+        await _stop(node, front)
+
+
+def _check_settings(log: LogbookLog, path: Path) -> None:
+    try:
+        cfg = load_settings(path)
+    except SettingsFileError as exc:
+        log.event('reload_failed', detail=str(exc))
+        return
+    log.event('reloaded', store=cfg.store_address)
+
+
+async def _stop(node: PoolerNode, front: FrontServer) -> None:
+    plan = node.begin_stop()
+    await sleep_until(plan.close_idle_at)
+    while front.connections and current_time() < plan.end_at:
+        front.close_idle()
+        await sleep(_CLOSE_EVERY_S)
+    await node.finish_stop()
--- /dev/null
+++ b/trefoilhitch/platform/promotion_call.py
@@ -0,0 +1,67 @@
+"""The platform's call that makes an endpoint lead its service."""
+
+from http import HTTPStatus
+
+from msgspec.json import encode
+
+from trefoilhitch.errors import (
+    ConnectionLostError,
+    DeadlineError,
+    StoreUnavailableError,
+    UnreachableError,
+)
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest
+from trefoilhitch.platform._generated.platform import FailoverOrder
+
+_PATH = '/failover'
+
+
+class PromotionCall:
+    """Orders changes of a lead.
+
+    Args:
+        address: `ADDRESS:PORT`.
+        node: name of this node.
+
+    """
+
+    def __init__(self, address: str, node: str) -> None:
+        """Open nothing yet."""
+        self._client = HttpClient(address, max_idle=1)
+        self._node = node
+
+    async def promote(
+        self, service: str, endpoint: str, token: int, deadline: float
+    ) -> bool:
+        """Order that an endpoint leads its service.
+
+        Args:
+            service: the service.
+            endpoint: id of the endpoint that shall lead.
+            token: fencing token.
+            deadline: monotonic time.
+
+        Returns:
+            True if it was done, False if it was refused for good.
+
+        Raises:
+            StoreUnavailableError: no answer; it may still be carried out.
+
+        """
+        req = HttpRequest(
+            'POST',
+            _PATH,
+            headers={
+                'Lease-Holder': self._node,
+                'Fencing-Token': str(token),
+            },
+            body=encode(FailoverOrder(service=service, id=endpoint)),
+        )
+        try:
+            resp = await self._client.request(req, deadline)
+        except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
+            raise StoreUnavailableError(str(exc)) from exc
+        if resp.status in {HTTPStatus.OK, HTTPStatus.CONFLICT}:
+            return resp.status == HTTPStatus.OK
+        raise StoreUnavailableError(f'status {resp.status}')
--- /dev/null
+++ b/trefoilhitch/pooler/client_session.py
@@ -0,0 +1,250 @@
+"""A client's session: who it is, what it may do, and where statements go."""
+
+from dataclasses import dataclass
+
+from trio import current_time
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.answer import (
+    Answer,
+    Refusal,
+    SessionState,
+    done,
+    refused,
+)
+from trefoilhitch.pooler.catalogue import Catalogue, Route
+from trefoilhitch.pooler.declared import DeclaredState
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.rate_book import RateBook
+from trefoilhitch.pooler.session import SessionData
+from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
+from trefoilhitch.pooler.statement_runner import Run, StatementRunner
+from trefoilhitch.pooler.transaction_runner import TransactionRunner
+
+PUBLIC_ORGANISATION = 'public'
+_LOCAL = frozenset((Verb.SET, Verb.PREPARE, Verb.DEALLOCATE))
+_ENDS = frozenset((Verb.COMMIT, Verb.ROLLBACK))
+
+
+@dataclass(frozen=True, slots=True)
+class SessionParts:
+    """What all sessions of a node share.
+
+    Args:
+        declared: the catalogue in force.
+        rates: shares of the organisations' rates.
+        knowledge: endpoints and leads.
+        statements: runs single statements.
+        transactions: runs transactions.
+        log: takes note of decisions.
+        metrics: counts and measures.
+
+    """
+
+    declared: DeclaredState
+    rates: RateBook
+    knowledge: Knowledge
+    statements: StatementRunner
+    transactions: TransactionRunner
+    log: DecisionLog
+    metrics: Metrics
+
+
+def authorise(
+    catalogue: Catalogue, database: str, key: str
+) -> Refusal | tuple[Route, str]:
+    """Find the route of a database and the organisation of a key.
+
+    Args:
+        catalogue: what is declared.
+        database: name that the client connects to.
+        key: the client's key, empty if it sent none.
+
+    Returns:
+        Route and organisation, or why there is none.
+
+    """
+    route = catalogue.routes.get(database)
+    if route is None:
+        return Refusal.UNKNOWN_DATABASE
+    organisation = catalogue.keys.get(key)
+    if organisation is not None:
+        return route, organisation
+    if route.public:
+        return route, PUBLIC_ORGANISATION
+    return Refusal.UNAUTHORISED
+
+
+class ClientSession:
+    """Answers the statements of one client, one after the other.
+
+    Args:
+        parts: what all sessions share.
+        data: what the session holds.
+
+    """
+
+    def __init__(self, parts: SessionParts, data: SessionData) -> None:
+        """Keep the session's data."""
+        self._parts = parts
+        self._data = data
+
+    @classmethod
+    def open(
+        cls, parts: SessionParts, start: SessionStart
+    ) -> 'ClientSession | Refusal':
+        """Open a session.
+
+        Args:
+            parts: what all sessions share.
+            start: the client's first message.
+
+        Returns:
+            The session, or why it is refused.
+
+        """
+        catalogue = parts.declared.catalogue
+        if catalogue is None:
+            return Refusal.BUSY
+        found = authorise(catalogue, start.database, start.key)
+        if isinstance(found, Refusal):
+            return found
+        _, organisation = found
+        return cls(parts, SessionData(start.database, organisation, start.key))
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether the client has a transaction to end."""
+        return self._data.state != SessionState.IDLE
+
+    def abandon_transaction(self) -> None:
+        """Roll an open transaction back; the client learns it by its next."""
+        if self._data.transaction is not None:
+            self._parts.transactions.abandon(self._data)
+            self._data.state = SessionState.FAILED
+
+    def close(self) -> None:
+        """Roll back what the client left open."""
+        self._parts.transactions.abandon(self._data)
+
+    async def run(self, statement: Statement) -> Answer:
+        """Answer a statement.
+
+        Args:
+            statement: the statement.
+
+        Returns:
+            The answer, in the state that the session is in afterwards.
+
+        """
+        began = current_time()
+        data = self._data
+        try:
+            answer = await self._run(statement)
+        except BaseException:
+            data.state = SessionState.FAILED
+            raise
+        data.state = answer.state
+        took_s = current_time() - began
+        if statement.verb not in _LOCAL:
+            self._parts.metrics.observe(took_s)
+            self._note(statement, answer, took_s)
+        return answer
+
+    async def _run(self, statement: Statement) -> Answer:
+        found = self._authorise()
+        if isinstance(found, Refusal):
+            return self._forbid(statement, found)
+        if statement.verb in _LOCAL:
+            return self._run_local(statement)
+        if self.in_transaction:
+            return await self._run_in_transaction(statement)
+        if statement.verb in _ENDS:
+            return done(SessionState.IDLE)
+        if self._data.access(statement) is None:
+            return refused(Refusal.UNKNOWN_STATEMENT, statement.name)
+        return await self._run_operation(statement, found)
+
+    async def _run_operation(self, statement: Statement, route: Route) -> Answer:
+        parts = self._parts
+        if not parts.rates.spend(
+            self._data.organisation, parts.knowledge.clock()
+        ):
+            parts.metrics.count('rate_refusals', self._data.organisation)
+            return refused(
+                Refusal.BUSY, 'the rate of the organisation is used up'
+            )
+        run = Run.from_statement(self._data, statement, route)
+        if statement.verb == Verb.BEGIN:
+            return await parts.transactions.begin(run)
+        return await parts.statements.run(run)
+
+    async def _run_in_transaction(self, statement: Statement) -> Answer:
+        data = self._data
+        if statement.verb == Verb.BEGIN:
+            return refused(
+                Refusal.MALFORMED, 'a transaction is open', data.state
+            )
+        if data.access(statement) is None:
+            return refused(
+                Refusal.UNKNOWN_STATEMENT, statement.name, data.state
+            )
+        return await self._parts.transactions.run(data, statement)
+
+    def _authorise(self) -> Route | Refusal:
+        catalogue = self._parts.declared.catalogue
+        if catalogue is None:
+            return Refusal.BUSY
+        data = self._data
+        opened = data.transaction
+        found = authorise(catalogue, data.database, data.key)
+        if found == Refusal.UNKNOWN_DATABASE and opened is not None:
+            # A transaction ends by the route under which it began.
+            return opened.route
+        if isinstance(found, Refusal):
+            return found
+        route, organisation = found
+        if organisation != data.organisation:
+            return Refusal.UNAUTHORISED
+        return route
+
+    def _forbid(self, statement: Statement, refusal: Refusal) -> Answer:
+        self._parts.transactions.abandon(self._data)
+        ends = statement.verb in _ENDS or not self.in_transaction
+        state = SessionState.IDLE if ends else SessionState.FAILED
+        return refused(refusal, refusal.value, state)
+
+    def _run_local(self, statement: Statement) -> Answer:
+        data = self._data
+        if data.state == SessionState.FAILED:
+            return refused(
+                Refusal.MALFORMED,
+                'the transaction failed and has to be rolled back',
+                data.state,
+            )
+        if statement.verb == Verb.SET:
+            data.values[statement.name] = statement.argument
+        elif statement.verb == Verb.PREPARE and statement.shape is not None:
+            data.prepared[statement.name] = statement.shape
+        elif data.prepared.pop(statement.name, None) is None:
+            return refused(
+                Refusal.UNKNOWN_STATEMENT, statement.name, data.state
+            )
+        return done(data.state)
+
+    def _note(self, statement: Statement, answer: Answer, took_s: float) -> None:
+        parts = self._parts
+        outcome = answer.refusal.value if answer.refusal else 'ok'
+        parts.metrics.count('statements', outcome)
+        parts.log.event(
+            'statement',
+            request=statement.request_id,
+            verb=statement.verb.value,
+            database=self._data.database,
+            organisation=self._data.organisation,
+            revision=parts.declared.revision,
+            outcome=outcome,
+            detail=answer.detail,
+            took_ms=round(took_s * 1000, 1),
+        )
--- /dev/null
+++ b/trefoilhitch/pooler/control.py
@@ -0,0 +1,167 @@
+"""Questions and orders to endpoints about who leads."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+from trio import current_time, open_nursery
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.ports import (
+    Command,
+    EndpointDialer,
+    EndpointLink,
+    EndpointStatus,
+    LinkLostError,
+    LinkRefusedError,
+)
+
+CONTROL_ORGANISATION = '-'
+CONTROL_TIMEOUT_S = 0.45
+_FAILURES = (LinkLostError, LinkRefusedError)
+
+
+class EndpointControl:
+    """Keeps one connection to each endpoint that it asks.
+
+    Args:
+        dialer: opens connections.
+        log: takes note of failures.
+        metrics: counts statements.
+
+    """
+
+    def __init__(
+        self, *, dialer: EndpointDialer, log: DecisionLog, metrics: Metrics
+    ) -> None:
+        """Start without connections."""
+        self._dialer = dialer
+        self._log = log
+        self._metrics = metrics
+        self._links: dict[str, EndpointLink] = {}
+
+    async def status(self, endpoint: str) -> EndpointStatus | None:
+        """Ask an endpoint for its status.
+
+        Args:
+            endpoint: its id.
+
+        Returns:
+            The status, None if it did not tell.
+
+        """
+        return await self._order(endpoint, self._dialer.status())
+
+    async def fence(self, endpoint: str, term: int) -> EndpointStatus | None:
+        """Stop a replica from receiving.
+
+        Args:
+            endpoint: its id.
+            term: term above all that are known.
+
+        Returns:
+            Its status, None if it did not tell; it may still stop.
+
+        """
+        return await self._order(endpoint, self._dialer.fence(term))
+
+    async def demote(self, endpoint: str, term: int) -> EndpointStatus | None:
+        """Make a lead of a lower term a replica.
+
+        Args:
+            endpoint: its id.
+            term: term above all that are known.
+
+        Returns:
+            Its status, None if it did not tell; it may still step down.
+
+        """
+        return await self._order(endpoint, self._dialer.demote(term))
+
+    async def unfence(self, endpoint: str) -> EndpointStatus | None:
+        """Let a replica receive again.
+
+        Args:
+            endpoint: its id.
+
+        Returns:
+            Its status, None if it did not tell.
+
+        """
+        return await self._order(endpoint, self._dialer.unfence())
+
+    def close(self, endpoint: str) -> None:
+        """Close the connection to an endpoint.
+
+        Args:
+            endpoint: its id.
+
+        """
+        link = self._links.pop(endpoint, None)
+        if link is not None:
+            link.close()
+
+    async def _order(
+        self, endpoint: str, command: Command
+    ) -> EndpointStatus | None:
+        self._metrics.count('own_statements', 'control')
+        deadline = current_time() + CONTROL_TIMEOUT_S
+        try:
+            link = await self._take(endpoint, deadline)
+            answers = await link.run([command], deadline)
+            status = self._dialer.read_status(answers[0])
+        except _FAILURES as exc:
+            self._log.event(
+                'control_failed',
+                endpoint=endpoint,
+                order=command.text,
+                detail=str(exc),
+            )
+            return None
+        self._keep(endpoint, link)
+        if status is None:
+            self._log.event(
+                'control_refused',
+                endpoint=endpoint,
+                order=command.text,
+                detail=answers[0].detail,
+            )
+        return status
+
+    async def _take(self, endpoint: str, deadline: float) -> EndpointLink:
+        link = self._links.pop(endpoint, None)
+        if link is not None and link.is_usable():
+            return link
+        if link is not None:
+            link.close()
+        return await self._dialer.dial(endpoint, CONTROL_ORGANISATION, deadline)
+
+    def _keep(self, endpoint: str, link: EndpointLink) -> None:
+        self.close(endpoint)
+        self._links[endpoint] = link
+
+
+async def ask_all(
+    endpoints: Iterable[str],
+    question: Callable[[str], Awaitable[EndpointStatus | None]],
+) -> dict[str, EndpointStatus]:
+    """Ask several endpoints at once.
+
+    Args:
+        endpoints: their ids.
+        question: asks one of them.
+
+    Returns:
+        The statuses of those that told.
+
+    """
+    found: dict[str, EndpointStatus] = {}
+
+    async def ask(endpoint: str) -> None:
+        status = await question(endpoint)
+        if status is not None:
+            found[endpoint] = status
+
+    async with open_nursery() as nursery:
+        for endpoint in endpoints:
+            nursery.start_soon(ask, endpoint)
+    return found
--- /dev/null
+++ b/trefoilhitch/pooler/follower.py
@@ -0,0 +1,121 @@
+"""Follows a kind of stored objects: a listing, then its changes, for ever."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from random import Random
+from typing import Generic, Protocol, TypeVar
+
+from trio import current_time, sleep
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.errors import StoreHistoryGoneError, StoreUnavailableError
+
+READ_TIMEOUT_S = 1.5
+# How long the store holds a question for changes. A connection that went
+# silent costs at most this long, plus the margin.
+WAIT_S = 8.0
+WAIT_MARGIN_S = 1.0
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 1.5
+
+ItemT = TypeVar('ItemT')
+
+
+@dataclass(frozen=True, slots=True)
+class Changes(Generic[ItemT]):
+    """Objects that are there, and names of objects that are not.
+
+    Args:
+        present: readable objects by name.
+        absent: names of objects that were removed or cannot be read.
+        revision: revision up to which the store told everything.
+
+    """
+
+    present: Mapping[str, ItemT]
+    absent: tuple[str, ...]
+    revision: int
+
+
+class ChangeSource(Protocol[ItemT]):
+    """A kind of objects in the store."""
+
+    async def read_all(self, deadline: float) -> Changes[ItemT]:
+        """Read all objects as they are now."""
+
+    async def wait(
+        self, revision: int, wait_s: float, deadline: float
+    ) -> Changes[ItemT]:
+        """Wait for changes after a revision, for a while."""
+
+
+class Follower(Generic[ItemT]):
+    """Keeps a copy of a kind of objects up to date.
+
+    Args:
+        kind: name of the kind, for the log.
+        source: where they are.
+        replace_all: takes a whole listing.
+        apply: takes changes.
+        log: takes note of outages.
+        random: spreads retries.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        kind: str,
+        source: ChangeSource[ItemT],
+        replace_all: Callable[[Changes[ItemT]], None],
+        apply: Callable[[Changes[ItemT]], None],
+        log: DecisionLog,
+        random: Random,
+    ) -> None:
+        """Start without a listing."""
+        self.listed = False
+        self._kind = kind
+        self._source = source
+        self._replace_all = replace_all
+        self._apply = apply
+        self._log = log
+        self._random = random
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            try:
+                await self._follow()
+            except StoreHistoryGoneError:
+                self._log.event('history_gone', listing=self._kind)
+            except StoreUnavailableError as exc:
+                await self._pause(exc)
+
+    async def _follow(self) -> None:
+        listing = await self._source.read_all(current_time() + READ_TIMEOUT_S)
+        self._replace_all(listing)
+        self._recovered(listing.revision)
+        revision = listing.revision
+        while True:
+            deadline = current_time() + WAIT_S + WAIT_MARGIN_S
+            changes = await self._source.wait(revision, WAIT_S, deadline)
+            revision = changes.revision
+            self._apply(changes)
+
+    def _recovered(self, revision: int) -> None:
+        self._log.event(
+            'listing_read',
+            listing=self._kind,
+            revision=revision,
+            failures=self._failures,
+        )
+        self.listed = True
+        self._failures = 0
+
+    async def _pause(self, exc: StoreUnavailableError) -> None:
+        if not self._failures:
+            self._log.event('store_lost', listing=self._kind, detail=str(exc))
+        span = min(FIRST_PAUSE_S * 2**self._failures, LONGEST_PAUSE_S)
+        self._failures += 1
+        await sleep(span * (0.5 + self._random.random()))
--- /dev/null
+++ b/trefoilhitch/pooler/gate.py
@@ -0,0 +1,64 @@
+"""When a node takes clients, and how it lets go of them."""
+
+from dataclasses import dataclass
+
+# The balancer needs two questions without a yes, one a second.
+OUT_OF_ROTATION_S = 2.3
+# Time that is left for the process to end by itself.
+END_MARGIN_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class DrainPlan:
+    """Deadlines of a graceful shutdown.
+
+    Args:
+        close_idle_at: when idle sessions may be closed.
+        end_transactions_at: when open transactions are rolled back.
+        end_at: when the process ends, whatever is open.
+
+    """
+
+    close_idle_at: float
+    end_transactions_at: float
+    end_at: float
+
+    @classmethod
+    def from_signal(cls, now: float, stop_within_s: float) -> 'DrainPlan':
+        """Plan a shutdown.
+
+        Args:
+            now: monotonic time of the signal.
+            stop_within_s: time until the process is killed, in seconds.
+
+        Returns:
+            The deadlines.
+
+        """
+        end_at = now + stop_within_s - END_MARGIN_S
+        return cls(
+            close_idle_at=min(now + OUT_OF_ROTATION_S, end_at),
+            end_transactions_at=min(now + stop_within_s / 2, end_at),
+            end_at=end_at,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Readiness:
+    """What a node has that it needs to serve clients.
+
+    Args:
+        declared: whether it has a declaration.
+        endpoints: whether it has read which endpoints there are.
+        stopping: whether it is to end.
+
+    """
+
+    declared: bool
+    endpoints: bool
+    stopping: bool
+
+    @property
+    def ready(self) -> bool:
+        """Whether new clients may come."""
+        return self.declared and self.endpoints and not self.stopping
--- /dev/null
+++ b/trefoilhitch/pooler/leadership.py
@@ -0,0 +1,131 @@
+"""Which endpoint leads a service, from proofs and from the directory."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from trefoilhitch.pooler.endpoint_book import EndpointRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """An endpoint that leads a service, as far as is known.
+
+    Args:
+        service: the service.
+        endpoint: id of the endpoint.
+        term: the term that it leads; 0 if only the directory names it.
+
+    """
+
+    service: str
+    endpoint: str
+    term: int = 0
+
+
+class Leadership:
+    """Keeps the newest known lead of each service.
+
+    A proof names a term, and the latest term wins. The directory names no
+    term; it is followed where nothing is proved, or where the proved endpoint
+    has been seen to lead no more.
+    """
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self._proved: dict[str, Lead] = {}
+        self._deposed: dict[str, Lead] = {}
+
+    def prove(self, lead: Lead) -> bool:
+        """Take note of a proof.
+
+        Args:
+            lead: endpoint and term that it led.
+
+        Returns:
+            True if it changes who leads.
+
+        """
+        known = self._proved.get(lead.service)
+        deposed = self._deposed.get(lead.service)
+        if known is not None and known.term >= lead.term:
+            return False
+        if deposed is not None and deposed.term >= lead.term:
+            return False
+        self._proved[lead.service] = lead
+        return known is None or known.endpoint != lead.endpoint
+
+    def depose(self, service: str, endpoint: str) -> bool:
+        """Take note that an endpoint said it does not lead.
+
+        Args:
+            service: the service.
+            endpoint: id of the endpoint.
+
+        Returns:
+            True if it was taken for the lead.
+
+        """
+        known = self._proved.get(service)
+        if known is not None and known.endpoint != endpoint:
+            return False
+        before = self._deposed.get(service)
+        if known is None and _is(before, endpoint):
+            return False
+        self._deposed[service] = Lead(service, endpoint, self.term(service))
+        self._proved.pop(service, None)
+        return True
+
+    def term(self, service: str) -> int:
+        """Return the latest proved term of a service.
+
+        Args:
+            service: its name.
+
+        Returns:
+            The term; 0 if nothing was proved.
+
+        """
+        known = self._proved.get(service) or self._deposed.get(service)
+        return known.term if known else 0
+
+    def proved(self, service: str) -> Lead | None:
+        """Return the proved lead of a service.
+
+        Args:
+            service: its name.
+
+        Returns:
+            The lead, or None if there is none.
+
+        """
+        return self._proved.get(service)
+
+    def current(
+        self, service: str, members: Sequence[EndpointRecord]
+    ) -> str | None:
+        """Return the endpoint to try as the lead of a service.
+
+        Args:
+            service: its name.
+            members: its endpoints.
+
+        Returns:
+            Id of the proved lead if it is a member, else of the endpoint that
+            the directory alone names, else None.
+
+        """
+        ids = {record.endpoint for record in members}
+        known = self._proved.get(service)
+        if known is not None and known.endpoint in ids:
+            return known.endpoint
+        deposed = self._deposed.get(service)
+        named = [
+            record.endpoint
+            for record in members
+            if record.role == 'primary' and not _is(deposed, record.endpoint)
+        ]
+        return named[0] if len(named) == 1 else None
+
+
+def _is(lead: Lead | None, endpoint: str) -> bool:
+    return lead is not None and lead.endpoint == endpoint
--- /dev/null
+++ b/trefoilhitch/pooler/link_runner.py
@@ -0,0 +1,155 @@
+"""Runs statements on a connection that first takes on the session's state."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.answer import Answer
+from trefoilhitch.pooler.outcome import Loss
+from trefoilhitch.pooler.pooled_link import PooledLink
+from trefoilhitch.pooler.ports import (
+    Command,
+    EndpointDialer,
+    EndpointStatus,
+    LinkLostError,
+)
+from trefoilhitch.pooler.session import value_change
+from trefoilhitch.pooler.statement import PreparedShape, Statement, Verb
+
+
+@dataclass(frozen=True, slots=True)
+class StatementCall:
+    """A statement as it goes to an endpoint.
+
+    Args:
+        statement: the client's statement.
+        shape: what it runs, for EXECUTE only.
+        needed: position that the log must have reached, None for any.
+        prove_lead: whether the endpoint is asked for its status behind it.
+
+    """
+
+    statement: Statement
+    shape: PreparedShape | None = None
+    needed: LogPosition | None = None
+    prove_lead: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StatementResult:
+    """What an endpoint answered.
+
+    Args:
+        answer: the answer to the statement.
+        status: what it said of itself behind it, None if it was not asked
+            or would not tell.
+
+    """
+
+    answer: Answer
+    status: EndpointStatus | None = None
+
+
+class LinkRunner:
+    """Runs statements on connections.
+
+    Args:
+        dialer: knows the endpoints' own statements.
+        metrics: counts the pooler's own statements.
+
+    """
+
+    def __init__(self, *, dialer: EndpointDialer, metrics: Metrics) -> None:
+        """Keep the collaborators."""
+        self._dialer = dialer
+        self._metrics = metrics
+
+    async def take_on(
+        self, pooled: PooledLink, values: Mapping[str, str], deadline: float
+    ) -> None:
+        """Make the values of a connection those of a session.
+
+        The connection holds no statement of the session before this succeeds,
+        so a failure here never runs one with the wrong values.
+
+        Args:
+            pooled: the connection.
+            values: the session's values.
+            deadline: monotonic time.
+
+        Raises:
+            LinkLostError: the connection failed; the statement was not sent.
+
+        """
+        change = value_change(pooled.values, values)
+        if change.empty:
+            return
+        commands = [
+            self._dialer.set_value(name, text)
+            for name, text in change.assign.items()
+        ]
+        if change.reset:
+            commands.insert(0, self._dialer.reset())
+            pooled.prepared.clear()
+        self._count('values', len(commands))
+        try:
+            answers = await pooled.link.run(commands, deadline)
+        except LinkLostError as exc:
+            raise LinkLostError(Loss.NOT_SENT, str(exc)) from exc
+        if not all(answer.ok for answer in answers):
+            pooled.link.close()
+            raise LinkLostError(Loss.NOT_SENT, 'session values were refused')
+        pooled.values = dict(values)
+
+    async def run(
+        self, pooled: PooledLink, call: StatementCall, deadline: float
+    ) -> StatementResult:
+        """Run a statement.
+
+        Args:
+            pooled: a connection that holds the session's values.
+            call: the statement.
+            deadline: monotonic time.
+
+        Returns:
+            The answer, with the endpoint's status if it was asked for.
+
+        Raises:
+            LinkLostError: the answer did not arrive whole.
+
+        """
+        commands = [self._command(call)]
+        before = self._preparation(pooled, call.shape)
+        if call.prove_lead:
+            commands.append(self._dialer.status())
+            self._count('status', 1)
+        answers = await pooled.link.run([*before, *commands], deadline)
+        if before and call.shape and answers[0].ok:
+            pooled.prepared.add(call.shape.pooled_name)
+        status = None
+        if call.prove_lead:
+            status = self._dialer.read_status(answers[-1])
+        return StatementResult(answers[len(before)], status)
+
+    def _preparation(
+        self, pooled: PooledLink, shape: PreparedShape | None
+    ) -> list[Command]:
+        if shape is None or shape.pooled_name in pooled.prepared:
+            return []
+        self._count('prepare', 1)
+        return [self._dialer.prepare(shape)]
+
+    def _command(self, call: StatementCall) -> Command:
+        statement = call.statement
+        if statement.verb == Verb.EXECUTE and call.shape is not None:
+            command = self._dialer.execute(
+                statement.request_id, call.shape, statement.argument
+            )
+        else:
+            command = Command(statement.text, statement.request_id)
+        return Command(command.text, command.request_id, call.needed)
+
+    def _count(self, kind: str, number: int) -> None:
+        for _ in range(number):
+            self._metrics.count('own_statements', kind)
--- /dev/null
+++ b/trefoilhitch/pooler/monitor.py
@@ -0,0 +1,216 @@
+"""Watches the leads of services and has them replaced."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from itertools import count
+
+from trio import current_time, open_nursery, sleep
+
+from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch._generated.record import PlacementNode
+from trefoilhitch.errors import StoreError
+from trefoilhitch.placement import ranking
+from trefoilhitch.pooler.control import EndpointControl, ask_all
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.leadership import Lead
+from trefoilhitch.pooler.lease import SeenLease
+from trefoilhitch.pooler.ports import EndpointStatus
+from trefoilhitch.pooler.succession import (
+    PROOF_WANTED_AFTER_S,
+    Reason,
+    reason_to_replace,
+)
+from trefoilhitch.pooler.successor import (
+    STORE_TIMEOUT_S,
+    Succession,
+    SuccessionParts,
+    SuccessionStoppedError,
+)
+
+CHECK_EVERY_S = 0.15
+# Nodes that stand ready to watch one service.
+MONITORS = 3
+# Each further monitor acts this much later than the one before it.
+RANK_DELAY_S = 1.5
+RETRY_PAUSE_S = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class MonitorParts:
+    """What a monitor needs.
+
+    Args:
+        succession: what replacing a lead needs.
+        live_nodes: returns the heartbeats of the nodes that may watch.
+        confirm_silence: asks other nodes whether a lead answers them; False
+            if it does.
+        publish: tells other nodes at once of a change.
+
+    """
+
+    succession: SuccessionParts
+    live_nodes: Callable[[], list[MemberBeat]]
+    confirm_silence: Callable[[str, str], Awaitable[bool]]
+    publish: Callable[[], None]
+
+
+class Monitor:
+    """Keeps proofs of leads fresh and replaces leads that are lost.
+
+    Args:
+        parts: what it needs.
+
+    """
+
+    def __init__(self, parts: MonitorParts) -> None:
+        """Start knowing of no lease."""
+        self._parts = parts
+        self._seen: dict[str, SeenLease] = {}
+        self._busy: set[str] = set()
+        self._pause_until: dict[str, float] = {}
+        self._since: dict[str, float] = {}
+        self._attempts = count(1)
+
+    async def run(self) -> None:
+        """Watch all services for ever."""
+        async with open_nursery() as nursery:
+            while True:
+                await sleep(CHECK_EVERY_S)
+                for service in self._knowledge.book.services():
+                    rank = self._rank(service)
+                    if rank < MONITORS and service not in self._busy:
+                        self._busy.add(service)
+                        nursery.start_soon(self._watch, service, rank)
+
+    @property
+    def _knowledge(self) -> Knowledge:
+        return self._parts.succession.knowledge
+
+    @property
+    def _control(self) -> EndpointControl:
+        return self._parts.succession.control
+
+    def _rank(self, service: str) -> int:
+        lead = self._knowledge.lead(service)
+        record = self._knowledge.find(lead) if lead else None
+        place = PlacementNode(
+            name=service,
+            region='',
+            data_centre=record.data_centre if record else '',
+        )
+        nodes = [
+            PlacementNode(name=beat.node, region='', data_centre=beat.data_centre)
+            for beat in self._parts.live_nodes()
+        ]
+        names = ranking(place, nodes)
+        node = self._parts.succession.node
+        return names.index(node) if node in names else len(names)
+
+    async def _watch(self, service: str, rank: int) -> None:
+        try:
+            await self._probe(service, rank)
+            await self._judge(service, rank)
+        finally:
+            self._busy.discard(service)
+
+    async def _probe(self, service: str, rank: int) -> None:
+        newest = self._knowledge.observations.newest(service)
+        now = self._knowledge.clock()
+        wanted = now - PROOF_WANTED_AFTER_S - rank * RANK_DELAY_S
+        lead = self._knowledge.lead(service)
+        if lead is None:
+            await self._search(service)
+        elif newest is None or newest.asked_at < wanted:
+            await self._ask(service, lead)
+
+    async def _ask(self, service: str, endpoint: str) -> None:
+        asked_at = self._knowledge.clock()
+        status = await self._control.status(endpoint)
+        if status is None:
+            self._knowledge.question_unanswered(service, asked_at)
+            return
+        self._learn(service, endpoint, status, asked_at)
+
+    async def _search(self, service: str) -> None:
+        asked_at = self._knowledge.clock()
+        members = self._knowledge.book.members(service)
+        ids = [record.endpoint for record in members]
+        statuses = await ask_all(ids, self._control.status)
+        for endpoint, status in statuses.items():
+            if status.leads:
+                self._learn(service, endpoint, status, asked_at)
+        if not any(status.leads for status in statuses.values()):
+            self._knowledge.question_unanswered(service, asked_at)
+
+    def _learn(
+        self,
+        service: str,
+        endpoint: str,
+        status: EndpointStatus,
+        asked_at: float,
+    ) -> None:
+        if not status.leads:
+            self._knowledge.depose(service, endpoint, 'monitor')
+            return
+        lead = Lead(service, endpoint, status.term)
+        self._knowledge.prove(lead, status.position, asked_at, 'monitor')
+
+    async def _judge(self, service: str, rank: int) -> None:
+        reason = self._reason(service)
+        now = current_time()
+        if reason is None:
+            self._since.pop(service, None)
+            return
+        since = self._since.setdefault(service, now)
+        ready_at = max(
+            since + rank * RANK_DELAY_S, self._pause_until.get(service, 0)
+        )
+        if now < ready_at:
+            return
+        if reason == Reason.SILENT and not await self._is_silent(service):
+            return
+        await self._replace(service, reason)
+
+    async def _is_silent(self, service: str) -> bool:
+        lead = self._knowledge.lead(service)
+        if lead is None:
+            return True
+        return await self._parts.confirm_silence(service, lead)
+
+    def _reason(self, service: str) -> Reason | None:
+        lead = self._knowledge.lead(service)
+        record = self._knowledge.find(lead) if lead else None
+        return reason_to_replace(
+            self._knowledge.evidence(service, lead),
+            record,
+            missing=bool(lead) and self._knowledge.book.is_missing(lead or ''),
+            now=self._knowledge.clock(),
+        )
+
+    async def _replace(self, service: str, reason: Reason) -> None:
+        parts = self._parts.succession
+        attempt = f'{parts.node}/{current_time():.3f}/{next(self._attempts)}'
+        parts.log.event('succession_began', service=service, reason=reason.value)
+        outcome = 'done'
+        try:
+            seen = await self._read_lease(service)
+            succession = Succession(
+                parts, service=service, reason=reason, attempt=attempt
+            )
+            await succession.run(seen)
+        except (SuccessionStoppedError, StoreError) as exc:
+            outcome = f'{type(exc).__name__}: {exc}'
+        self._pause_until[service] = current_time() + RETRY_PAUSE_S
+        parts.log.event('succession_ended', service=service, outcome=outcome)
+        self._parts.publish()
+
+    async def _read_lease(self, service: str) -> SeenLease:
+        parts = self._parts.succession
+        deadline = current_time() + STORE_TIMEOUT_S
+        record = await parts.leases.read_lease(service, deadline)
+        known = self._seen.get(service)
+        if known is None or known.record.revision != record.revision:
+            known = SeenLease(record, self._knowledge.clock())
+            self._seen[service] = known
+        return known
+
--- /dev/null
+++ b/trefoilhitch/pooler/node.py
@@ -0,0 +1,386 @@
+"""A node that pools connections: its parts, its start and its end."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from trio import Nursery, current_time, sleep
+
+from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.errors import StoreError
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.client_session import SessionParts
+from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.control import EndpointControl
+from trefoilhitch.pooler.declared import DeclaredState, Declaration
+from trefoilhitch.pooler.endpoint_book import EndpointRecord
+from trefoilhitch.pooler.fleet_view import FleetView
+from trefoilhitch.pooler.follower import Changes, ChangeSource, Follower
+from trefoilhitch.pooler.gate import DrainPlan, Readiness
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.link_pool import LinkPool
+from trefoilhitch.pooler.link_runner import LinkRunner
+from trefoilhitch.pooler.monitor import Monitor, MonitorParts
+from trefoilhitch.pooler.peers import PeerAnswerer, PeerParts, PeerTalk
+from trefoilhitch.pooler.ports import EndpointDialer, LeaseStore, Promotion
+from trefoilhitch.pooler.rate_book import RateBook
+from trefoilhitch.pooler.service import PoolerService
+from trefoilhitch.pooler.settings import PoolerSettings
+from trefoilhitch.pooler.statement_runner import StatementRunner
+from trefoilhitch.pooler.successor import SuccessionParts
+from trefoilhitch.pooler.target import EndpointChoice
+from trefoilhitch.pooler.transaction_runner import TransactionRunner
+
+REGISTER_TIMEOUT_S = 1.5
+REGISTER_PAUSE_S = 0.7
+HOUSEKEEPING_EVERY_S = 0.5
+# Connections that each endpoint keeps free for questions of nodes.
+CONTROL_CONNECTIONS = 4
+# Sockets that are not clients' sessions.
+OTHER_SOCKETS = 200
+
+
+class NodeRegistry(Protocol):
+    """Keeps an entry for each node."""
+
+    async def list_nodes(self, deadline: float) -> list[MemberBeat]:
+        """Read the entries of all nodes."""
+
+    async def register(self, beat: MemberBeat, deadline: float) -> None:
+        """Write this node's entry."""
+
+    async def deregister(self, node: str, deadline: float) -> None:
+        """Remove this node's entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outside:
+    """What a node reaches outside.
+
+    Args:
+        make_dialer: returns what opens connections to endpoints, given where
+            their entries are found.
+        leases: keeps leases.
+        promotion: orders promotions.
+        registry: keeps nodes' entries.
+        declarations: the operators' declaration.
+        endpoints: entries of endpoints.
+        read_declaration: reads a declaration's text.
+
+    """
+
+    make_dialer: Callable[
+        [Callable[[str], EndpointRecord | None]], EndpointDialer
+    ]
+    leases: LeaseStore
+    promotion: Promotion
+    registry: NodeRegistry
+    declarations: ChangeSource[Declaration]
+    endpoints: ChangeSource[EndpointRecord]
+    read_declaration: Callable[[str], Declaration]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeTools:
+    """What a node uses inside.
+
+    Args:
+        log: takes note of decisions.
+        metrics: counts and measures.
+        random: spreads retries and picks peers.
+        clock: seconds, on a clock that counts suspended time.
+        incarnation: tells this start from earlier ones.
+
+    """
+
+    log: DecisionLog
+    metrics: Metrics
+    random: Random
+    clock: Callable[[], float]
+    incarnation: int
+
+
+class PoolerNode:
+    """One node.
+
+    Args:
+        cfg: its settings.
+        outside: what it reaches.
+        tools: what it uses.
+
+    """
+
+    def __init__(
+        self, cfg: PoolerSettings, outside: Outside, tools: NodeTools
+    ) -> None:
+        """Connect the parts."""
+        self._cfg = cfg
+        self._outside = outside
+        self._tools = tools
+        self._registered = False
+        self._declared = DeclaredState()
+        self._rates = RateBook(tools.clock())
+        self._knowledge = _knowledge(cfg, tools)
+        self._fleet = _fleet(cfg, tools)
+        dialer = outside.make_dialer(self._knowledge.find)
+        self._pool = LinkPool(
+            dialer=dialer, cap=self._cap, metrics=tools.metrics
+        )
+        self._control = EndpointControl(
+            dialer=dialer, log=tools.log, metrics=tools.metrics
+        )
+        self._peer_parts = self._make_peer_parts()
+        self.talk = PeerTalk(self._peer_parts)
+        self.peers = PeerAnswerer(self._peer_parts)
+        self.service = PoolerService(
+            self._session_parts(dialer),
+            max_sessions=max(1, cfg.descriptors - OTHER_SOCKETS),
+            serving=lambda: self._has_basis,
+        )
+        self._declared.tell(self._on_catalogue)
+        self._endpoint_follower = self._follow_endpoints()
+        self._declaration_follower = self._follow_declarations()
+
+    @property
+    def ready(self) -> bool:
+        """Whether new clients may come."""
+        return Readiness(
+            declared=self._declared.catalogue is not None,
+            endpoints=self._endpoint_follower.listed,
+            stopping=self.service.plan is not None,
+        ).ready
+
+    def start(self, nursery: Nursery) -> None:
+        """Start everything that runs beside clients' sessions.
+
+        Args:
+            nursery: runs it.
+
+        """
+        nursery.start_soon(self._endpoint_follower.run)
+        nursery.start_soon(self._declaration_follower.run)
+        nursery.start_soon(self._register)
+        nursery.start_soon(self.talk.run)
+        nursery.start_soon(self._housekeep)
+        nursery.start_soon(self._make_monitor(nursery).run)
+
+    def begin_stop(self) -> DrainPlan:
+        """Take no new clients any more.
+
+        Returns:
+            The deadlines of the shutdown.
+
+        """
+        plan = DrainPlan.from_signal(current_time(), self._cfg.stop_within_s)
+        self.service.plan = plan
+        self._fleet.leave()
+        self._tools.log.event('stop_began', end_in_s=self._cfg.stop_within_s)
+        return plan
+
+    async def finish_stop(self) -> None:
+        """Give up this node's entry."""
+        deadline = current_time() + REGISTER_PAUSE_S
+        try:
+            await self._outside.registry.deregister(self._cfg.node, deadline)
+        except StoreError as exc:
+            self._tools.log.event('deregister_failed', detail=str(exc))
+
+    @property
+    def _has_basis(self) -> bool:
+        return (
+            self._declared.catalogue is not None
+            and self._endpoint_follower.listed
+        )
+
+    def _cap(self, endpoint: str) -> int:
+        record = self._knowledge.find(endpoint)
+        catalogue = self._declared.catalogue
+        service = None
+        if record is not None and catalogue is not None:
+            service = catalogue.services.get(record.service)
+        if service is None:
+            return 1
+        shared = service.max_connections - CONTROL_CONNECTIONS
+        return max(1, shared // max(1, self._fleet.remembered()))
+
+    def _sync_replicas(self, name: str) -> int:
+        catalogue = self._declared.catalogue
+        service = catalogue.services.get(name) if catalogue else None
+        return service.sync_replicas if service else 0
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self._rates.declare(catalogue, self._tools.clock())
+        self._tools.log.event(
+            'declaration_in_force',
+            revision=catalogue.revision,
+            routes=len(catalogue.routes),
+            keys=len(catalogue.keys),
+        )
+        self._knowledge.announce()
+
+    def _follow_endpoints(self) -> Follower[EndpointRecord]:
+        book = self._knowledge.book
+
+        def replace_all(listing: Changes[EndpointRecord]) -> None:
+            book.replace_all(listing.present, current_time())
+            self._knowledge.announce()
+
+        def apply(changes: Changes[EndpointRecord]) -> None:
+            for record in changes.present.values():
+                self._on_endpoint(record)
+            for endpoint in changes.absent:
+                book.remove(endpoint, current_time())
+            self._knowledge.announce()
+
+        return Follower(
+            kind='endpoints',
+            source=self._outside.endpoints,
+            replace_all=replace_all,
+            apply=apply,
+            log=self._tools.log,
+            random=self._tools.random,
+        )
+
+    def _on_endpoint(self, record: EndpointRecord) -> None:
+        known = self._knowledge.find(record.endpoint)
+        if known == record:
+            return
+        self._knowledge.book.put(record)
+        self._tools.log.event(
+            'endpoint_changed',
+            endpoint=record.endpoint,
+            service=record.service,
+            role=record.role,
+            leaving=record.leaving,
+        )
+        restarted = (
+            known is not None and known.started_at_ms != record.started_at_ms
+        )
+        if restarted or record.leaving:
+            self._pool.retire(record.endpoint)
+        if restarted:
+            self._control.close(record.endpoint)
+
+    def _follow_declarations(self) -> Follower[Declaration]:
+        def apply(changes: Changes[Declaration]) -> None:
+            for declaration in changes.present.values():
+                self._declared.offer(declaration)
+
+        return Follower(
+            kind='declaration',
+            source=self._outside.declarations,
+            replace_all=apply,
+            apply=apply,
+            log=self._tools.log,
+            random=self._tools.random,
+        )
+
+    async def _register(self) -> None:
+        registry = self._outside.registry
+        while not self._registered:
+            deadline = current_time() + REGISTER_TIMEOUT_S
+            try:
+                nodes = await registry.list_nodes(deadline)
+                self._take_over(nodes)
+                await registry.register(self._fleet.beat, deadline)
+            except StoreError as exc:
+                self._tools.log.event('register_failed', detail=str(exc))
+                await sleep(REGISTER_PAUSE_S)
+                continue
+            self._registered = True
+
+    def _take_over(self, nodes: list[MemberBeat]) -> None:
+        self._fleet.observe(nodes)
+        for beat in nodes:
+            if beat.node == self._cfg.node:
+                own = self._fleet.beat.incarnation
+                self._fleet.restart_as(max(own, beat.incarnation + 1))
+
+    async def _housekeep(self) -> None:
+        while True:
+            await sleep(HOUSEKEEPING_EVERY_S)
+            self._fleet.forget()
+            for endpoint in self._knowledge.book.forget(current_time()):
+                self._tools.log.event('endpoint_gone', endpoint=endpoint)
+                self._pool.retire(endpoint)
+                self._control.close(endpoint)
+                self._knowledge.announce()
+
+    def _make_peer_parts(self) -> PeerParts:
+        return PeerParts(
+            fleet=self._fleet,
+            knowledge=self._knowledge,
+            declared=self._declared,
+            rates=self._rates,
+            control=self._control,
+            read_declaration=self._outside.read_declaration,
+            seeds=self._cfg.seeds,
+            log=self._tools.log,
+        )
+
+    def _make_monitor(self, nursery: Nursery) -> Monitor:
+        succession = SuccessionParts(
+            node=self._cfg.node,
+            knowledge=self._knowledge,
+            control=self._control,
+            leases=self._outside.leases,
+            promotion=self._outside.promotion,
+            sync_replicas=self._sync_replicas,
+            log=self._tools.log,
+            metrics=self._tools.metrics,
+        )
+        return Monitor(
+            MonitorParts(
+                succession=succession,
+                live_nodes=self._fleet.live,
+                confirm_silence=self.talk.confirm_silence,
+                publish=lambda: nursery.start_soon(self.talk.publish),
+            )
+        )
+
+    def _session_parts(self, dialer: EndpointDialer) -> SessionParts:
+        tools = self._tools
+        links = LinkRunner(dialer=dialer, metrics=tools.metrics)
+        statements = StatementRunner(
+            knowledge=self._knowledge,
+            pool=self._pool,
+            links=links,
+            log=tools.log,
+            metrics=tools.metrics,
+        )
+        transactions = TransactionRunner(
+            knowledge=self._knowledge,
+            pool=self._pool,
+            links=links,
+            statements=statements,
+            log=tools.log,
+        )
+        return SessionParts(
+            declared=self._declared,
+            rates=self._rates,
+            knowledge=self._knowledge,
+            statements=statements,
+            transactions=transactions,
+            log=tools.log,
+            metrics=tools.metrics,
+        )
+
+
+def _knowledge(cfg: PoolerSettings, tools: NodeTools) -> Knowledge:
+    choice = EndpointChoice(data_centre=cfg.data_centre, regions=cfg.regions)
+    return Knowledge(choice=choice, log=tools.log, clock=tools.clock)
+
+
+def _fleet(cfg: PoolerSettings, tools: NodeTools) -> FleetView:
+    beat = MemberBeat(
+        node=cfg.node,
+        address=cfg.peer_address,
+        region=cfg.region,
+        data_centre=cfg.data_centre,
+        incarnation=tools.incarnation,
+        counter=1,
+        state='live',
+    )
+    return FleetView(beat=beat, random=tools.random, clock=tools.clock)
--- /dev/null
+++ b/trefoilhitch/pooler/peers.py
@@ -0,0 +1,358 @@
+"""Talk between nodes: heartbeats, proofs, declarations and loans of rates."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TypeVar
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode, encode
+from trio import current_time, open_nursery, sleep
+
+from trefoilhitch._generated.peer import (
+    CheckReply,
+    CheckRequest,
+    DeclarationReply,
+    DeclarationRequest,
+    Exchange,
+    LoanReply,
+    LoanRequest,
+    RatePart,
+)
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.errors import BadRequestError, NotFoundError, RefusalError
+from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.json_client import JsonClient
+from trefoilhitch.pooler.control import EndpointControl
+from trefoilhitch.pooler.declared import DeclaredState, Declaration
+from trefoilhitch.pooler.fleet_view import FleetView
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.leadership import Lead
+from trefoilhitch.pooler.peer_messages import (
+    commit_reports,
+    lead_proofs,
+    learn_commits,
+    learn_proofs,
+)
+from trefoilhitch.pooler.rate_book import RateBook
+
+EXCHANGE_EVERY_S = 0.25
+PEER_TIMEOUT_S = 0.5
+DECLARATION_TIMEOUT_S = 1.0
+RATES_EVERY_S = 0.5
+# Nodes that are asked for a second opinion, and for a loan.
+ASKED_NODES = 3
+# Nodes that are told at once of a change.
+TOLD_NODES = 16
+_PREFIX = '/v1/pooler'
+
+MessageT = TypeVar('MessageT')
+ReplyT = TypeVar('ReplyT')
+
+
+@dataclass(frozen=True, slots=True)
+class PeerParts:
+    """What talk between nodes needs.
+
+    Args:
+        fleet: the nodes.
+        knowledge: endpoints and leads.
+        declared: the declaration in force.
+        rates: this node's shares of rates.
+        control: questions to endpoints.
+        read_declaration: reads a declaration's text.
+        seeds: peer addresses to begin with.
+        log: takes note of what changes.
+
+    """
+
+    fleet: FleetView
+    knowledge: Knowledge
+    declared: DeclaredState
+    rates: RateBook
+    control: EndpointControl
+    read_declaration: Callable[[str], Declaration]
+    seeds: Sequence[str]
+    log: DecisionLog
+
+
+class PeerAnswerer:
+    """Answers other nodes.
+
+    Args:
+        parts: what it needs.
+
+    """
+
+    def __init__(self, parts: PeerParts) -> None:
+        """Keep the collaborators."""
+        self._parts = parts
+
+    async def answer(self, req: HttpRequest) -> HttpResponse:
+        """Answer a message of another node.
+
+        Args:
+            req: the message.
+
+        Returns:
+            The reply.
+
+        Raises:
+            RefusalError: the message cannot be understood.
+
+        """
+        handlers = {
+            f'{_PREFIX}/exchange': self._exchange,
+            f'{_PREFIX}/declaration': self._declaration,
+            f'{_PREFIX}/loan': self._loan,
+        }
+        if req.path == f'{_PREFIX}/check':
+            return HttpResponse(HTTPStatus.OK, encode(await self._check(req)))
+        handler = handlers.get(req.path)
+        if handler is None:
+            raise NotFoundError(req.path)
+        return HttpResponse(HTTPStatus.OK, encode(handler(req)))
+
+    def _exchange(self, req: HttpRequest) -> Exchange:
+        told = _read(req, Exchange)
+        self._parts.fleet.observe(told.beats)
+        learn_proofs(self._parts.knowledge, told.proofs, None)
+        learn_commits(self._parts.knowledge, told.commits)
+        return make_exchange(self._parts)
+
+    def _declaration(self, req: HttpRequest) -> DeclarationReply:
+        above = _read(req, DeclarationRequest).above
+        declared = self._parts.declared
+        newer = declared.revision > above
+        return DeclarationReply(
+            revision=declared.revision,
+            document=declared.document if newer else '',
+        )
+
+    def _loan(self, req: HttpRequest) -> LoanReply:
+        now = self._parts.knowledge.clock()
+        lent = [
+            RatePart(
+                organisation=part.organisation,
+                fraction=self._parts.rates.lend(
+                    part.organisation, part.fraction, now
+                ),
+            )
+            for part in _read(req, LoanRequest).wanted
+        ]
+        return LoanReply(lent=[part for part in lent if part.fraction > 0])
+
+    async def _check(self, req: HttpRequest) -> CheckReply:
+        asked = _read(req, CheckRequest)
+        asked_at = self._parts.knowledge.clock()
+        status = await self._parts.control.status(asked.endpoint)
+        if status is None:
+            return CheckReply(answered=False, leads=False)
+        if status.leads:
+            lead = Lead(asked.service, asked.endpoint, status.term)
+            self._parts.knowledge.prove(
+                lead, status.position, asked_at, 'check'
+            )
+        return CheckReply(answered=True, leads=status.leads)
+
+
+def make_exchange(parts: PeerParts) -> Exchange:
+    """Return what this node tells another.
+
+    Args:
+        parts: what it knows.
+
+    Returns:
+        The message.
+
+    """
+    return Exchange(
+        beats=parts.fleet.told(),
+        proofs=lead_proofs(parts.knowledge),
+        commits=commit_reports(parts.knowledge),
+    )
+
+
+class PeerTalk:
+    """Asks other nodes.
+
+    Args:
+        parts: what it needs.
+
+    """
+
+    def __init__(self, parts: PeerParts) -> None:
+        """Start without connections."""
+        self._parts = parts
+        self._clients: dict[str, HttpClient] = {}
+        self._fetching = False
+        self._publishing = False
+
+    async def run(self) -> None:
+        """Talk to other nodes for ever."""
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._greet_seeds)
+            nursery.start_soon(self._even_out_rates)
+            while True:
+                await sleep(EXCHANGE_EVERY_S)
+                self._parts.fleet.next_beat(self._parts.declared.revision)
+                address = self._parts.fleet.next_peer()
+                if address is not None:
+                    nursery.start_soon(self.exchange, address)
+
+    async def exchange(self, address: str) -> None:
+        """Tell another node what this one knows, and learn what it knows.
+
+        Args:
+            address: its peer address.
+
+        """
+        asked_at = self._parts.knowledge.clock()
+        reply = await self._ask(
+            address, 'exchange', make_exchange(self._parts), Exchange
+        )
+        if reply is None:
+            return
+        self._parts.fleet.observe(reply.beats)
+        learn_proofs(self._parts.knowledge, reply.proofs, asked_at)
+        learn_commits(self._parts.knowledge, reply.commits)
+        if reply.beats and reply.beats[0].revision > self._parts.declared.revision:
+            await self.fetch_declaration(address)
+
+    async def fetch_declaration(self, address: str) -> None:
+        """Take over the declaration of another node if it is newer.
+
+        Args:
+            address: its peer address.
+
+        """
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            reply = await self._ask(
+                address,
+                'declaration',
+                DeclarationRequest(above=self._parts.declared.revision),
+                DeclarationReply,
+            )
+        finally:
+            self._fetching = False
+        if reply is not None and reply.document:
+            self._parts.declared.offer(
+                self._parts.read_declaration(reply.document)
+            )
+
+    async def publish(self) -> None:
+        """Tell other nodes at once what this one knows."""
+        if self._publishing:
+            return
+        self._publishing = True
+        try:
+            async with open_nursery() as nursery:
+                for beat in self._parts.fleet.sample(TOLD_NODES):
+                    nursery.start_soon(self.exchange, beat.address)
+        finally:
+            self._publishing = False
+
+    async def confirm_silence(self, service: str, endpoint: str) -> bool:
+        """Ask other nodes whether an endpoint leads.
+
+        Args:
+            service: the service.
+            endpoint: id of the endpoint.
+
+        Returns:
+            False if one of them reached it as the lead.
+
+        """
+        replies: list[CheckReply] = []
+        asked = CheckRequest(service=service, endpoint=endpoint)
+
+        async def check(address: str) -> None:
+            reply = await self._ask(address, 'check', asked, CheckReply)
+            if reply is not None:
+                replies.append(reply)
+
+        async with open_nursery() as nursery:
+            for beat in self._parts.fleet.sample(ASKED_NODES):
+                nursery.start_soon(check, beat.address)
+        self._parts.log.event(
+            'second_opinion',
+            service=service,
+            endpoint=endpoint,
+            answered=sum(reply.answered for reply in replies),
+            asked=len(replies),
+        )
+        return not any(reply.leads for reply in replies)
+
+    async def _greet_seeds(self) -> None:
+        while not self._parts.fleet.peers():
+            for address in self._parts.seeds:
+                if address != self._parts.fleet.beat.address:
+                    await self.exchange(address)
+            await sleep(EXCHANGE_EVERY_S)
+
+    async def _even_out_rates(self) -> None:
+        while True:
+            await sleep(RATES_EVERY_S)
+            now = self._parts.knowledge.clock()
+            self._parts.rates.share_among(self._parts.fleet.remembered(), now)
+            short = dict(self._parts.rates.measure(now))
+            asked = ASKED_NODES if short else 0
+            for beat in self._parts.fleet.sample(asked):
+                await self._borrow(beat.address, short)
+
+    async def _borrow(self, address: str, short: dict[str, float]) -> None:
+        wanted = [
+            RatePart(organisation=name, fraction=min(1, missing))
+            for name, missing in short.items()
+        ]
+        if not wanted:
+            return
+        asked_at = self._parts.knowledge.clock()
+        reply = await self._ask(
+            address, 'loan', LoanRequest(wanted=wanted), LoanReply
+        )
+        for part in reply.lent if reply else ():
+            self._parts.rates.borrow(part.organisation, part.fraction, asked_at)
+            short[part.organisation] -= part.fraction
+            if short[part.organisation] <= 0:
+                short.pop(part.organisation)
+
+    async def _ask(
+        self,
+        address: str,
+        name: str,
+        message: Struct,
+        reply_type: type[ReplyT],
+    ) -> ReplyT | None:
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(address, max_idle=2)
+            self._clients[address] = client
+        calls = JsonClient(exchanger=client, error_reader=_peer_failure)
+        try:
+            return await calls.post(
+                f'{_PREFIX}/{name}',
+                message,
+                reply_type,
+                current_time() + PEER_TIMEOUT_S,
+            )
+        except RefusalError as exc:
+            self._parts.log.event(
+                'peer_failed', peer=address, call=name, detail=str(exc)
+            )
+            return None
+
+
+def _read(req: HttpRequest, message_type: type[MessageT]) -> MessageT:
+    try:
+        return decode(req.body, type=message_type)
+    except (DecodeError, ValidationError) as exc:
+        raise BadRequestError(str(exc)) from exc
+
+
+def _peer_failure(body: bytes) -> Exception:
+    return RefusalError(body.decode(errors='replace')[:200])
--- /dev/null
+++ b/trefoilhitch/pooler/pooled_link.py
@@ -0,0 +1,21 @@
+"""An endpoint connection with what was set up on it."""
+
+from dataclasses import dataclass, field
+
+from trefoilhitch.pooler.ports import EndpointLink
+
+
+@dataclass(slots=True, eq=False)
+class PooledLink:
+    """A connection with what was set up on it.
+
+    Args:
+        link: the connection.
+        values: session values that the endpoint holds for it.
+        prepared: pooled names of the shapes prepared on it.
+
+    """
+
+    link: EndpointLink
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: set[str] = field(default_factory=set)
--- /dev/null
+++ b/trefoilhitch/pooler/service.py
@@ -0,0 +1,88 @@
+"""What a node offers to whoever carries clients' messages to it."""
+
+import math
+from collections.abc import Callable
+
+from trio import current_time, move_on_after
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.answer import Refusal
+from trefoilhitch.pooler.catalogue import SessionLimits
+from trefoilhitch.pooler.client_session import ClientSession, SessionParts
+from trefoilhitch.pooler.gate import DrainPlan
+from trefoilhitch.pooler.statement import SessionStart
+
+# Clients give up when a session does not open within two seconds.
+OPEN_WAIT_S = 1.5
+
+
+class PoolerService:
+    """Opens sessions and says how they are to end.
+
+    Args:
+        parts: what sessions share.
+        max_sessions: most sessions at once.
+        serving: returns whether the node has what it needs to serve.
+
+    """
+
+    def __init__(
+        self,
+        parts: SessionParts,
+        *,
+        max_sessions: int,
+        serving: Callable[[], bool],
+    ) -> None:
+        """Start without a plan to end."""
+        self.max_sessions = max_sessions
+        self.plan: DrainPlan | None = None
+        self._parts = parts
+        self._serving = serving
+
+    @property
+    def log(self) -> DecisionLog:
+        """The node's log."""
+        return self._parts.log
+
+    @property
+    def limits(self) -> SessionLimits:
+        """Bounds on sessions."""
+        catalogue = self._parts.declared.catalogue
+        return catalogue.limits if catalogue else SessionLimits()
+
+    @property
+    def closing_idle(self) -> bool:
+        """Whether sessions end as soon as they have nothing to answer."""
+        plan = self.plan
+        return plan is not None and current_time() >= plan.close_idle_at
+
+    @property
+    def end_transactions_at(self) -> float:
+        """When open transactions are rolled back, on the monotonic clock."""
+        return math.inf if self.plan is None else self.plan.end_transactions_at
+
+    async def open(self, start: SessionStart) -> ClientSession | Refusal:
+        """Open a session.
+
+        Args:
+            start: the client's first message.
+
+        Returns:
+            The session, or why it is refused.
+
+        """
+        with move_on_after(OPEN_WAIT_S):
+            while not self._serving():
+                await self._parts.knowledge.wait_for_change()
+        opened = ClientSession.open(self._parts, start)
+        if isinstance(opened, Refusal):
+            self._parts.metrics.count('sessions_refused', opened.value)
+            self._parts.log.event(
+                'session_refused',
+                database=start.database,
+                reason=opened.value,
+                revision=self._parts.declared.revision,
+            )
+        else:
+            self._parts.metrics.count('sessions_opened')
+        return opened
--- /dev/null
+++ b/trefoilhitch/pooler/session.py
@@ -0,0 +1,140 @@
+"""What a client's session holds between its statements."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.pooler.answer import SessionState
+from trefoilhitch.pooler.catalogue import Route
+from trefoilhitch.pooler.freshness import later
+from trefoilhitch.pooler.pooled_link import PooledLink
+from trefoilhitch.pooler.statement import Access, PreparedShape, Statement, Verb
+
+
+@dataclass(slots=True)
+class OpenTransaction:
+    """A transaction with the connection that it is bound to.
+
+    Args:
+        endpoint: id of the endpoint.
+        pooled: the connection.
+        route: how its database was served when it began.
+        read_only: whether it only reads.
+        wrote: whether a write was sent.
+
+    """
+
+    endpoint: str
+    pooled: PooledLink
+    route: Route
+    read_only: bool
+    wrote: bool = False
+
+
+@dataclass(slots=True)
+class SessionData:
+    """Values, prepared statements, state and positions of a session.
+
+    Args:
+        database: name that the client connected to.
+        organisation: for whom it runs.
+        key: the client's key.
+        state: state that the client was told.
+        transaction: the open transaction, None if there is none.
+        values: session values by name.
+        prepared: shapes by the client's names.
+
+    """
+
+    database: str
+    organisation: str
+    key: str
+    state: SessionState = SessionState.IDLE
+    transaction: OpenTransaction | None = None
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedShape] = field(default_factory=dict)
+    _positions: dict[str, LogPosition] = field(default_factory=dict)
+
+    def own_position(self, service: str) -> LogPosition | None:
+        """Return the position of the session's last commit.
+
+        Args:
+            service: service that it was made at.
+
+        Returns:
+            The position, None if there was no commit.
+
+        """
+        return self._positions.get(service)
+
+    def committed(self, service: str, position: LogPosition | None) -> None:
+        """Take note of a commit.
+
+        Args:
+            service: service that it was made at.
+            position: position that covers it.
+
+        """
+        newest = later(self._positions.get(service), position)
+        if newest is not None:
+            self._positions[service] = newest
+
+    def access(self, statement: Statement) -> Access | None:
+        """Return whether a statement reads or writes.
+
+        Args:
+            statement: one that runs at an endpoint.
+
+        Returns:
+            Its access, None if it names no prepared statement.
+
+        """
+        if statement.verb == Verb.EXECUTE:
+            shape = self.prepared.get(statement.name)
+            return shape.access if shape else None
+        return 'write' if statement.verb == Verb.WRITE else 'read'
+
+
+@dataclass(frozen=True, slots=True)
+class ValueChange:
+    """What makes the values of a connection those of a session.
+
+    Args:
+        reset: whether everything has to be dropped first.
+        assign: values to set.
+
+    """
+
+    reset: bool
+    assign: Mapping[str, str]
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing has to be done."""
+        return not self.reset and not self.assign
+
+
+def value_change(
+    held: Mapping[str, str], wanted: Mapping[str, str]
+) -> ValueChange:
+    """Return what makes one set of values another.
+
+    Args:
+        held: values that a connection holds.
+        wanted: values of the session that will use it.
+
+    Returns:
+        The change; it resets if the connection holds a name that the session
+        does not.
+
+    """
+    reset = bool(held.keys() - wanted.keys())
+    kept = {} if reset else held
+    return ValueChange(
+        reset,
+        {
+            name: text
+            for name, text in wanted.items()
+            if kept.get(name) != text
+        },
+    )
--- /dev/null
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -0,0 +1,367 @@
+"""Runs single statements: choice of endpoint, proof, repetition, outcome."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from trio import current_time, move_on_at, sleep
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.answer import Answer, Refusal, refused
+from trefoilhitch.pooler.catalogue import Route
+from trefoilhitch.pooler.knowledge import (
+    AVOID_CLOSED_S,
+    AVOID_LAGGING_S,
+    AVOID_SILENT_S,
+    Knowledge,
+)
+from trefoilhitch.pooler.leadership import Lead
+from trefoilhitch.pooler.link_pool import LinkPool
+from trefoilhitch.pooler.link_runner import (
+    LinkRunner,
+    StatementCall,
+    StatementResult,
+)
+from trefoilhitch.pooler.outcome import (
+    Attempt,
+    Loss,
+    may_repeat_answer,
+    single_lost,
+)
+from trefoilhitch.pooler.pooled_link import PooledLink
+from trefoilhitch.pooler.ports import (
+    EndpointStatus,
+    LinkLostError,
+    LinkRefusedError,
+)
+from trefoilhitch.pooler.session import SessionData
+from trefoilhitch.pooler.statement import Statement, Verb
+from trefoilhitch.pooler.target import ReadNeed, Target
+
+MAX_ATTEMPTS = 8
+# Pause before a busy endpoint is asked again.
+BUSY_PAUSE_S = 0.03
+# Part of a statement's time that one read may wait for one endpoint, so that
+# another one can still be asked.
+READ_ATTEMPT_PART = 0.6
+# Part of a statement's time for which it waits for a lead or a connection.
+WAIT_PART = 0.7
+
+
+@dataclass(slots=True)
+class Run:
+    """One statement on its way to an answer.
+
+    Args:
+        session: whose it is.
+        statement: the statement.
+        route: how its database is served.
+        deadline: monotonic time by which it is answered.
+        wait_until: monotonic time until which it waits for a lead or a
+            connection.
+        writes: whether it may change data.
+        tried: endpoints that could not run it as a read.
+        attempts: how often it was tried.
+        sent: whether the last attempt was sent to an endpoint.
+
+    """
+
+    session: SessionData
+    statement: Statement
+    route: Route
+    deadline: float
+    wait_until: float
+    writes: bool
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    endpoint: str = ''
+    loss: Loss = Loss.NOT_SENT
+
+    @classmethod
+    def from_statement(
+        cls,
+        session: SessionData,
+        statement: Statement,
+        route: Route,
+    ) -> 'Run':
+        """Start the way of a statement.
+
+        Args:
+            session: whose it is.
+            statement: the statement.
+            route: how its database is served.
+
+        Returns:
+            The run.
+
+        """
+        now = current_time()
+        return cls(
+            session,
+            statement,
+            route,
+            deadline=now + route.timeout_s,
+            wait_until=now + route.timeout_s * WAIT_PART,
+            writes=session.access(statement) == 'write',
+        )
+
+    @property
+    def reads(self) -> bool:
+        """Whether it may run on a replica."""
+        if self.statement.verb == Verb.BEGIN:
+            return self.statement.read_only
+        return not self.writes
+
+    def need(self, asked_at: float) -> ReadNeed:
+        """Return what it asks for as a read.
+
+        Args:
+            asked_at: when it is about to be sent, on the ages' clock.
+
+        """
+        own = self.session.own_position(self.route.service)
+        return ReadNeed(self.route, asked_at, own)
+
+    def attempt_deadline(self) -> float:
+        """Return by when the present attempt is given up."""
+        if not self.reads:
+            return self.deadline
+        span = self.route.timeout_s * READ_ATTEMPT_PART
+        return min(self.deadline, current_time() + span)
+
+
+class StatementRunner:
+    """Finds an endpoint for a statement and brings back its answer.
+
+    Args:
+        knowledge: endpoints and leads.
+        pool: connections.
+        links: runs statements on connections.
+        log: takes note of decisions.
+        metrics: counts.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        pool: LinkPool,
+        links: LinkRunner,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        """Keep the collaborators."""
+        self._knowledge = knowledge
+        self._pool = pool
+        self._links = links
+        self._log = log
+        self._metrics = metrics
+
+    async def run(
+        self, run: Run, keep: Callable[[str, PooledLink], None] | None = None
+    ) -> Answer:
+        """Run a statement until it has an answer for the client.
+
+        Args:
+            run: the statement.
+            keep: takes the connection over if the statement succeeds; it is
+                released if this is None.
+
+        Returns:
+            The answer.
+
+        """
+        while run.attempts < MAX_ATTEMPTS and current_time() < run.deadline:
+            run.attempts += 1
+            target = await self._find_target(run)
+            if target is None:
+                return refused(Refusal.BUSY, 'no endpoint leads the service')
+            answer = await self._attempt(run, target, keep)
+            if answer is not None:
+                return answer
+        return single_lost(Attempt(run.writes, run.loss))
+
+    async def _find_target(self, run: Run) -> Target | None:
+        while True:
+            target = self._choose(run)
+            if target is not None or current_time() >= run.wait_until:
+                return target
+            with move_on_at(run.wait_until):
+                await self._knowledge.wait_for_change()
+
+    def _choose(self, run: Run) -> Target | None:
+        if run.reads:
+            return self._knowledge.reading(
+                run.need(self._knowledge.clock()), current_time(), run.tried
+            )
+        lead = self._knowledge.lead(run.route.service)
+        return Target(lead, None, None, prove_lead=False) if lead else None
+
+    async def _attempt(
+        self,
+        run: Run,
+        target: Target,
+        keep: Callable[[str, PooledLink], None] | None,
+    ) -> Answer | None:
+        run.endpoint = target.endpoint
+        run.loss = Loss.NOT_SENT
+        try:
+            pooled = await self._pool.acquire(
+                target.endpoint,
+                run.session.organisation,
+                run.session.values,
+                min(run.wait_until, run.attempt_deadline()),
+            )
+        except (LinkLostError, LinkRefusedError) as exc:
+            await self._unopened(run, target, exc)
+            return None
+        kept = False
+        try:
+            answer = await self._run_on(run, target, pooled)
+            kept = keep is not None and answer is not None and answer.ok
+        finally:
+            if not kept:
+                self._pool.release(target.endpoint, pooled)
+        if kept and keep is not None:
+            keep(target.endpoint, pooled)
+        return answer
+
+    async def _unopened(
+        self, run: Run, target: Target, exc: Exception
+    ) -> None:
+        self._log.event(
+            'connection_not_opened',
+            request=run.statement.request_id,
+            endpoint=target.endpoint,
+            detail=str(exc),
+        )
+        now = current_time()
+        self._metrics.count('connections_not_opened', target.endpoint)
+        run.tried.add(target.endpoint)
+        if isinstance(exc, LinkLostError):
+            self._knowledge.choice.avoid(target.endpoint, now + AVOID_SILENT_S)
+        if target.endpoint == self._knowledge.lead(run.route.service):
+            asked_at = self._knowledge.clock()
+            self._knowledge.question_unanswered(run.route.service, asked_at)
+            await sleep(BUSY_PAUSE_S)
+
+    async def _run_on(
+        self, run: Run, target: Target, pooled: PooledLink
+    ) -> Answer | None:
+        sent_at = self._knowledge.clock()
+        deadline = run.attempt_deadline()
+        call = StatementCall(
+            run.statement,
+            run.session.prepared.get(run.statement.name),
+            target.needed,
+            target.prove_lead,
+        )
+        try:
+            await self._links.take_on(pooled, run.session.values, deadline)
+            sent_at = self._knowledge.clock()
+            found = await self._links.run(pooled, call, deadline)
+        except LinkLostError as exc:
+            return self._lost(run, target, exc, sent_at)
+        self._knowledge.choice.clear(target.endpoint)
+        return await self._judge(run, target, found, sent_at)
+
+    def _lost(
+        self, run: Run, target: Target, exc: LinkLostError, sent_at: float
+    ) -> Answer | None:
+        now = current_time()
+        run.loss = exc.loss
+        self._log.event(
+            'answer_lost',
+            request=run.statement.request_id,
+            endpoint=target.endpoint,
+            loss=exc.loss.value,
+            detail=str(exc),
+        )
+        closed = exc.loss == Loss.CONNECTION
+        span = AVOID_CLOSED_S if closed else AVOID_SILENT_S
+        self._knowledge.choice.avoid(target.endpoint, now + span)
+        run.tried.add(target.endpoint)
+        service = run.route.service
+        if target.endpoint == self._knowledge.lead(service):
+            self._knowledge.question_unanswered(service, sent_at)
+            if run.writes and exc.loss == Loss.DEADLINE:
+                self._knowledge.commits.miss(service, target.endpoint, sent_at)
+        attempt = Attempt(run.writes, exc.loss)
+        return None if attempt.may_repeat else single_lost(attempt)
+
+    async def _judge(
+        self,
+        run: Run,
+        target: Target,
+        found: StatementResult,
+        sent_at: float,
+    ) -> Answer | None:
+        if found.status is not None:
+            self._learn_status(run, target, found.status, sent_at)
+        if found.answer.ok:
+            return self._accept(run, target, found, sent_at)
+        return await self._refused(run, target, found.answer)
+
+    def _accept(
+        self,
+        run: Run,
+        target: Target,
+        found: StatementResult,
+        sent_at: float,
+    ) -> Answer | None:
+        if target.prove_lead and not (found.status and found.status.leads):
+            self._metrics.count('reads_unproved')
+            return None
+        if not self._still_fresh(run, target.proved_at):
+            self._metrics.count('reads_outdated')
+            return None
+        position = found.answer.position
+        if not run.reads and position is not None:
+            lead = Lead(run.route.service, target.endpoint, position.term)
+            self._knowledge.prove(lead, position, sent_at, 'statement')
+        if run.writes:
+            service = run.route.service
+            run.session.committed(service, position)
+            self._knowledge.commits.acknowledge(
+                service, target.endpoint, sent_at
+            )
+        return found.answer
+
+    def _still_fresh(self, run: Run, proved_at: float | None) -> bool:
+        """Judge the proof's age again, in case this process stood still."""
+        if proved_at is None:
+            return True
+        return self._knowledge.clock() - proved_at <= run.route.max_age_s
+
+    def _learn_status(
+        self,
+        run: Run,
+        target: Target,
+        status: EndpointStatus,
+        asked_at: float,
+    ) -> None:
+        service = run.route.service
+        if status.leads:
+            lead = Lead(service, target.endpoint, status.term)
+            self._knowledge.prove(lead, status.position, asked_at, 'status')
+        else:
+            self._knowledge.depose(service, target.endpoint, 'status')
+
+    async def _refused(
+        self, run: Run, target: Target, answer: Answer
+    ) -> Answer | None:
+        self._metrics.count('endpoint_refusals', str(answer.refusal))
+        if not may_repeat_answer(answer):
+            return answer
+        run.tried.add(target.endpoint)
+        if answer.refusal == Refusal.TOO_OLD:
+            until = current_time() + AVOID_LAGGING_S
+            self._knowledge.choice.expect_lag(target.endpoint, until)
+        elif answer.refusal == Refusal.NOT_PRIMARY:
+            self._knowledge.depose(
+                run.route.service, target.endpoint, 'statement'
+            )
+        elif answer.refusal == Refusal.BUSY:
+            await sleep(BUSY_PAUSE_S)
+        return None
--- /dev/null
+++ b/trefoilhitch/pooler/successor.py
@@ -0,0 +1,331 @@
+"""Replaces the lead of a service: lease, fence, choose, order, confirm."""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
+
+from trio import current_time, sleep
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.errors import StoreUnavailableError, TrefoilhitchError
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.control import EndpointControl, ask_all
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.leadership import Lead
+from trefoilhitch.pooler.lease import (
+    LEASE_MARGIN_S,
+    LEASE_S,
+    LeaseRecord,
+    SeenLease,
+    may_take,
+)
+from trefoilhitch.pooler.ports import EndpointStatus, LeaseStore, Promotion
+from trefoilhitch.pooler.succession import (
+    FencedEndpoint,
+    Reason,
+    acknowledged_successor,
+    choose_successor,
+    holds_every_commit,
+    next_term,
+)
+
+STORE_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 1.2
+MAX_ORDERS = 4
+# How long the new lead may take to show itself after the order was accepted.
+CONFIRM_S = 3.0
+CONFIRM_PAUSE_S = 0.1
+# How long commits in flight may take to reach replicas after a lead stepped
+# down by plan.
+SETTLE_S = 0.1
+
+
+class SuccessionStoppedError(TrefoilhitchError):
+    """A replacement of a lead was given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class SuccessionParts:
+    """What replacing a lead needs.
+
+    Args:
+        node: name of this node.
+        knowledge: endpoints and leads.
+        control: orders to endpoints.
+        leases: keeps leases.
+        promotion: orders promotions.
+        sync_replicas: returns a service's replicas that hold a commit before
+            it is acknowledged.
+        log: takes note of each step.
+        metrics: counts.
+
+    """
+
+    node: str
+    knowledge: Knowledge
+    control: EndpointControl
+    leases: LeaseStore
+    promotion: Promotion
+    sync_replicas: Callable[[str], int]
+    log: DecisionLog
+    metrics: Metrics
+
+
+class Succession:
+    """One replacement of the lead of one service.
+
+    Args:
+        parts: what it needs.
+        service: the service.
+        reason: why its lead is replaced.
+        attempt: unique mark of this replacement.
+
+    """
+
+    def __init__(
+        self,
+        parts: SuccessionParts,
+        *,
+        service: str,
+        reason: Reason,
+        attempt: str,
+    ) -> None:
+        """Start without the lease."""
+        self._parts = parts
+        self._service = service
+        self._reason = reason
+        self._attempt = attempt
+        self._lease = LeaseRecord()
+        self._lease_ends_at = 0.0
+        self._fenced: set[str] = set()
+        self._ordered = False
+        self._answered = False
+
+    async def run(self, seen: SeenLease) -> None:
+        """Replace the lead.
+
+        Args:
+            seen: the lease as this node saw it.
+
+        Raises:
+            SuccessionStoppedError: it was given up.
+            StoreUnavailableError: the store or the platform did not answer.
+
+        """
+        await self._take_lease(seen)
+        try:
+            await self._replace()
+        finally:
+            if not self._ordered:
+                await self._undo()
+            await self._release()
+
+    async def _take_lease(self, seen: SeenLease) -> None:
+        parts = self._parts
+        if not may_take(seen, parts.node, parts.knowledge.clock()):
+            raise SuccessionStoppedError(f'{seen.record.holder} has the lease')
+        await self._write_lease(
+            replace(
+                seen.record,
+                token=seen.record.token + 1,
+                holder=parts.node,
+                attempt=self._attempt,
+            )
+        )
+
+    async def _write_lease(self, lease: LeaseRecord) -> None:
+        parts = self._parts
+        asked_at = parts.knowledge.clock()
+        deadline = current_time() + STORE_TIMEOUT_S
+        stored = await parts.leases.write_lease(self._service, lease, deadline)
+        if stored is None:
+            raise SuccessionStoppedError('the lease changed meanwhile')
+        self._lease = stored
+        self._lease_ends_at = asked_at + LEASE_S - LEASE_MARGIN_S
+        parts.log.event(
+            'lease_written',
+            service=self._service,
+            token=stored.token,
+            candidate=stored.candidate,
+            revision=stored.revision,
+        )
+
+    async def _replace(self) -> None:
+        parts = self._parts
+        holders = parts.knowledge.book.log_holders(self._service)
+        ids = [record.endpoint for record in holders]
+        statuses = await ask_all(ids, parts.control.status)
+        if self._adopt(statuses):
+            return
+        lead = parts.knowledge.lead(self._service) or _leading(statuses)
+        fenced = await self._fence(ids, lead, statuses)
+        leaving = {record.endpoint for record in holders if record.leaving}
+        missing = {each for each in ids if parts.knowledge.book.is_missing(each)}
+        chosen = self._choose(fenced, lead, ids, leaving | missing)
+        await self._order(chosen.endpoint)
+        await self._confirm(chosen.endpoint)
+
+    def _adopt(self, statuses: dict[str, EndpointStatus]) -> bool:
+        """Follow an endpoint that turns out to lead after all."""
+        if self._reason not in {Reason.SILENT, Reason.NONE_LEADS}:
+            return False
+        leading = _leading(statuses)
+        if leading is None:
+            return False
+        knowledge = self._parts.knowledge
+        status = statuses[leading]
+        if status.term < knowledge.term(self._service):
+            return False
+        lead = Lead(self._service, leading, status.term)
+        asked_at = knowledge.clock()
+        knowledge.prove(lead, status.position, asked_at, 'succession')
+        return True
+
+    async def _fence(
+        self,
+        ids: list[str],
+        lead: str | None,
+        statuses: dict[str, EndpointStatus],
+    ) -> list[FencedEndpoint]:
+        parts = self._parts
+        proved = parts.knowledge.term(self._service)
+        known = {
+            name: max(status.term, status.fenced_term)
+            for name, status in statuses.items()
+        }
+        term = next_term(known, proved)
+        if self._reason != Reason.SILENT:
+            await self._settle(lead, term)
+        self._fenced.update(each for each in ids if each != lead)
+
+        async def stop(endpoint: str) -> EndpointStatus | None:
+            if endpoint == lead:
+                return await parts.control.demote(endpoint, term)
+            return await parts.control.fence(endpoint, term)
+
+        told = await ask_all(ids, stop)
+        fenced = [
+            FencedEndpoint(
+                name, status.term, status.position, was_lead=name == lead
+            )
+            for name, status in told.items()
+            if not status.leads
+        ]
+        parts.log.event(
+            'fenced',
+            service=self._service,
+            reason=self._reason.value,
+            term=term,
+            lead=lead,
+            endpoints={each.endpoint: each.position for each in fenced},
+        )
+        return fenced
+
+    async def _settle(self, lead: str | None, term: int) -> None:
+        """Have the lead refuse commits while those in flight still end."""
+        if lead is None:
+            return
+        demoted = await self._parts.control.demote(lead, term)
+        if demoted is not None:
+            self._parts.knowledge.depose(self._service, lead, 'succession')
+            await sleep(SETTLE_S)
+
+    def _choose(
+        self,
+        fenced: list[FencedEndpoint],
+        lead: str | None,
+        ids: Collection[str],
+        unusable: Collection[str],
+    ) -> FencedEndpoint:
+        sync = self._parts.sync_replicas(self._service)
+        names = [each.endpoint for each in fenced]
+        pending = self._lease.candidate
+        chosen = acknowledged_successor(fenced, ids, sync, unusable)
+        if chosen is None and holds_every_commit(names, lead, ids, sync):
+            chosen = choose_successor(fenced, unusable, lead)
+            chosen = chosen or choose_successor(fenced, (), None)
+        if chosen is None:
+            raise SuccessionStoppedError('too few endpoints could be fenced')
+        for each in fenced:
+            if each.endpoint == pending and each.position == chosen.position:
+                return each
+        return chosen
+
+    async def _order(self, endpoint: str) -> None:
+        parts = self._parts
+        await self._write_lease(replace(self._lease, candidate=endpoint))
+        for _ in range(MAX_ORDERS):
+            if parts.knowledge.clock() >= self._lease_ends_at:
+                raise SuccessionStoppedError('the lease ran out')
+            self._ordered = True
+            deadline = current_time() + ORDER_TIMEOUT_S
+            try:
+                accepted = await parts.promotion.promote(
+                    self._service, endpoint, self._lease.token, deadline
+                )
+            except StoreUnavailableError as exc:
+                await self._repeat_order(endpoint, exc)
+                continue
+            self._note_order(endpoint, accepted=accepted)
+            return
+        raise SuccessionStoppedError('the order was not answered')
+
+    async def _repeat_order(
+        self, endpoint: str, exc: StoreUnavailableError
+    ) -> None:
+        """Take a higher token, so that the unanswered order cannot follow."""
+        self._parts.log.event(
+            'promotion_unanswered',
+            service=self._service,
+            endpoint=endpoint,
+            token=self._lease.token,
+            detail=str(exc),
+        )
+        await self._write_lease(
+            replace(self._lease, token=self._lease.token + 1)
+        )
+
+    def _note_order(self, endpoint: str, *, accepted: bool) -> None:
+        self._parts.log.event(
+            'promotion_ordered',
+            service=self._service,
+            endpoint=endpoint,
+            token=self._lease.token,
+            reason=self._reason.value,
+            accepted=accepted,
+        )
+        self._answered = True
+        outcome = 'accepted' if accepted else 'refused'
+        self._parts.metrics.count('promotions', outcome)
+        if not accepted:
+            self._ordered = False
+            raise SuccessionStoppedError('the order was refused')
+
+    async def _confirm(self, endpoint: str) -> None:
+        parts = self._parts
+        deadline = current_time() + CONFIRM_S
+        while current_time() < deadline:
+            asked_at = parts.knowledge.clock()
+            status = await parts.control.status(endpoint)
+            if status is not None and status.leads:
+                lead = Lead(self._service, endpoint, status.term)
+                parts.knowledge.prove(
+                    lead, status.position, asked_at, 'promotion'
+                )
+                return
+            await sleep(CONFIRM_PAUSE_S)
+        raise SuccessionStoppedError('the new lead did not show itself')
+
+    async def _undo(self) -> None:
+        await ask_all(sorted(self._fenced), self._parts.control.unfence)
+
+    async def _release(self) -> None:
+        if self._ordered and not self._answered:
+            # The order may still be carried out: whoever is next must know.
+            await self._write_lease(replace(self._lease, holder=''))
+            return
+        await self._write_lease(replace(self._lease, holder='', candidate=''))
+
+
+def _leading(statuses: dict[str, EndpointStatus]) -> str | None:
+    leading = [name for name, status in statuses.items() if status.leads]
+    return max(leading, key=lambda name: statuses[name].term, default=None)
--- /dev/null
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -0,0 +1,169 @@
+"""Transactions: bound to one connection from their first statement on."""
+
+from trio import current_time
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.answer import (
+    Answer,
+    Refusal,
+    SessionState,
+    done,
+    refused,
+)
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.link_pool import LinkPool
+from trefoilhitch.pooler.link_runner import LinkRunner, StatementCall
+from trefoilhitch.pooler.leadership import Lead
+from trefoilhitch.pooler.outcome import Loss, in_transaction_lost
+from trefoilhitch.pooler.pooled_link import PooledLink
+from trefoilhitch.pooler.ports import LinkLostError
+from trefoilhitch.pooler.session import OpenTransaction, SessionData
+from trefoilhitch.pooler.statement import Statement, Verb
+from trefoilhitch.pooler.statement_runner import Run, StatementRunner
+
+
+class TransactionRunner:
+    """Begins transactions, runs their statements and ends them.
+
+    Args:
+        knowledge: endpoints and leads.
+        pool: connections.
+        links: runs statements on connections.
+        statements: finds the endpoint for a transaction's begin.
+        log: takes note of decisions.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        knowledge: Knowledge,
+        pool: LinkPool,
+        links: LinkRunner,
+        statements: StatementRunner,
+        log: DecisionLog,
+    ) -> None:
+        """Keep the collaborators."""
+        self._knowledge = knowledge
+        self._pool = pool
+        self._links = links
+        self._statements = statements
+        self._log = log
+
+    async def begin(self, run: Run) -> Answer:
+        """Open a transaction at an endpoint.
+
+        Args:
+            run: the statement that begins it.
+
+        Returns:
+            The answer; nothing is open unless it is a success.
+
+        """
+
+        def bind(endpoint: str, pooled: PooledLink) -> None:
+            run.session.transaction = OpenTransaction(
+                endpoint, pooled, run.route, run.statement.read_only
+            )
+
+        return await self._statements.run(run, bind)
+
+    async def run(self, session: SessionData, statement: Statement) -> Answer:
+        """Run a statement of an open transaction, its end among them.
+
+        Args:
+            session: whose it is.
+            statement: the statement.
+
+        Returns:
+            The answer.
+
+        """
+        opened = session.transaction
+        if opened is None or session.state == SessionState.FAILED:
+            return self._end_failed(session, statement)
+        opened.wrote = opened.wrote or session.access(statement) == 'write'
+        call = StatementCall(statement, session.prepared.get(statement.name))
+        deadline = current_time() + opened.route.timeout_s
+        sent_at = self._knowledge.clock()
+        try:
+            await self._links.take_on(opened.pooled, session.values, deadline)
+            found = await self._links.run(opened.pooled, call, deadline)
+        except LinkLostError as exc:
+            return self._lost(session, opened, statement, exc.loss)
+        if found.answer.state == SessionState.IDLE:
+            self._ended(session, opened, statement, found.answer, sent_at)
+        return found.answer
+
+    def abandon(self, session: SessionData) -> None:
+        """End a transaction without its client; it is rolled back.
+
+        Args:
+            session: whose transaction it is.
+
+        """
+        if session.transaction is None:
+            return
+        self._discard(session, session.transaction)
+
+    def _discard(self, session: SessionData, opened: OpenTransaction) -> None:
+        session.transaction = None
+        opened.pooled.link.close()
+        self._pool.release(opened.endpoint, opened.pooled)
+
+    def _lost(
+        self,
+        session: SessionData,
+        opened: OpenTransaction,
+        statement: Statement,
+        loss: Loss,
+    ) -> Answer:
+        self._log.event(
+            'transaction_lost',
+            request=statement.request_id,
+            endpoint=opened.endpoint,
+            loss=loss.value,
+            wrote=opened.wrote,
+        )
+        service = opened.route.service
+        asked_at = self._knowledge.clock() - opened.route.timeout_s
+        committing = statement.verb == Verb.COMMIT and opened.wrote
+        if committing and loss == Loss.DEADLINE:
+            self._knowledge.commits.miss(service, opened.endpoint, asked_at)
+        self._discard(session, opened)
+        return in_transaction_lost(
+            statement.verb, wrote=opened.wrote, loss=loss
+        )
+
+    def _ended(
+        self,
+        session: SessionData,
+        opened: OpenTransaction,
+        statement: Statement,
+        answer: Answer,
+        sent_at: float,
+    ) -> None:
+        session.transaction = None
+        self._pool.release(opened.endpoint, opened.pooled)
+        committed = statement.verb == Verb.COMMIT and answer.ok
+        if not (committed and opened.wrote) or answer.position is None:
+            return
+        service = opened.route.service
+        session.committed(service, answer.position)
+        lead = Lead(service, opened.endpoint, answer.position.term)
+        self._knowledge.prove(lead, answer.position, sent_at, 'commit')
+        self._knowledge.commits.acknowledge(service, opened.endpoint, sent_at)
+
+    def _end_failed(
+        self, session: SessionData, statement: Statement
+    ) -> Answer:
+        if statement.verb not in {Verb.COMMIT, Verb.ROLLBACK}:
+            return refused(
+                Refusal.MALFORMED,
+                'the transaction failed and has to be rolled back',
+                SessionState.FAILED,
+            )
+        self.abandon(session)
+        if statement.verb == Verb.ROLLBACK:
+            return done(SessionState.IDLE)
+        return refused(Refusal.ABORTED, 'the transaction had failed')
--- /dev/null
+++ b/trefoilhitch/tcp.py
@@ -0,0 +1,81 @@
+"""TCP connections whose silence is noticed."""
+
+from contextlib import suppress
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
+
+from trio import open_tcp_stream
+from trio.socket import SocketType
+
+from trefoilhitch.byte_stream import ByteStream
+
+# A peer that went silent is noticed after idle + count * interval seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MS = 3000
+_OPTIONS = (
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+
+
+def watch_silence(sock: SocketType) -> None:
+    """Have the kernel end a connection whose peer does not respond.
+
+    Args:
+        sock: a connected socket.
+
+    """
+    for level, option, setting in _OPTIONS:
+        # A socket that failed meanwhile shows it at its next use.
+        with suppress(OSError):
+            sock.setsockopt(level, option, setting)
+
+
+async def open_stream(address: str) -> ByteStream:
+    """Connect to a server.
+
+    Args:
+        address: `ADDRESS:PORT`.
+
+    Returns:
+        The open stream.
+
+    Raises:
+        OSError: the server did not accept.
+
+    """
+    host, port = split_address(address)
+    stream = await open_tcp_stream(host, port)
+    watch_silence(stream.socket)
+    return ByteStream.from_trio(stream.socket)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address.
+
+    Args:
+        address: `ADDRESS:PORT`.
+
+    Returns:
+        Both parts.
+
+    Raises:
+        OSError: it is no such address.
+
+    """
+    host, _, port = address.rpartition(':')
+    if not (host and port.isdigit()):
+        raise OSError(f'not an address: {address}')
+    return host, int(port)
--- a/trefoilhitch_lab/faulty.py
+++ b/trefoilhitch_lab/faulty.py
@@ -33,7 +33,7 @@
 )
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClient, PeerClients
-from trefoilhitch.platform import Platform
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.store import ObjectStore, VmDirectory
 from trefoilhitch_lab.network import Link, Network
 
