Nodes give tokens of rates to each other on demand

Cause: equal shares of small rates refuse bursts: 12/s over 8 nodes is a bucket of 1.5 tokens (2,317 refusals).

--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -306,13 +306,21 @@
     document: Annotated[str, Meta(description='Empty if it is not newer.')]
 
 
-class RatePart(Message, frozen=True, kw_only=True):
+class TokenRequest(Message, frozen=True, kw_only=True):
     """
-    A part of an organisation's rate and burst.
+    Asks for a part of the operations that the other node may still admit for an organisation.
     """
 
     organisation: str
-    fraction: Annotated[float, Meta(ge=0.0, le=1.0)]
+    wanted: Annotated[float, Meta(ge=0.0)]
+
+
+class TokenReply(Message, frozen=True, kw_only=True):
+    """
+    What the other node gave up; it is void a short while after it was asked for.
+    """
+
+    given: Annotated[float, Meta(ge=0.0)]
 
 
 class CheckRequest(Message, frozen=True, kw_only=True):
@@ -331,19 +339,3 @@
 
     answered: bool
     leads: bool
-
-
-class LoanRequest(Message, frozen=True, kw_only=True):
-    """
-    Asks for a part of rates for a while.
-    """
-
-    wanted: list[RatePart]
-
-
-class LoanReply(Message, frozen=True, kw_only=True):
-    """
-    The parts that were lent.
-    """
-
-    lent: list[RatePart]
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -6,6 +6,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.answer import (
     Answer,
     Refusal,
@@ -16,7 +17,6 @@
 from trefoilhitch.pooler.catalogue import Catalogue, Route
 from trefoilhitch.pooler.declared import DeclaredState
 from trefoilhitch.pooler.knowledge import Knowledge
-from trefoilhitch.pooler.rate_book import RateBook
 from trefoilhitch.pooler.session import SessionData
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
 from trefoilhitch.pooler.statement_runner import Run, StatementRunner
@@ -33,7 +33,7 @@
 
     Args:
         declared: the catalogue in force.
-        rates: shares of the organisations' rates.
+        admission: admits operations within rates.
         knowledge: endpoints and leads.
         statements: runs single statements.
         transactions: runs transactions.
@@ -43,7 +43,7 @@
     """
 
     declared: DeclaredState
-    rates: RateBook
+    admission: Admission
     knowledge: Knowledge
     statements: StatementRunner
     transactions: TransactionRunner
@@ -168,10 +168,7 @@
 
     async def _run_operation(self, statement: Statement, route: Route) -> Answer:
         parts = self._parts
-        if not parts.rates.spend(
-            self._data.organisation, parts.knowledge.clock()
-        ):
-            parts.metrics.count('rate_refusals', self._data.organisation)
+        if not await parts.admission.admit(self._data.organisation):
             return refused(
                 Refusal.BUSY, 'the rate of the organisation is used up'
             )
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -11,6 +11,7 @@
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import StoreError
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.client_session import SessionParts
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.control import EndpointControl
@@ -121,7 +122,7 @@
         self._tools = tools
         self._registered = False
         self._declared = DeclaredState()
-        self._rates = RateBook(tools.clock())
+        self._rates = RateBook()
         self._knowledge = _knowledge(cfg, tools)
         self._fleet = _fleet(cfg, tools)
         dialer = outside.make_dialer(self._knowledge.find)
@@ -217,6 +218,10 @@
             revision=catalogue.revision,
             routes=len(catalogue.routes),
             keys=len(catalogue.keys),
+            rates={
+                each.name: (each.rate_per_s, each.burst)
+                for each in catalogue.organisations.values()
+            },
         )
         self._knowledge.announce()
 
@@ -302,6 +307,8 @@
         while True:
             await sleep(HOUSEKEEPING_EVERY_S)
             self._fleet.forget()
+            nodes = self._fleet.remembered()
+            self._rates.share_among(nodes, self._tools.clock())
             for endpoint in self._knowledge.book.forget(current_time()):
                 self._tools.log.event('endpoint_gone', endpoint=endpoint)
                 self._pool.retire(endpoint)
@@ -357,9 +364,15 @@
             statements=statements,
             log=tools.log,
         )
+        admission = Admission(
+            rates=self._rates,
+            tokens=self.talk,
+            clock=tools.clock,
+            metrics=tools.metrics,
+        )
         return SessionParts(
             declared=self._declared,
-            rates=self._rates,
+            admission=admission,
             knowledge=self._knowledge,
             statements=statements,
             transactions=transactions,
--- a/trefoilhitch/pooler/peers.py
+++ b/trefoilhitch/pooler/peers.py
@@ -1,4 +1,4 @@
-"""Talk between nodes: heartbeats, proofs, declarations and loans of rates."""
+"""Talk between nodes: heartbeats, proofs, declarations and tokens."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -15,9 +15,9 @@
     DeclarationReply,
     DeclarationRequest,
     Exchange,
-    LoanReply,
-    LoanRequest,
-    RatePart,
+    MemberBeat,
+    TokenReply,
+    TokenRequest,
 )
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import BadRequestError, NotFoundError, RefusalError
@@ -36,14 +36,14 @@
     learn_proofs,
 )
 from trefoilhitch.pooler.rate_book import RateBook
+from trefoilhitch.pooler.rates import RateShare
 
 EXCHANGE_EVERY_S = 0.25
 PEER_TIMEOUT_S = 0.5
 DECLARATION_TIMEOUT_S = 1.0
-RATES_EVERY_S = 0.5
-# Nodes that are asked for a second opinion, and for a loan.
+# Nodes that are asked for a second opinion.
 ASKED_NODES = 3
-# Nodes that are told at once of a change.
+# Nodes that are told at once of a change, or asked for tokens.
 TOLD_NODES = 16
 _PREFIX = '/v1/pooler'
 
@@ -105,7 +105,7 @@
         handlers = {
             f'{_PREFIX}/exchange': self._exchange,
             f'{_PREFIX}/declaration': self._declaration,
-            f'{_PREFIX}/loan': self._loan,
+            f'{_PREFIX}/tokens': self._tokens,
         }
         if req.path == f'{_PREFIX}/check':
             return HttpResponse(HTTPStatus.OK, encode(await self._check(req)))
@@ -130,18 +130,13 @@
             document=declared.document if newer else '',
         )
 
-    def _loan(self, req: HttpRequest) -> LoanReply:
+    def _tokens(self, req: HttpRequest) -> TokenReply:
+        asked = _read(req, TokenRequest)
+        share = self._parts.rates.share(asked.organisation)
+        if share is None:
+            return TokenReply(given=0)
         now = self._parts.knowledge.clock()
-        lent = [
-            RatePart(
-                organisation=part.organisation,
-                fraction=self._parts.rates.lend(
-                    part.organisation, part.fraction, now
-                ),
-            )
-            for part in _read(req, LoanRequest).wanted
-        ]
-        return LoanReply(lent=[part for part in lent if part.fraction > 0])
+        return TokenReply(given=share.give(asked.wanted, now))
 
     async def _check(self, req: HttpRequest) -> CheckReply:
         asked = _read(req, CheckRequest)
@@ -193,7 +188,6 @@
         """Talk to other nodes for ever."""
         async with open_nursery() as nursery:
             nursery.start_soon(self._greet_seeds)
-            nursery.start_soon(self._even_out_rates)
             while True:
                 await sleep(EXCHANGE_EVERY_S)
                 self._parts.fleet.next_beat(self._parts.declared.revision)
@@ -294,32 +288,52 @@
                     await self.exchange(address)
             await sleep(EXCHANGE_EVERY_S)
 
-    async def _even_out_rates(self) -> None:
-        while True:
-            await sleep(RATES_EVERY_S)
-            now = self._parts.knowledge.clock()
-            self._parts.rates.share_among(self._parts.fleet.remembered(), now)
-            short = dict(self._parts.rates.measure(now))
-            asked = ASKED_NODES if short else 0
-            for beat in self._parts.fleet.sample(asked):
-                await self._borrow(beat.address, short)
-
-    async def _borrow(self, address: str, short: dict[str, float]) -> None:
-        wanted = [
-            RatePart(organisation=name, fraction=min(1, missing))
-            for name, missing in short.items()
-        ]
-        if not wanted:
-            return
-        asked_at = self._parts.knowledge.clock()
-        reply = await self._ask(
-            address, 'loan', LoanRequest(wanted=wanted), LoanReply
-        )
-        for part in reply.lent if reply else ():
-            self._parts.rates.borrow(part.organisation, part.fraction, asked_at)
-            short[part.organisation] -= part.fraction
-            if short[part.organisation] <= 0:
-                short.pop(part.organisation)
+    async def ask_tokens(
+        self, organisation: str, wanted: float, share: RateShare
+    ) -> float:
+        """Ask other nodes for tokens, the near ones first.
+
+        Args:
+            organisation: whose rate.
+            wanted: how many tokens.
+            share: receives them.
+
+        Returns:
+            How many were given.
+
+        """
+        here = self._parts.fleet.beat.data_centre
+        others = self._parts.fleet.sample(TOLD_NODES)
+        near = [beat for beat in others if beat.data_centre == here]
+        far = [beat for beat in others if beat.data_centre != here]
+        given = await self._ask_each(near, organisation, wanted, share)
+        if given < 1:
+            missing = wanted - given
+            given += await self._ask_each(far, organisation, missing, share)
+        return given
+
+    async def _ask_each(
+        self,
+        nodes: Sequence[MemberBeat],
+        organisation: str,
+        wanted: float,
+        share: RateShare,
+    ) -> float:
+        given: list[float] = []
+        part = wanted / max(1, len(nodes))
+        asked = TokenRequest(organisation=organisation, wanted=part)
+
+        async def ask(address: str) -> None:
+            asked_at = self._parts.knowledge.clock()
+            reply = await self._ask(address, 'tokens', asked, TokenReply)
+            if reply is not None and reply.given > 0:
+                share.receive(reply.given, asked_at)
+                given.append(reply.given)
+
+        async with open_nursery() as nursery:
+            for beat in nodes:
+                nursery.start_soon(ask, beat.address)
+        return sum(given)
 
     async def _ask(
         self,
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -1,47 +1,90 @@
-"""Shares of the organisations' rates, spent by one node and lent to others.
+"""One node's part of an organisation's rate, and what it gives to others.
 
-A node owns an equal part of each rate and burst. A part of it may be lent to
-another node until a deadline: the lender gives it up before it answers, and
-counts it as its own again only after a margin; the borrower counts from when it
-asked. So the parts in use never exceed the whole, whatever is lost or late.
+Each node owns an equal part of the rate and of the burst, and fills a bucket of
+its own with it. A node that runs short asks others for tokens. The giver
+subtracts them before it answers, and they are void `GIFT_S` after they were
+asked for. So whatever is lost, late or restarted, the operations of all nodes
+in any span of W seconds stay within burst + rate * (W + GIFT_S).
 """
 
-from collections.abc import Iterable
+from collections import deque
 from dataclasses import dataclass, field
 
-LOAN_S = 3.0
-# A lender waits this much longer, for a borrower whose clock runs slower.
-LOAN_MARGIN_S = 0.5
+GIFT_S = 0.5
 DEMAND_HALF_LIFE_S = 1.0
-# Part of its share that a node keeps above its own demand.
-HEADROOM = 1.25
-# A node asks for more when demand takes this part of its share.
-SHORT_AT = 0.85
-LEAST_LOAN = 0.01
+# A node keeps what its own clients will ask for in this time.
+RESERVE_S = 0.25
+# A node that runs short asks for what its clients will ask for in this time.
+ASK_AHEAD_S = 0.5
+LEAST_GIFT = 0.1
+_ROUNDING = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
-class Loan:
-    """A part of a rate that moved for a while.
+class Gift:
+    """Tokens that another node gave up.
 
     Args:
-        fraction: part of the organisation's whole rate and burst.
-        ends_at: when it ends, on a clock that counts suspended time.
+        tokens: how many are left of them.
+        void_at: time after which they must not be spent.
 
     """
 
-    fraction: float
-    ends_at: float
+    tokens: float
+    void_at: float
 
 
 @dataclass(slots=True)
-class _Account:
-    updated_at: float
-    tokens: float = 0
-    demand_per_s: float = 0
+class _Demand:
+    measured_at: float
     asked: int = 0
-    lent: list[Loan] = field(default_factory=list)
-    borrowed: list[Loan] = field(default_factory=list)
+    per_s: float = 0
+
+    def update(self, now: float) -> None:
+        elapsed = now - self.measured_at
+        if elapsed < RESERVE_S:
+            return
+        weight = 0.5 ** (elapsed / DEMAND_HALF_LIFE_S)
+        recent = self.asked / elapsed
+        self.per_s = weight * self.per_s + (1 - weight) * recent
+        self.asked = 0
+        self.measured_at = now
+
+
+@dataclass(slots=True)
+class _Bucket:
+    rate_per_s: float = 0
+    size: float = 0
+    tokens: float = 0
+    filled_at: float = 0
+
+    def fill(self, now: float) -> None:
+        elapsed = max(0, now - self.filled_at)
+        self.filled_at = max(now, self.filled_at)
+        self.tokens = min(self.size, self.tokens + elapsed * self.rate_per_s)
+
+
+@dataclass(slots=True)
+class _Purse:
+    gifts: deque[Gift] = field(default_factory=deque)
+
+    def drop_void(self, now: float) -> None:
+        while self.gifts and self.gifts[0].void_at <= now:
+            self.gifts.popleft()
+
+    def total(self) -> float:
+        return sum(gift.tokens for gift in self.gifts)
+
+    def take(self, wanted: float) -> float:
+        """Spend up to some tokens, those that are void first first."""
+        taken = 0.0
+        while self.gifts and taken < wanted:
+            gift = self.gifts.popleft()
+            used = min(gift.tokens, wanted - taken)
+            taken += used
+            if gift.tokens > used:
+                self.gifts.appendleft(Gift(gift.tokens - used, gift.void_at))
+        return taken
 
 
 class RateShare:
@@ -57,10 +100,9 @@
 
     def __init__(self, now: float) -> None:
         """Start empty."""
-        self._rate = 0.0
-        self._burst = 0.0
-        self._base = 0.0
-        self._account = _Account(updated_at=now)
+        self._bucket = _Bucket(filled_at=now)
+        self._purse = _Purse()
+        self._demand = _Demand(measured_at=now)
 
     def configure(
         self, *, rate_per_s: float, burst: float, nodes: int, now: float
@@ -74,141 +116,77 @@
             now: time in seconds.
 
         """
-        self._refill(now)
-        self._rate = rate_per_s
-        self._burst = burst
-        self._base = 1 / max(1, nodes)
-        self._cap_tokens()
+        self._bucket.fill(now)
+        self._bucket.rate_per_s = rate_per_s / max(1, nodes)
+        self._bucket.size = burst / max(1, nodes)
+        self._bucket.fill(now)
 
-    def spend(self, now: float) -> bool:
-        """Admit one operation if the share allows it.
+    def ask(self, now: float) -> None:
+        """Count an operation that a client asks for.
 
         Args:
             now: time in seconds.
 
-        Returns:
-            True if it may run.
-
         """
-        self._refill(now)
-        self._account.asked += 1
-        if self._account.tokens < 1:
-            return False
-        self._account.tokens -= 1
-        return True
-
-    def refund(self) -> None:
-        """Take back an operation that was admitted and did not run."""
-        self._account.tokens += 1
-        self._cap_tokens()
+        self._demand.update(now)
+        self._demand.asked += 1
 
-    def lend(self, wanted: float, now: float) -> float:
-        """Give up a part of the rate for a while, as far as demand allows.
+    def spend(self, now: float) -> bool:
+        """Admit one operation if there are tokens for it.
 
         Args:
-            wanted: part of the whole rate that the borrower asks for.
             now: time in seconds.
 
         Returns:
-            The part lent, 0 if none can be spared.
-
-        """
-        self._refill(now)
-        given = min(wanted, self.spare(now))
-        if given < LEAST_LOAN:
-            return 0
-        loan = Loan(given, now + LOAN_S + LOAN_MARGIN_S)
-        self._account.lent.append(loan)
-        self._cap_tokens()
-        return given
-
-    def borrow(self, fraction: float, asked_at: float) -> None:
-        """Take over a part that another node lent.
-
-        Args:
-            fraction: part of the whole rate.
-            asked_at: when this node asked for it.
+            True if it may run.
 
         """
-        self._account.borrowed.append(Loan(fraction, asked_at + LOAN_S))
+        self._bucket.fill(now)
+        self._purse.drop_void(now)
+        if self._bucket.tokens + self._purse.total() < 1 - _ROUNDING:
+            return False
+        self._bucket.tokens -= 1 - self._purse.take(1)
+        return True
 
-    def spare(self, now: float) -> float:
-        """Return the part of the whole rate that demand leaves over.
+    def wanted(self, now: float) -> float:
+        """Return how many tokens to ask other nodes for.
 
         Args:
             now: time in seconds.
 
         Returns:
-            A part between 0 and 1, without what was borrowed.
+            Enough for the next operation and for some more.
 
         """
-        if not self._rate:
-            return 0
-        used = self._account.demand_per_s * HEADROOM / self._rate
-        lent = sum(loan.fraction for loan in self._account.lent)
-        return max(0, self._base - lent - used)
+        self._demand.update(now)
+        return 1 + self._demand.per_s * ASK_AHEAD_S
 
-    def shortage(self, now: float) -> float:
-        """Return the part of the whole rate that demand asks for on top.
+    def give(self, wanted: float, now: float) -> float:
+        """Give tokens up for another node.
 
         Args:
-            now: time in seconds; measures demand since the last call.
+            wanted: how many it asks for.
+            now: time in seconds.
 
         Returns:
-            A part between 0 and 1; 0 if the share suffices.
+            How many were subtracted here, 0 if none can be spared.
 
         """
-        self._refill(now)
-        share = self._fraction(now + 1)
-        if not self._rate or not self._account.demand_per_s:
-            return 0
-        used = self._account.demand_per_s / self._rate
-        if used < share * SHORT_AT:
+        self._bucket.fill(now)
+        self._demand.update(now)
+        spare = self._bucket.tokens - self._demand.per_s * RESERVE_S
+        given = min(wanted, spare)
+        if given < LEAST_GIFT:
             return 0
-        return min(1, used * HEADROOM) - share
+        self._bucket.tokens -= given
+        return given
 
-    def measure(self, elapsed_s: float) -> None:
-        """Update the demand from the operations asked for meanwhile.
+    def receive(self, tokens: float, asked_at: float) -> None:
+        """Take over tokens that another node gave up.
 
         Args:
-            elapsed_s: seconds since the last call.
+            tokens: how many.
+            asked_at: when this node asked for them.
 
         """
-        if elapsed_s <= 0:
-            return
-        weight = 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
-        recent = self._account.asked / elapsed_s
-        self._account.asked = 0
-        self._account.demand_per_s = (
-            weight * self._account.demand_per_s + (1 - weight) * recent
-        )
-
-    def _fraction(self, now: float) -> float:
-        lent = _sum_open(self._account.lent, now)
-        borrowed = _sum_open(self._account.borrowed, now)
-        return max(0, self._base - lent) + borrowed
-
-    def _refill(self, now: float) -> None:
-        account = self._account
-        elapsed = max(0, now - account.updated_at)
-        # A loan that ended meanwhile counts as lent for all of the time since
-        # the last update, and as borrowed for none of it.
-        lent = _sum_open(account.lent, account.updated_at)
-        own = max(0, self._base - lent)
-        fraction = own + _sum_open(account.borrowed, now)
-        account.updated_at = now
-        account.tokens += elapsed * self._rate * fraction
-        account.lent = [loan for loan in account.lent if loan.ends_at > now]
-        account.borrowed = [
-            loan for loan in account.borrowed if loan.ends_at > now
-        ]
-        self._cap_tokens()
-
-    def _cap_tokens(self) -> None:
-        account = self._account
-        fraction = self._fraction(account.updated_at)
-        account.tokens = min(account.tokens, self._burst * fraction)
-
-
-def _sum_open(loans: Iterable[Loan], now: float) -> float:
-    return sum(loan.fraction for loan in loans if loan.ends_at > now)
+        self._purse.gifts.append(Gift(tokens, asked_at + GIFT_S))
