--- a/trefoilhitch/pooler/fleet_view.py
+++ b/trefoilhitch/pooler/fleet_view.py
@@ -10,7 +10,7 @@
 
 # Heartbeats of others that one message carries, so that its size does not
 # grow with the fleet.
-MAX_TOLD = 4
+MAX_TOLD = 1
 
 
 class FleetView:
@@ -35,7 +35,7 @@
         self._random = random
         self._clock = clock
         self._membership = Membership().observe([beat], clock())
-        self._order: list[str] = []
+        self._order: dict[bool, list[str]] = {True: [], False: []}
 
     @property
     def beat(self) -> MemberBeat:
@@ -126,20 +126,26 @@
         """Drop nodes that failed long ago."""
         self._membership = self._membership.forget(self._clock())
 
-    def next_peer(self) -> str | None:
+    def next_peer(self, *, near: bool) -> str | None:
         """Return the address of the node to talk to next.
 
+        Args:
+            near: whether it is in this node's data centre.
+
         Returns:
-            Each known node in turn, in a random order; None if there is none.
+            Each such node in turn, in a random order, failed ones among
+            them; None if there is none.
 
         """
         known = {
             member.beat.address
             for member in self._membership.members.values()
             if member.beat.address != self._beat.address
+            and (member.beat.data_centre == self._beat.data_centre) == near
         }
-        self._order = [each for each in self._order if each in known]
-        if not self._order:
-            self._order = sorted(known)
-            self._random.shuffle(self._order)
-        return self._order.pop() if self._order else None
+        order = [each for each in self._order[near] if each in known]
+        if not order:
+            order = sorted(known)
+            self._random.shuffle(order)
+        self._order[near] = order
+        return order.pop() if order else None
--- a/trefoilhitch/pooler/peers.py
+++ b/trefoilhitch/pooler/peers.py
@@ -38,7 +38,9 @@
 from trefoilhitch.pooler.rate_book import RateBook
 from trefoilhitch.pooler.rates import RateShare
 
-EXCHANGE_EVERY_S = 0.25
+# Talk within a data centre is cheap, talk between regions is not.
+NEAR_EVERY_S = 0.25
+FAR_EVERY_S = 0.5
 PEER_TIMEOUT_S = 0.5
 DECLARATION_TIMEOUT_S = 1.0
 # Nodes that are asked for a second opinion.
@@ -188,12 +190,8 @@
         """Talk to other nodes for ever."""
         async with open_nursery() as nursery:
             nursery.start_soon(self._greet_seeds)
-            while True:
-                await sleep(EXCHANGE_EVERY_S)
-                self._parts.fleet.next_beat(self._parts.declared.revision)
-                address = self._parts.fleet.next_peer()
-                if address is not None:
-                    nursery.start_soon(self.exchange, address)
+            nursery.start_soon(self._talk_every, NEAR_EVERY_S, True)
+            nursery.start_soon(self._talk_every, FAR_EVERY_S, False)
 
     async def exchange(self, address: str) -> None:
         """Tell another node what this one knows, and learn what it knows.
@@ -281,12 +279,21 @@
         )
         return not any(reply.leads for reply in replies)
 
+    async def _talk_every(self, pause_s: float, near: bool) -> None:
+        async with open_nursery() as nursery:
+            while True:
+                await sleep(pause_s)
+                self._parts.fleet.next_beat(self._parts.declared.revision)
+                address = self._parts.fleet.next_peer(near=near)
+                if address is not None:
+                    nursery.start_soon(self.exchange, address)
+
     async def _greet_seeds(self) -> None:
         while not self._parts.fleet.peers():
             for address in self._parts.seeds:
                 if address != self._parts.fleet.beat.address:
                     await self.exchange(address)
-            await sleep(EXCHANGE_EVERY_S)
+            await sleep(NEAR_EVERY_S)
 
     async def ask_tokens(
         self, organisation: str, wanted: float, share: RateShare
