--- a/tests/test_generated.py
+++ b/tests/test_generated.py
@@ -14,7 +14,9 @@
 sys.path.insert(0, str(ROOT / 'tools'))
 
 
-@pytest.mark.parametrize('schemas', import_module('generate').SCHEMA_DIRECTORIES)
+@pytest.mark.parametrize(
+    'schemas', import_module('generate').SCHEMA_DIRECTORIES
+)
 def test_committed_code_is_what_the_schema_gives(schemas: Path) -> None:
     pytest.importorskip('datamodel_code_generator', reason='no generator here')
     generator = import_module('generate')
--- a/trefoilhitch/daemon.py
+++ b/trefoilhitch/daemon.py
@@ -16,10 +16,10 @@
 from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.failing import failing
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.ini import IniFile
 from trefoilhitch.node import Node
 from trefoilhitch.node_parts import NodeContext
-from trefoilhitch.http_platform import Platform
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.settings import read_settings
 
--- a/trefoilhitch/node_parts.py
+++ b/trefoilhitch/node_parts.py
@@ -19,6 +19,7 @@
 from trefoilhitch.group_directory import GroupDirectory
 from trefoilhitch.heartbeat import Heartbeats
 from trefoilhitch.http_message import Answerer, HttpLimits
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.http_server import HttpServer, SharedAnswerer
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.monitors import Monitors
@@ -28,7 +29,6 @@
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.peer_server import PeerAnswerer
-from trefoilhitch.http_platform import Platform
 from trefoilhitch.promoter import Promoter
 from trefoilhitch.router import Router
 from trefoilhitch.token import TokenSigner
--- a/trefoilhitch/platform/client_codec.py
+++ b/trefoilhitch/platform/client_codec.py
@@ -96,18 +96,22 @@
 def _decode_text(request_id: str, text: str) -> Statement:
     words = text.split(maxsplit=3)
     verb = _VERBS.get(words[0]) if words else None
-    if verb is None or len(words) - 1 < _LEAST_WORDS.get(verb, 0):
-        raise WireError('unknown or incomplete statement')
+    if verb is None:
+        raise WireError('unknown statement')
+    if len(words) <= _LEAST_WORDS.get(verb, 0):
+        raise WireError('incomplete statement')
     if verb == Verb.BEGIN:
         return _decode_begin(request_id, text, words[1:])
     if verb in {Verb.COMMIT, Verb.ROLLBACK} and len(words) > 1:
         raise WireError(f'{words[0]} takes no argument')
+    if verb not in _NAMING:
+        return Statement(request_id, verb, text)
     return Statement(
         request_id,
         verb,
         text,
-        name=words[1] if verb in _NAMING else '',
-        argument=_after_name(text) if verb in _NAMING else '',
+        name=words[1],
+        argument=_after_name(text),
         shape=_decode_shape(words) if verb == Verb.PREPARE else None,
     )
 
--- a/trefoilhitch/platform/codes.py
+++ b/trefoilhitch/platform/codes.py
@@ -3,7 +3,7 @@
 from types import MappingProxyType
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch.platform.lines import WireError
+from trefoilhitch.platform.lines import MAX_SHOWN, WireError
 from trefoilhitch.pooler.answer import Refusal, SessionState
 
 CODE_BY_REFUSAL = MappingProxyType(
@@ -71,5 +71,5 @@
         return None
     term, _, number = text.partition('.')
     if not (term.isdigit() and number.isdigit()):
-        raise WireError(f'not a position: {text[:40]}')
+        raise WireError(f'not a position: {text[:MAX_SHOWN]}')
     return LogPosition(term=int(term), position=int(number))
--- a/trefoilhitch/platform/declarations.py
+++ b/trefoilhitch/platform/declarations.py
@@ -81,7 +81,9 @@
         database=desired.host,
         service=desired.service,
         freshness=freshness,
-        max_age_s=0 if freshness == Freshness.LATEST else max_age_ms / _MS_PER_S,
+        max_age_s=0
+        if freshness == Freshness.LATEST
+        else max_age_ms / _MS_PER_S,
         timeout_s=desired.timeout_ms / _MS_PER_S,
         target_latency_s=desired.target_latency_ms / _MS_PER_S,
         priority=desired.priority,
--- a/trefoilhitch/platform/directory.py
+++ b/trefoilhitch/platform/directory.py
@@ -5,8 +5,8 @@
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.platform._generated.platform import ServerEntry
-from trefoilhitch.tcp import split_address
 from trefoilhitch.pooler.endpoint_book import EndpointRecord
+from trefoilhitch.tcp import split_address
 
 
 class UnreadableEntryError(TrefoilhitchError):
--- a/trefoilhitch/platform/endpoint_codec.py
+++ b/trefoilhitch/platform/endpoint_codec.py
@@ -9,7 +9,7 @@
     decode_position,
     encode_position,
 )
-from trefoilhitch.platform.lines import WireError
+from trefoilhitch.platform.lines import MAX_SHOWN, WireError
 from trefoilhitch.pooler.answer import Answer, Refusal, SessionState
 from trefoilhitch.pooler.ports import Command, EndpointStatus
 
@@ -81,27 +81,29 @@
 
         """
         word, _, rest = line.partition(' ')
-        if word == 'DATAROW':
-            self.rows.append(rest)
-        elif word == 'COMPLETE':
-            self.receipt = rest
-        elif word == 'ERROR':
-            self._take_error(rest)
-        elif word == 'READY':
-            return self._finish(rest)
-        else:
-            raise WireError(f'unexpected message {word[:20]}')
+        match word:
+            case 'DATAROW':
+                self.rows.append(rest)
+            case 'COMPLETE':
+                self.receipt = rest
+            case 'ERROR':
+                self._take_error(rest)
+            case 'READY':
+                return self._finish(line)
+            case _:
+                raise WireError(f'unexpected message {word[:MAX_SHOWN]}')
         return None
 
     def _take_error(self, rest: str) -> None:
-        code, _, self.detail = rest.partition(' ')
+        code, _, detail = rest.partition(' ')
+        self.detail = detail
         # A code that is not known promises nothing.
         self.refusal = REFUSAL_BY_CODE.get(code, Refusal.FAILED)
 
-    def _finish(self, rest: str) -> Answer:
+    def _finish(self, line: str) -> Answer:
         if self.receipt is None and self.refusal is None:
             raise WireError('answer without an outcome')
-        state, position = decode_ready(f'READY {rest}')
+        state, position = decode_ready(line)
         return Answer(
             rows=tuple(self.rows),
             receipt=self.receipt or '-',
@@ -127,10 +129,10 @@
     """
     fields = line.split()
     if len(fields) != _READY_FIELDS or fields[0] != 'READY':
-        raise WireError(f'expected READY, got {line[:40]}')
+        raise WireError(f'expected READY, got {line[:MAX_SHOWN]}')
     state = STATE_BY_LETTER.get(fields[1])
     if state is None:
-        raise WireError(f'unknown state {fields[1][:8]}')
+        raise WireError(f'unknown state {fields[1][:MAX_SHOWN]}')
     return state, decode_position(fields[2])
 
 
@@ -149,7 +151,7 @@
     """
     fields = line.split()
     if len(fields) < 2 or fields[0] != 'ERROR':
-        raise WireError(f'expected READY or ERROR, got {line[:40]}')
+        raise WireError(f'expected READY or ERROR, got {line[:MAX_SHOWN]}')
     return REFUSAL_BY_CODE.get(fields[1], Refusal.FAILED)
 
 
--- a/trefoilhitch/platform/endpoint_link.py
+++ b/trefoilhitch/platform/endpoint_link.py
@@ -5,7 +5,7 @@
 from trio import CancelScope
 
 from trefoilhitch.byte_stream import ByteStream, ByteStreamError
-from trefoilhitch.tcp import open_stream
+from trefoilhitch.http_client import is_readable
 from trefoilhitch.platform.endpoint_codec import (
     AnswerCollector,
     decode_ready,
@@ -14,7 +14,11 @@
     encode_command,
     encode_start,
 )
-from trefoilhitch.platform.lines import LineBuffer, WireError
+from trefoilhitch.platform.lines import (
+    MAX_MESSAGE_BYTES,
+    LineBuffer,
+    WireError,
+)
 from trefoilhitch.pooler.answer import Answer, SessionState
 from trefoilhitch.pooler.endpoint_book import EndpointRecord
 from trefoilhitch.pooler.outcome import Loss
@@ -25,11 +29,11 @@
     LinkRefusedError,
 )
 from trefoilhitch.pooler.statement import PreparedShape
-from trefoilhitch.http_client import is_readable
+from trefoilhitch.tcp import open_stream
 
 RECEIVE_BYTES = 65536
 # An answer may hold many rows; each of them is a message.
-MAX_LINE_BYTES = 2 * 1048576
+MAX_LINE_BYTES = 2 * MAX_MESSAGE_BYTES
 
 
 class WireLink:
@@ -71,7 +75,7 @@
         line = await self._next_line()
         if not line.startswith('READY'):
             raise LinkRefusedError(decode_start_refusal(line))
-        self.state, _ = decode_ready(line)
+        self.state = decode_ready(line)[0]
 
     async def run(
         self, commands: Sequence[Command], deadline: float
@@ -179,8 +183,8 @@
             raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: {exc}') from exc
         raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no connection in time')
 
-    def set_value(self, name: str, text: str) -> Command:
-        """Return the statement that sets a session value."""
+    def set_variable(self, name: str, text: str) -> Command:
+        """Return the statement that sets a session variable."""
         return Command(f'SET {name} {text}')
 
     def prepare(self, shape: PreparedShape) -> Command:
@@ -195,7 +199,7 @@
         return Command(f'EXECUTE {shape.pooled_name} {argument}', request_id)
 
     def reset(self) -> Command:
-        """Return the statement that drops session values and prepared names."""
+        """Return the statement that drops what a session left behind."""
         return Command('RESET')
 
     def status(self) -> Command:
--- a/trefoilhitch/platform/front.py
+++ b/trefoilhitch/platform/front.py
@@ -129,12 +129,13 @@
         deadline = current_time() + limits.message_read_s
         try:
             line = await self._next_line(conn, deadline)
-            if line is None:
-                return None
-            session = await self._service.open(decode_start(line))
+            start = decode_start(line) if line else None
         except WireError as exc:
             await conn.stream.send(encode_error(Refusal.MALFORMED, str(exc)))
             return None
+        if start is None:
+            return None
+        session = await self._service.open(start)
         if isinstance(session, Refusal):
             await conn.stream.send(encode_error(session, ''))
             return None
@@ -144,22 +145,26 @@
     async def _answer_all(
         self, conn: _Connection, session: ClientSession
     ) -> None:
-        while True:
+        answered = True
+        while answered and not self._may_close(conn, session):
             try:
-                line = await self._next_message(conn, session)
-                if line is None or line == TERMINATE:
-                    return
-                statement = decode_query(line)
+                answered = await self._answer_next(conn, session)
             except WireError as exc:
                 answer = refused(
                     Refusal.MALFORMED, str(exc), SessionState.FAILED
                 )
                 await conn.stream.send(encode_answer(answer))
                 return
-            answer = await session.run(statement)
-            await conn.stream.send(encode_answer(answer))
-            if self._may_close(conn, session):
-                return
+
+    async def _answer_next(
+        self, conn: _Connection, session: ClientSession
+    ) -> bool:
+        line = await self._next_message(conn, session)
+        if line is None or line == TERMINATE:
+            return False
+        answer = await session.run(decode_query(line))
+        await conn.stream.send(encode_answer(answer))
+        return True
 
     def _may_close(self, conn: _Connection, session: ClientSession) -> bool:
         if session.in_transaction or conn.lines.partial:
@@ -197,7 +202,9 @@
         while line is None:
             if conn.lines.partial and deadline == math.inf:
                 deadline = current_time() + self._service.limits.message_read_s
-            if not await self._receive_before(conn, deadline, closable=closable):
+            if not await self._receive_before(
+                conn, deadline, closable=closable
+            ):
                 return None
             line = conn.lines.next_line()
         return line
@@ -206,12 +213,13 @@
         self, conn: _Connection, deadline: float, *, closable: bool
     ) -> bool:
         """Receive bytes, unless the connection is to be closed instead."""
-        with CancelScope(deadline=deadline) as scope:
-            conn.waiting = scope if closable else None
-            try:
+        scope = CancelScope(deadline=deadline)
+        conn.waiting = scope if closable else None
+        try:
+            with scope:
                 conn.lines.feed(await self._receive(conn))
-            finally:
-                conn.waiting = None
+        finally:
+            conn.waiting = None
         if not scope.cancelled_caught:
             return True
         if conn.lines.partial:
--- a/trefoilhitch/platform/lines.py
+++ b/trefoilhitch/platform/lines.py
@@ -1,6 +1,8 @@
 """Lines that end in CR LF, out of the bytes of a connection."""
 
 MAX_MESSAGE_BYTES = 1048576
+# Characters of an unexpected message that are shown.
+MAX_SHOWN = 40
 _END = b'\r\n'
 
 
@@ -47,13 +49,14 @@
 
         """
         end = self._bytes.find(_END, self._searched)
-        if end > self._limit or (end < 0 and len(self._bytes) > self._limit):
+        length = len(self._bytes) if end < 0 else end
+        if length > self._limit:
             raise WireError('message too long')
         if end < 0:
-            self._searched = max(0, len(self._bytes) - 1)
+            self._searched = max(0, length - 1)
             return None
         line = bytes(self._bytes[:end])
-        del self._bytes[: end + len(_END)]
+        self._bytes = self._bytes[end + len(_END) :]
         self._searched = 0
         if b'\r' in line or b'\n' in line:
             raise WireError('stray line end')
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -5,7 +5,7 @@
 from typing import Any, Final, TypeVar
 from urllib.parse import quote
 
-from msgspec import DecodeError, Raw, Struct, ValidationError
+from msgspec import DecodeError, Raw, Struct, ValidationError, field
 from msgspec.json import decode, encode
 
 from trefoilhitch.errors import (
@@ -43,7 +43,7 @@
 
 
 class _Page(Struct, frozen=True, kw_only=True):
-    items: list[Raw]
+    listed: list[Raw] = field(name='items')
     has_more: bool = False
     current_rev: int
 
@@ -122,7 +122,7 @@
             page = await self._page(kind, after, deadline)
             # The first page's revision: later changes are watched.
             revision = revision or page.current_rev
-            read = [_read_object(raw) for raw in page.items]
+            read = [_read_object(raw) for raw in page.listed]
             found = [each for each in read if each is not None]
             unreadable += len(read) - len(found)
             changes.extend(ObjectChange(each) for each in found)
--- a/trefoilhitch/platform/sources.py
+++ b/trefoilhitch/platform/sources.py
@@ -20,6 +20,8 @@
 from trefoilhitch.pooler.endpoint_book import EndpointRecord
 from trefoilhitch.pooler.follower import Changes
 
+# Characters of a failure that are logged.
+MAX_DETAIL = 200
 _MS_PER_S = 1000
 ItemT = TypeVar('ItemT')
 
@@ -109,7 +111,7 @@
         try:
             return decode_entry(stored.meta.name, stored.spec)
         except UnreadableEntryError as exc:
-            self._log.event('entry_ignored', detail=str(exc)[:200])
+            self._log.event('entry_ignored', detail=str(exc)[:MAX_DETAIL])
             return None
 
 
@@ -124,7 +126,7 @@
         try:
             return read_declaration(bytes(stored.spec).decode())
         except (UnreadableDeclarationError, UnicodeDecodeError) as exc:
-            self._log.event('declaration_ignored', detail=str(exc)[:200])
+            self._log.event('declaration_ignored', detail=str(exc)[:MAX_DETAIL])
             return None
 
 
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -97,7 +97,7 @@
         self._asking[organisation] = asking
         self._metrics.count('token_requests', organisation)
         wanted = share.wanted(self._clock())
-        given = 0.0
+        given: float = 0
         try:
             given = await self._tokens.ask_tokens(organisation, wanted, share)
         finally:
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -81,14 +81,14 @@
 
     Args:
         parts: what all sessions share.
-        data: what the session holds.
+        held: what the session holds.
 
     """
 
-    def __init__(self, parts: SessionParts, data: SessionData) -> None:
-        """Keep the session's data."""
+    def __init__(self, parts: SessionParts, held: SessionData) -> None:
+        """Keep the session's held."""
         self._parts = parts
-        self._data = data
+        self._held = held
 
     @classmethod
     def open(
@@ -116,17 +116,17 @@
     @property
     def in_transaction(self) -> bool:
         """Whether the client has a transaction to end."""
-        return self._data.state != SessionState.IDLE
+        return self._held.state != SessionState.IDLE
 
     def abandon_transaction(self) -> None:
         """Roll an open transaction back; the client learns it by its next."""
-        if self._data.transaction is not None:
-            self._parts.transactions.abandon(self._data)
-            self._data.state = SessionState.FAILED
+        if self._held.transaction is not None:
+            self._parts.transactions.abandon(self._held)
+            self._held.state = SessionState.FAILED
 
     def close(self) -> None:
         """Roll back what the client left open."""
-        self._parts.transactions.abandon(self._data)
+        self._parts.transactions.abandon(self._held)
 
     async def run(self, statement: Statement) -> Answer:
         """Answer a statement.
@@ -139,13 +139,13 @@
 
         """
         began = current_time()
-        data = self._data
+        held = self._held
         try:
             answer = await self._run(statement)
         except BaseException:
-            data.state = SessionState.FAILED
+            held.state = SessionState.FAILED
             raise
-        data.state = answer.state
+        held.state = answer.state
         took_s = current_time() - began
         if statement.verb not in _LOCAL:
             self._parts.metrics.observe(took_s)
@@ -160,77 +160,81 @@
             return self._run_local(statement)
         if self.in_transaction:
             return await self._run_in_transaction(statement)
+        return await self._run_operation(statement, found)
+
+    async def _run_operation(
+        self, statement: Statement, route: Route
+    ) -> Answer:
         if statement.verb in _ENDS:
             return done(SessionState.IDLE)
-        if self._data.access(statement) is None:
+        if self._held.access(statement) is None:
             return refused(Refusal.UNKNOWN_STATEMENT, statement.name)
-        return await self._run_operation(statement, found)
-
-    async def _run_operation(self, statement: Statement, route: Route) -> Answer:
         parts = self._parts
-        if not await parts.admission.admit(self._data.organisation):
+        if not await parts.admission.admit(self._held.organisation):
             return refused(
                 Refusal.BUSY, 'the rate of the organisation is used up'
             )
-        run = Run.from_statement(self._data, statement, route)
+        run = Run.from_statement(self._held, statement, route)
         if statement.verb == Verb.BEGIN:
             return await parts.transactions.begin(run)
         return await parts.statements.run(run)
 
     async def _run_in_transaction(self, statement: Statement) -> Answer:
-        data = self._data
+        held = self._held
         if statement.verb == Verb.BEGIN:
             return refused(
-                Refusal.MALFORMED, 'a transaction is open', data.state
+                Refusal.MALFORMED, 'a transaction is open', held.state
             )
-        if data.access(statement) is None:
+        if held.access(statement) is None:
             return refused(
-                Refusal.UNKNOWN_STATEMENT, statement.name, data.state
+                Refusal.UNKNOWN_STATEMENT, statement.name, held.state
             )
-        return await self._parts.transactions.run(data, statement)
+        return await self._parts.transactions.run(held, statement)
 
     def _authorise(self) -> Route | Refusal:
         catalogue = self._parts.declared.catalogue
         if catalogue is None:
             return Refusal.BUSY
-        data = self._data
-        opened = data.transaction
-        found = authorise(catalogue, data.database, data.key)
+        held = self._held
+        opened = held.transaction
+        found = authorise(catalogue, held.database, held.key)
         if found == Refusal.UNKNOWN_DATABASE and opened is not None:
             # A transaction ends by the route under which it began.
             return opened.route
         if isinstance(found, Refusal):
             return found
         route, organisation = found
-        if organisation != data.organisation:
+        if organisation != held.organisation:
             return Refusal.UNAUTHORISED
         return route
 
     def _forbid(self, statement: Statement, refusal: Refusal) -> Answer:
-        self._parts.transactions.abandon(self._data)
+        self._parts.transactions.abandon(self._held)
         ends = statement.verb in _ENDS or not self.in_transaction
         state = SessionState.IDLE if ends else SessionState.FAILED
         return refused(refusal, refusal.value, state)
 
     def _run_local(self, statement: Statement) -> Answer:
-        data = self._data
-        if data.state == SessionState.FAILED:
+        held = self._held
+        if held.state == SessionState.FAILED:
             return refused(
                 Refusal.MALFORMED,
                 'the transaction failed and has to be rolled back',
-                data.state,
+                held.state,
             )
         if statement.verb == Verb.SET:
-            data.values[statement.name] = statement.argument
+            held.variables[statement.name] = statement.argument
         elif statement.verb == Verb.PREPARE and statement.shape is not None:
-            data.prepared[statement.name] = statement.shape
-        elif data.prepared.pop(statement.name, None) is None:
+            held.prepared[statement.name] = statement.shape
+        elif held.prepared.pop(statement.name, None) is None:
             return refused(
-                Refusal.UNKNOWN_STATEMENT, statement.name, data.state
+                Refusal.UNKNOWN_STATEMENT, statement.name, held.state
             )
-        return done(data.state)
+        return done(held.state)
 
-    def _note(self, statement: Statement, answer: Answer, took_s: float) -> None:
+    def _note(
+        self, statement: Statement, answer: Answer, took_s: float
+    ) -> None:
         parts = self._parts
         outcome = answer.refusal.value if answer.refusal else 'ok'
         parts.metrics.count('statements', outcome)
@@ -238,8 +242,8 @@
             'statement',
             request=statement.request_id,
             verb=statement.verb.value,
-            database=self._data.database,
-            organisation=self._data.organisation,
+            database=self._held.database,
+            organisation=self._held.organisation,
             revision=parts.declared.revision,
             outcome=outcome,
             detail=answer.detail,
--- a/trefoilhitch/pooler/control.py
+++ b/trefoilhitch/pooler/control.py
@@ -104,11 +104,8 @@
         self, endpoint: str, command: Command
     ) -> EndpointStatus | None:
         self._metrics.count('own_statements', 'control')
-        deadline = current_time() + CONTROL_TIMEOUT_S
         try:
-            link = await self._take(endpoint, deadline)
-            answers = await link.run([command], deadline)
-            status = self._dialer.read_status(answers[0])
+            return await self._exchange(endpoint, command)
         except _FAILURES as exc:
             self._log.event(
                 'control_failed',
@@ -117,7 +114,15 @@
                 detail=str(exc),
             )
             return None
+
+    async def _exchange(
+        self, endpoint: str, command: Command
+    ) -> EndpointStatus | None:
+        deadline = current_time() + CONTROL_TIMEOUT_S
+        link = await self._take(endpoint, deadline)
+        answers = await link.run([command], deadline)
         self._keep(endpoint, link)
+        status = self._dialer.read_status(answers[0])
         if status is None:
             self._log.event(
                 'control_refused',
@@ -154,14 +159,18 @@
         The statuses of those that told.
 
     """
-    found: dict[str, EndpointStatus] = {}
-
-    async def ask(endpoint: str) -> None:
-        status = await question(endpoint)
-        if status is not None:
-            found[endpoint] = status
-
+    told: dict[str, EndpointStatus] = {}
     async with open_nursery() as nursery:
         for endpoint in endpoints:
-            nursery.start_soon(ask, endpoint)
-    return found
+            nursery.start_soon(_ask_one, endpoint, question, told)
+    return told
+
+
+async def _ask_one(
+    endpoint: str,
+    question: Callable[[str], Awaitable[EndpointStatus | None]],
+    told: dict[str, EndpointStatus],
+) -> None:
+    status = await question(endpoint)
+    if status is not None:
+        told[endpoint] = status
--- a/trefoilhitch/pooler/endpoint_book.py
+++ b/trefoilhitch/pooler/endpoint_book.py
@@ -115,11 +115,11 @@
             for endpoint, listed in self._listed.items()
             if listed.missing_until is not None and listed.missing_until <= now
         ]
-        for endpoint in gone:
-            self._lose(self._listed.pop(endpoint).record, now)
+        for lost_id in gone:
+            self._lose(self._listed.pop(lost_id).record, now)
         self._lost = {
-            endpoint: lost
-            for endpoint, lost in self._lost.items()
+            name: lost
+            for name, lost in self._lost.items()
             if lost.missing_until is not None and lost.missing_until > now
         }
         return gone
--- a/trefoilhitch/pooler/fleet_view.py
+++ b/trefoilhitch/pooler/fleet_view.py
@@ -39,7 +39,7 @@
 
     @property
     def beat(self) -> MemberBeat:
-        """This node's newest heartbeat."""
+        """Newest heartbeat of this node."""
         return self._beat
 
     def next_beat(self, revision: int) -> MemberBeat:
--- a/trefoilhitch/pooler/link_pool.py
+++ b/trefoilhitch/pooler/link_pool.py
@@ -1,4 +1,4 @@
-"""Endpoint connections, each bound to an organisation, used by one at a time."""
+"""Endpoint connections, bound to an organisation, used by one at a time."""
 
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -52,7 +52,7 @@
         self,
         endpoint: str,
         organisation: str,
-        values: Mapping[str, str],
+        variables: Mapping[str, str],
         deadline: float,
     ) -> PooledLink:
         """Take a connection for one user.
@@ -60,7 +60,7 @@
         Args:
             endpoint: id of the endpoint.
             organisation: for whom statements will run.
-            values: session values that it should hold, if there is a choice.
+            variables: session variables that it should preferably hold.
             deadline: monotonic time.
 
         Returns:
@@ -73,7 +73,7 @@
         """
         shelf = self._shelves.setdefault(endpoint, _Shelf())
         while True:
-            pooled = _take_idle(shelf, organisation, values)
+            pooled = _take_idle(shelf, organisation, variables)
             if pooled is not None:
                 return pooled
             if shelf.opened < self._cap(endpoint) or _evict(shelf):
@@ -145,23 +145,21 @@
 
 
 def _take_idle(
-    shelf: _Shelf, organisation: str, values: Mapping[str, str]
+    shelf: _Shelf, organisation: str, variables: Mapping[str, str]
 ) -> PooledLink | None:
-    fitting = None
-    for pooled in reversed(list(shelf.idle)):
-        if pooled.link.organisation != organisation:
-            continue
-        if not pooled.link.is_usable():
-            shelf.idle.remove(pooled)
-            _close(shelf, pooled)
-            continue
-        if pooled.values == values:
-            fitting = pooled
-            break
-        fitting = fitting or pooled
-    if fitting is not None:
-        shelf.idle.remove(fitting)
-    return fitting
+    own = [
+        pooled
+        for pooled in reversed(shelf.idle)
+        if pooled.link.organisation == organisation
+    ]
+    # Sorting is stable: among equals, the one used last comes first.
+    own.sort(key=lambda each: each.variables != variables)
+    for pooled in own:
+        shelf.idle.remove(pooled)
+        if pooled.link.is_usable():
+            return pooled
+        _close(shelf, pooled)
+    return None
 
 
 def _evict(shelf: _Shelf) -> bool:
--- a/trefoilhitch/pooler/link_runner.py
+++ b/trefoilhitch/pooler/link_runner.py
@@ -14,7 +14,7 @@
     EndpointStatus,
     LinkLostError,
 )
-from trefoilhitch.pooler.session import value_change
+from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedShape, Statement, Verb
 
 
@@ -65,50 +65,18 @@
         self._dialer = dialer
         self._metrics = metrics
 
-    async def take_on(
-        self, pooled: PooledLink, values: Mapping[str, str], deadline: float
-    ) -> None:
-        """Make the values of a connection those of a session.
-
-        The connection holds no statement of the session before this succeeds,
-        so a failure here never runs one with the wrong values.
-
-        Args:
-            pooled: the connection.
-            values: the session's values.
-            deadline: monotonic time.
-
-        Raises:
-            LinkLostError: the connection failed; the statement was not sent.
-
-        """
-        change = value_change(pooled.values, values)
-        if change.empty:
-            return
-        commands = [
-            self._dialer.set_value(name, text)
-            for name, text in change.assign.items()
-        ]
-        if change.reset:
-            commands.insert(0, self._dialer.reset())
-            pooled.prepared.clear()
-        self._count('values', len(commands))
-        try:
-            answers = await pooled.link.run(commands, deadline)
-        except LinkLostError as exc:
-            raise LinkLostError(Loss.NOT_SENT, str(exc)) from exc
-        if not all(answer.ok for answer in answers):
-            pooled.link.close()
-            raise LinkLostError(Loss.NOT_SENT, 'session values were refused')
-        pooled.values = dict(values)
-
     async def run(
-        self, pooled: PooledLink, call: StatementCall, deadline: float
+        self,
+        pooled: PooledLink,
+        variables: Mapping[str, str],
+        call: StatementCall,
+        deadline: float,
     ) -> StatementResult:
-        """Run a statement.
+        """Run a statement, after the connection took on the session's state.
 
         Args:
-            pooled: a connection that holds the session's values.
+            pooled: the connection.
+            variables: variables of the session.
             call: the statement.
             deadline: monotonic time.
 
@@ -119,6 +87,7 @@
             LinkLostError: the answer did not arrive whole.
 
         """
+        await self._take_on(pooled, variables, deadline)
         commands = [self._command(call)]
         before = self._preparation(pooled, call.shape)
         if call.prove_lead:
@@ -132,6 +101,34 @@
             status = self._dialer.read_status(answers[-1])
         return StatementResult(answers[len(before)], status)
 
+    async def _take_on(
+        self, pooled: PooledLink, variables: Mapping[str, str], deadline: float
+    ) -> None:
+        """Make the variables of a connection those of a session.
+
+        No statement of the session is sent before this succeeds, so a failure
+        here never runs one with the wrong variables.
+        """
+        change = variable_change(pooled.variables, variables)
+        if change.empty:
+            return
+        commands = [
+            self._dialer.set_variable(name, text)
+            for name, text in change.assign.items()
+        ]
+        if change.reset:
+            commands.insert(0, self._dialer.reset())
+            pooled.prepared.clear()
+        self._count('variables', len(commands))
+        try:
+            answers = await pooled.link.run(commands, deadline)
+        except LinkLostError as exc:
+            raise LinkLostError(Loss.NOT_SENT, str(exc)) from exc
+        if not all(answer.ok for answer in answers):
+            pooled.link.close()
+            raise LinkLostError(Loss.NOT_SENT, 'session variables were refused')
+        pooled.variables = dict(variables)
+
     def _preparation(
         self, pooled: PooledLink, shape: PreparedShape | None
     ) -> list[Command]:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from itertools import count
 
-from trio import current_time, open_nursery, sleep
+from trio import Nursery, current_time, open_nursery, sleep
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch._generated.record import PlacementNode
@@ -76,11 +76,7 @@
         async with open_nursery() as nursery:
             while True:
                 await sleep(CHECK_EVERY_S)
-                for service in self._knowledge.book.services():
-                    rank = self._rank(service)
-                    if rank < MONITORS and service not in self._busy:
-                        self._busy.add(service)
-                        nursery.start_soon(self._watch, service, rank)
+                self._start_watches(nursery)
 
     @property
     def _knowledge(self) -> Knowledge:
@@ -90,6 +86,13 @@
     def _control(self) -> EndpointControl:
         return self._parts.succession.control
 
+    def _start_watches(self, nursery: Nursery) -> None:
+        for service in self._knowledge.book.services():
+            rank = self._rank(service)
+            if rank < MONITORS and service not in self._busy:
+                self._busy.add(service)
+                nursery.start_soon(self._watch, service, rank)
+
     def _rank(self, service: str) -> int:
         lead = self._knowledge.lead(service)
         record = self._knowledge.find(lead) if lead else None
@@ -99,7 +102,9 @@
             data_centre=record.data_centre if record else '',
         )
         nodes = [
-            PlacementNode(name=beat.node, region='', data_centre=beat.data_centre)
+            PlacementNode(
+                name=beat.node, region='', data_centre=beat.data_centre
+            )
             for beat in self._parts.live_nodes()
         ]
         names = ranking(place, nodes)
@@ -136,10 +141,10 @@
         members = self._knowledge.book.members(service)
         ids = [record.endpoint for record in members]
         statuses = await ask_all(ids, self._control.status)
-        for endpoint, status in statuses.items():
-            if status.leads:
-                self._learn(service, endpoint, status, asked_at)
-        if not any(status.leads for status in statuses.values()):
+        leading = [name for name, status in statuses.items() if status.leads]
+        for endpoint in leading:
+            self._learn(service, endpoint, statuses[endpoint], asked_at)
+        if not leading:
             self._knowledge.question_unanswered(service, asked_at)
 
     def _learn(
@@ -190,14 +195,15 @@
     async def _replace(self, service: str, reason: Reason) -> None:
         parts = self._parts.succession
         attempt = f'{parts.node}/{current_time():.3f}/{next(self._attempts)}'
-        parts.log.event('succession_began', service=service, reason=reason.value)
+        parts.log.event(
+            'succession_began', service=service, reason=reason.value
+        )
         outcome = 'done'
+        succession = Succession(
+            parts, service=service, reason=reason, attempt=attempt
+        )
         try:
-            seen = await self._read_lease(service)
-            succession = Succession(
-                parts, service=service, reason=reason, attempt=attempt
-            )
-            await succession.run(seen)
+            await succession.run(await self._read_lease(service))
         except (SuccessionStoppedError, StoreError) as exc:
             outcome = f'{type(exc).__name__}: {exc}'
         self._pause_until[service] = current_time() + RETRY_PAUSE_S
@@ -213,4 +219,3 @@
             known = SeenLease(record, self._knowledge.clock())
             self._seen[service] = known
         return known
-
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -12,13 +12,13 @@
 from trefoilhitch.errors import StoreError
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.admission import Admission
-from trefoilhitch.pooler.client_session import SessionParts
 from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.client_session import SessionParts
 from trefoilhitch.pooler.control import EndpointControl
-from trefoilhitch.pooler.declared import DeclaredState, Declaration
+from trefoilhitch.pooler.declared import Declaration, DeclaredState
 from trefoilhitch.pooler.endpoint_book import EndpointRecord
 from trefoilhitch.pooler.fleet_view import FleetView
-from trefoilhitch.pooler.follower import Changes, ChangeSource, Follower
+from trefoilhitch.pooler.follower import ChangeSource
 from trefoilhitch.pooler.gate import DrainPlan, Readiness
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.link_pool import LinkPool
@@ -30,6 +30,7 @@
 from trefoilhitch.pooler.service import PoolerService
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.pooler.statement_runner import StatementRunner
+from trefoilhitch.pooler.store_view import StoreView, StoreViewParts
 from trefoilhitch.pooler.successor import SuccessionParts
 from trefoilhitch.pooler.target import EndpointChoice
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
@@ -141,15 +142,14 @@
             serving=lambda: self._has_basis,
         )
         self._declared.tell(self._on_catalogue)
-        self._endpoint_follower = self._follow_endpoints()
-        self._declaration_follower = self._follow_declarations()
+        self._store_view = self._make_store_view()
 
     @property
     def ready(self) -> bool:
         """Whether new clients may come."""
         return Readiness(
             declared=self._declared.catalogue is not None,
-            endpoints=self._endpoint_follower.listed,
+            endpoints=self._store_view.listed,
             stopping=self.service.plan is not None,
         ).ready
 
@@ -160,8 +160,7 @@
             nursery: runs it.
 
         """
-        nursery.start_soon(self._endpoint_follower.run)
-        nursery.start_soon(self._declaration_follower.run)
+        nursery.start_soon(self._store_view.run)
         nursery.start_soon(self._register)
         nursery.start_soon(self.talk.run)
         nursery.start_soon(self._housekeep)
@@ -190,10 +189,7 @@
 
     @property
     def _has_basis(self) -> bool:
-        return (
-            self._declared.catalogue is not None
-            and self._endpoint_follower.listed
-        )
+        return self._declared.catalogue is not None and self._store_view.listed
 
     def _cap(self, endpoint: str) -> int:
         record = self._knowledge.find(endpoint)
@@ -211,90 +207,20 @@
         service = catalogue.services.get(name) if catalogue else None
         return service.sync_replicas if service else 0
 
-    def _on_catalogue(self, catalogue: Catalogue) -> None:
-        self._rates.declare(catalogue, self._tools.clock())
-        self._tools.log.event(
-            'declaration_in_force',
-            revision=catalogue.revision,
-            routes=len(catalogue.routes),
-            keys=len(catalogue.keys),
-            rates={
-                each.name: (each.rate_per_s, each.burst)
-                for each in catalogue.organisations.values()
-            },
-        )
-        self._knowledge.announce()
-
-    def _follow_endpoints(self) -> Follower[EndpointRecord]:
-        book = self._knowledge.book
-
-        def replace_all(listing: Changes[EndpointRecord]) -> None:
-            book.replace_all(listing.present, current_time())
-            self._knowledge.announce()
-
-        def apply(changes: Changes[EndpointRecord]) -> None:
-            for record in changes.present.values():
-                self._on_endpoint(record)
-            for endpoint in changes.absent:
-                book.remove(endpoint, current_time())
-            self._knowledge.announce()
-
-        return Follower(
-            kind='endpoints',
-            source=self._outside.endpoints,
-            replace_all=replace_all,
-            apply=apply,
-            log=self._tools.log,
-            random=self._tools.random,
-        )
-
-    def _on_endpoint(self, record: EndpointRecord) -> None:
-        known = self._knowledge.find(record.endpoint)
-        if known == record:
-            return
-        self._knowledge.book.put(record)
-        self._tools.log.event(
-            'endpoint_changed',
-            endpoint=record.endpoint,
-            service=record.service,
-            role=record.role,
-            leaving=record.leaving,
-        )
-        restarted = (
-            known is not None and known.started_at_ms != record.started_at_ms
-        )
-        if restarted or record.leaving:
-            self._pool.retire(record.endpoint)
-        if restarted:
-            self._control.close(record.endpoint)
-
-    def _follow_declarations(self) -> Follower[Declaration]:
-        def apply(changes: Changes[Declaration]) -> None:
-            for declaration in changes.present.values():
-                self._declared.offer(declaration)
-
-        return Follower(
-            kind='declaration',
-            source=self._outside.declarations,
-            replace_all=apply,
-            apply=apply,
-            log=self._tools.log,
-            random=self._tools.random,
-        )
-
     async def _register(self) -> None:
-        registry = self._outside.registry
         while not self._registered:
-            deadline = current_time() + REGISTER_TIMEOUT_S
             try:
-                nodes = await registry.list_nodes(deadline)
-                self._take_over(nodes)
-                await registry.register(self._fleet.beat, deadline)
+                await self._try_to_register()
             except StoreError as exc:
                 self._tools.log.event('register_failed', detail=str(exc))
                 await sleep(REGISTER_PAUSE_S)
-                continue
-            self._registered = True
+
+    async def _try_to_register(self) -> None:
+        deadline = current_time() + REGISTER_TIMEOUT_S
+        registry = self._outside.registry
+        self._take_over(await registry.list_nodes(deadline))
+        await registry.register(self._fleet.beat, deadline)
+        self._registered = True
 
     def _take_over(self, nodes: list[MemberBeat]) -> None:
         self._fleet.observe(nodes)
@@ -309,11 +235,35 @@
             self._fleet.forget()
             nodes = self._fleet.remembered()
             self._rates.share_among(nodes, self._tools.clock())
-            for endpoint in self._knowledge.book.forget(current_time()):
-                self._tools.log.event('endpoint_gone', endpoint=endpoint)
-                self._pool.retire(endpoint)
-                self._control.close(endpoint)
-                self._knowledge.announce()
+            self._store_view.forget_lost()
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self._rates.declare(catalogue, self._tools.clock())
+        self._tools.log.event(
+            'declaration_in_force',
+            revision=catalogue.revision,
+            routes=len(catalogue.routes),
+            keys=len(catalogue.keys),
+            rates={
+                each.name: (each.rate_per_s, each.burst)
+                for each in catalogue.organisations.values()
+            },
+        )
+        self._knowledge.announce()
+
+    def _make_store_view(self) -> StoreView:
+        return StoreView(
+            StoreViewParts(
+                endpoints=self._outside.endpoints,
+                declarations=self._outside.declarations,
+                knowledge=self._knowledge,
+                declared=self._declared,
+                pool=self._pool,
+                control=self._control,
+                log=self._tools.log,
+                random=self._tools.random,
+            )
+        )
 
     def _make_peer_parts(self) -> PeerParts:
         return PeerParts(
--- a/trefoilhitch/pooler/peer_messages.py
+++ b/trefoilhitch/pooler/peer_messages.py
@@ -61,7 +61,9 @@
         if asked_at is None:
             knowledge.hear(lead, 'peer')
             continue
-        position = LogPosition(term=proof.position_term, position=proof.position)
+        position = LogPosition(
+            term=proof.position_term, position=proof.position
+        )
         proved_at = asked_at - proof.age_ms / _MS_PER_S
         knowledge.prove(lead, position, proved_at, 'peer')
 
--- a/trefoilhitch/pooler/peers.py
+++ b/trefoilhitch/pooler/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
 from typing import TypeVar
 
@@ -25,7 +26,7 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.json_client import JsonClient
 from trefoilhitch.pooler.control import EndpointControl
-from trefoilhitch.pooler.declared import DeclaredState, Declaration
+from trefoilhitch.pooler.declared import Declaration, DeclaredState
 from trefoilhitch.pooler.fleet_view import FleetView
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.leadership import Lead
@@ -47,6 +48,8 @@
 ASKED_NODES = 3
 # Nodes that are told at once of a change, or asked for tokens.
 TOLD_NODES = 16
+# Characters of a failure that are logged.
+MAX_DETAIL = 200
 _PREFIX = '/v1/pooler'
 
 MessageT = TypeVar('MessageT')
@@ -104,17 +107,17 @@
             RefusalError: the message cannot be understood.
 
         """
-        handlers = {
+        calls = {
             f'{_PREFIX}/exchange': self._exchange,
             f'{_PREFIX}/declaration': self._declaration,
             f'{_PREFIX}/tokens': self._tokens,
         }
         if req.path == f'{_PREFIX}/check':
             return HttpResponse(HTTPStatus.OK, encode(await self._check(req)))
-        handler = handlers.get(req.path)
-        if handler is None:
+        answer_call = calls.get(req.path)
+        if answer_call is None:
             raise NotFoundError(req.path)
-        return HttpResponse(HTTPStatus.OK, encode(handler(req)))
+        return HttpResponse(HTTPStatus.OK, encode(answer_call(req)))
 
     def _exchange(self, req: HttpRequest) -> Exchange:
         told = _read(req, Exchange)
@@ -190,8 +193,8 @@
         """Talk to other nodes for ever."""
         async with open_nursery() as nursery:
             nursery.start_soon(self._greet_seeds)
-            nursery.start_soon(self._talk_every, NEAR_EVERY_S, True)
-            nursery.start_soon(self._talk_every, FAR_EVERY_S, False)
+            nursery.start_soon(partial(self._talk_to, near=True))
+            nursery.start_soon(partial(self._talk_to, near=False))
 
     async def exchange(self, address: str) -> None:
         """Tell another node what this one knows, and learn what it knows.
@@ -209,7 +212,10 @@
         self._parts.fleet.observe(reply.beats)
         learn_proofs(self._parts.knowledge, reply.proofs, asked_at)
         learn_commits(self._parts.knowledge, reply.commits)
-        if reply.beats and reply.beats[0].revision > self._parts.declared.revision:
+        if (
+            reply.beats
+            and reply.beats[0].revision > self._parts.declared.revision
+        ):
             await self.fetch_declaration(address)
 
     async def fetch_declaration(self, address: str) -> None:
@@ -261,15 +267,9 @@
         """
         replies: list[CheckReply] = []
         asked = CheckRequest(service=service, endpoint=endpoint)
-
-        async def check(address: str) -> None:
-            reply = await self._ask(address, 'check', asked, CheckReply)
-            if reply is not None:
-                replies.append(reply)
-
         async with open_nursery() as nursery:
             for beat in self._parts.fleet.sample(ASKED_NODES):
-                nursery.start_soon(check, beat.address)
+                nursery.start_soon(self._check, beat.address, asked, replies)
         self._parts.log.event(
             'second_opinion',
             service=service,
@@ -279,22 +279,6 @@
         )
         return not any(reply.leads for reply in replies)
 
-    async def _talk_every(self, pause_s: float, near: bool) -> None:
-        async with open_nursery() as nursery:
-            while True:
-                await sleep(pause_s)
-                self._parts.fleet.next_beat(self._parts.declared.revision)
-                address = self._parts.fleet.next_peer(near=near)
-                if address is not None:
-                    nursery.start_soon(self.exchange, address)
-
-    async def _greet_seeds(self) -> None:
-        while not self._parts.fleet.peers():
-            for address in self._parts.seeds:
-                if address != self._parts.fleet.beat.address:
-                    await self.exchange(address)
-            await sleep(NEAR_EVERY_S)
-
     async def ask_tokens(
         self, organisation: str, wanted: float, share: RateShare
     ) -> float:
@@ -319,6 +303,23 @@
             given += await self._ask_each(far, organisation, missing, share)
         return given
 
+    async def _talk_to(self, *, near: bool) -> None:
+        pause_s = NEAR_EVERY_S if near else FAR_EVERY_S
+        async with open_nursery() as nursery:
+            while True:
+                await sleep(pause_s)
+                self._parts.fleet.next_beat(self._parts.declared.revision)
+                address = self._parts.fleet.next_peer(near=near)
+                if address is not None:
+                    nursery.start_soon(self.exchange, address)
+
+    async def _greet_seeds(self) -> None:
+        while not self._parts.fleet.peers():
+            for address in self._parts.seeds:
+                if address != self._parts.fleet.beat.address:
+                    await self.exchange(address)
+            await sleep(NEAR_EVERY_S)
+
     async def _ask_each(
         self,
         nodes: Sequence[MemberBeat],
@@ -329,19 +330,33 @@
         given: list[float] = []
         part = wanted / max(1, len(nodes))
         asked = TokenRequest(organisation=organisation, wanted=part)
-
-        async def ask(address: str) -> None:
-            asked_at = self._parts.knowledge.clock()
-            reply = await self._ask(address, 'tokens', asked, TokenReply)
-            if reply is not None and reply.given > 0:
-                share.receive(reply.given, asked_at)
-                given.append(reply.given)
-
         async with open_nursery() as nursery:
             for beat in nodes:
-                nursery.start_soon(ask, beat.address)
+                nursery.start_soon(
+                    self._ask_one, beat.address, asked, share, given
+                )
         return sum(given)
 
+    async def _ask_one(
+        self,
+        address: str,
+        asked: TokenRequest,
+        share: RateShare,
+        given: list[float],
+    ) -> None:
+        asked_at = self._parts.knowledge.clock()
+        reply = await self._ask(address, 'tokens', asked, TokenReply)
+        if reply is not None and reply.given > 0:
+            share.receive(reply.given, asked_at)
+            given.append(reply.given)
+
+    async def _check(
+        self, address: str, asked: CheckRequest, replies: list[CheckReply]
+    ) -> None:
+        reply = await self._ask(address, 'check', asked, CheckReply)
+        if reply is not None:
+            replies.append(reply)
+
     async def _ask(
         self,
         address: str,
@@ -376,4 +391,4 @@
 
 
 def _peer_failure(body: bytes) -> Exception:
-    return RefusalError(body.decode(errors='replace')[:200])
+    return RefusalError(body.decode(errors='replace')[:MAX_DETAIL])
--- a/trefoilhitch/pooler/pooled_link.py
+++ b/trefoilhitch/pooler/pooled_link.py
@@ -11,11 +11,11 @@
 
     Args:
         link: the connection.
-        values: session values that the endpoint holds for it.
+        variables: session variables that the endpoint holds for it.
         prepared: pooled names of the shapes prepared on it.
 
     """
 
     link: EndpointLink
-    values: dict[str, str] = field(default_factory=dict)
+    variables: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -129,8 +129,8 @@
 
         """
 
-    def set_value(self, name: str, text: str) -> Command:
-        """Return the statement that sets a session value."""
+    def set_variable(self, name: str, text: str) -> Command:
+        """Return the statement that sets a session variable."""
 
     def prepare(self, shape: PreparedShape) -> Command:
         """Return the statement that prepares a shape under its pooled name."""
@@ -141,7 +141,7 @@
         """Return the statement that runs a prepared shape."""
 
     def reset(self) -> Command:
-        """Return the statement that drops session values and prepared names."""
+        """Return the statement that drops what a session left behind."""
 
     def status(self) -> Command:
         """Return the question for the endpoint's status."""
--- a/trefoilhitch/pooler/rate_book.py
+++ b/trefoilhitch/pooler/rate_book.py
@@ -1,4 +1,4 @@
-"""This node's shares of all organisations' rates."""
+"""Shares of all organisations' rates, as far as one node owns them."""
 
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.rates import RateShare
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -77,7 +77,7 @@
 
     def take(self, wanted: float) -> float:
         """Spend up to some tokens, those that are void first first."""
-        taken = 0.0
+        taken: float = 0
         while self.gifts and taken < wanted:
             gift = self.gifts.popleft()
             used = min(gift.tokens, wanted - taken)
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class SessionData:
-    """Values, prepared statements, state and positions of a session.
+    """Variables, prepared statements, state and positions of a session.
 
     Args:
         database: name that the client connected to.
@@ -41,7 +41,7 @@
         key: the client's key.
         state: state that the client was told.
         transaction: the open transaction, None if there is none.
-        values: session values by name.
+        variables: session variables by name.
         prepared: shapes by the client's names.
 
     """
@@ -51,7 +51,7 @@
     key: str
     state: SessionState = SessionState.IDLE
     transaction: OpenTransaction | None = None
-    values: dict[str, str] = field(default_factory=dict)
+    variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     _positions: dict[str, LogPosition] = field(default_factory=dict)
 
@@ -96,12 +96,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ValueChange:
-    """What makes the values of a connection those of a session.
+class VariableChange:
+    """What makes the variables of a connection those of a session.
 
     Args:
         reset: whether everything has to be dropped first.
-        assign: values to set.
+        assign: variables to set.
 
     """
 
@@ -114,14 +114,14 @@
         return not self.reset and not self.assign
 
 
-def value_change(
+def variable_change(
     held: Mapping[str, str], wanted: Mapping[str, str]
-) -> ValueChange:
-    """Return what makes one set of values another.
+) -> VariableChange:
+    """Return what makes one set of variables another.
 
     Args:
-        held: values that a connection holds.
-        wanted: values of the session that will use it.
+        held: variables that a connection holds.
+        wanted: variables of the session that will use it.
 
     Returns:
         The change; it resets if the connection holds a name that the session
@@ -129,12 +129,9 @@
 
     """
     reset = bool(held.keys() - wanted.keys())
-    kept = {} if reset else held
-    return ValueChange(
-        reset,
-        {
-            name: text
-            for name, text in wanted.items()
-            if kept.get(name) != text
-        },
-    )
+    if reset:
+        return VariableChange(reset, wanted)
+    assign = {
+        name: text for name, text in wanted.items() if held.get(name) != text
+    }
+    return VariableChange(reset, assign)
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -210,7 +210,7 @@
             pooled = await self._pool.acquire(
                 target.endpoint,
                 run.session.organisation,
-                run.session.values,
+                run.session.variables,
                 min(run.wait_until, run.attempt_deadline()),
             )
         except (LinkLostError, LinkRefusedError) as exc:
@@ -227,9 +227,7 @@
             keep(target.endpoint, pooled)
         return answer
 
-    async def _unopened(
-        self, run: Run, target: Target, exc: Exception
-    ) -> None:
+    async def _unopened(self, run: Run, target: Target, exc: Exception) -> None:
         self._log.event(
             'connection_not_opened',
             request=run.statement.request_id,
@@ -257,10 +255,9 @@
             target.needed,
             target.prove_lead,
         )
+        variables = run.session.variables
         try:
-            await self._links.take_on(pooled, run.session.values, deadline)
-            sent_at = self._knowledge.clock()
-            found = await self._links.run(pooled, call, deadline)
+            found = await self._links.run(pooled, variables, call, deadline)
         except LinkLostError as exc:
             return self._lost(run, target, exc, sent_at)
         self._knowledge.choice.clear(target.endpoint)
--- a/trefoilhitch/pooler/succession.py
+++ b/trefoilhitch/pooler/succession.py
@@ -11,8 +11,8 @@
 from enum import Enum
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch.position import at_least
 from trefoilhitch.pooler.endpoint_book import EndpointRecord
+from trefoilhitch.position import at_least
 
 # Without proof of the lead for this long, it is asked to show itself.
 PROOF_WANTED_AFTER_S = 0.6
@@ -73,17 +73,17 @@
         Why it has to be replaced, or None.
 
     """
-    if _passed(evidence.asked_since, SILENT_AFTER_S, now):
-        return Reason.SILENT if lead else Reason.NONE_LEADS
+    silent = _passed(evidence.asked_since, SILENT_AFTER_S, now)
     if lead is None:
-        return None
-    if lead.leaving:
-        return Reason.LEAVING
-    if missing:
-        return Reason.GONE
-    if _passed(evidence.unacknowledged_since, STALLED_AFTER_S, now):
-        return Reason.STALLED
-    return None
+        return Reason.NONE_LEADS if silent else None
+    stalled = _passed(evidence.unacknowledged_since, STALLED_AFTER_S, now)
+    reasons = (
+        (silent, Reason.SILENT),
+        (lead.leaving, Reason.LEAVING),
+        (missing, Reason.GONE),
+        (stalled, Reason.STALLED),
+    )
+    return next((reason for holds, reason in reasons if holds), None)
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilhitch/pooler/successor.py
+++ b/trefoilhitch/pooler/successor.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
+from functools import partial
 
 from trio import current_time, sleep
 
@@ -95,7 +96,7 @@
         self._reason = reason
         self._attempt = attempt
         self._lease = LeaseRecord()
-        self._lease_ends_at = 0.0
+        self._lease_ends_at = current_time()
         self._fenced: set[str] = set()
         self._ordered = False
         self._answered = False
@@ -150,17 +151,20 @@
         )
 
     async def _replace(self) -> None:
-        parts = self._parts
-        holders = parts.knowledge.book.log_holders(self._service)
+        knowledge = self._parts.knowledge
+        holders = knowledge.book.log_holders(self._service)
         ids = [record.endpoint for record in holders]
-        statuses = await ask_all(ids, parts.control.status)
+        statuses = await ask_all(ids, self._parts.control.status)
         if self._adopt(statuses):
             return
-        lead = parts.knowledge.lead(self._service) or _leading(statuses)
+        lead = knowledge.lead(self._service) or _leading(statuses)
         fenced = await self._fence(ids, lead, statuses)
-        leaving = {record.endpoint for record in holders if record.leaving}
-        missing = {each for each in ids if parts.knowledge.book.is_missing(each)}
-        chosen = self._choose(fenced, lead, ids, leaving | missing)
+        unusable = {
+            record.endpoint
+            for record in holders
+            if record.leaving or knowledge.book.is_missing(record.endpoint)
+        }
+        chosen = self._choose(fenced, lead, ids, unusable)
         await self._order(chosen.endpoint)
         await self._confirm(chosen.endpoint)
 
@@ -196,13 +200,7 @@
         if self._reason != Reason.SILENT:
             await self._settle(lead, term)
         self._fenced.update(each for each in ids if each != lead)
-
-        async def stop(endpoint: str) -> EndpointStatus | None:
-            if endpoint == lead:
-                return await parts.control.demote(endpoint, term)
-            return await parts.control.fence(endpoint, term)
-
-        told = await ask_all(ids, stop)
+        told = await ask_all(ids, partial(self._stop_one, lead, term))
         fenced = [
             FencedEndpoint(
                 name, status.term, status.position, was_lead=name == lead
@@ -220,6 +218,13 @@
         )
         return fenced
 
+    async def _stop_one(
+        self, lead: str | None, term: int, endpoint: str
+    ) -> EndpointStatus | None:
+        control = self._parts.control
+        order = control.demote if endpoint == lead else control.fence
+        return await order(endpoint, term)
+
     async def _settle(self, lead: str | None, term: int) -> None:
         """Have the lead refuse commits while those in flight still end."""
         if lead is None:
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -1,5 +1,7 @@
 """Transactions: bound to one connection from their first statement on."""
 
+from functools import partial
+
 from trio import current_time
 
 from trefoilhitch.decision_log import DecisionLog
@@ -11,9 +13,9 @@
     refused,
 )
 from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.leadership import Lead
 from trefoilhitch.pooler.link_pool import LinkPool
 from trefoilhitch.pooler.link_runner import LinkRunner, StatementCall
-from trefoilhitch.pooler.leadership import Lead
 from trefoilhitch.pooler.outcome import Loss, in_transaction_lost
 from trefoilhitch.pooler.pooled_link import PooledLink
 from trefoilhitch.pooler.ports import LinkLostError
@@ -60,13 +62,7 @@
             The answer; nothing is open unless it is a success.
 
         """
-
-        def bind(endpoint: str, pooled: PooledLink) -> None:
-            run.session.transaction = OpenTransaction(
-                endpoint, pooled, run.route, run.statement.read_only
-            )
-
-        return await self._statements.run(run, bind)
+        return await self._statements.run(run, partial(_bind, run))
 
     async def run(self, session: SessionData, statement: Statement) -> Answer:
         """Run a statement of an open transaction, its end among them.
@@ -87,8 +83,9 @@
         deadline = current_time() + opened.route.timeout_s
         sent_at = self._knowledge.clock()
         try:
-            await self._links.take_on(opened.pooled, session.values, deadline)
-            found = await self._links.run(opened.pooled, call, deadline)
+            found = await self._links.run(
+                opened.pooled, session.variables, call, deadline
+            )
         except LinkLostError as exc:
             return self._lost(session, opened, statement, exc.loss)
         if found.answer.state == SessionState.IDLE:
@@ -154,9 +151,7 @@
         self._knowledge.prove(lead, answer.position, sent_at, 'commit')
         self._knowledge.commits.acknowledge(service, opened.endpoint, sent_at)
 
-    def _end_failed(
-        self, session: SessionData, statement: Statement
-    ) -> Answer:
+    def _end_failed(self, session: SessionData, statement: Statement) -> Answer:
         if statement.verb not in {Verb.COMMIT, Verb.ROLLBACK}:
             return refused(
                 Refusal.MALFORMED,
@@ -167,3 +162,9 @@
         if statement.verb == Verb.ROLLBACK:
             return done(SessionState.IDLE)
         return refused(Refusal.ABORTED, 'the transaction had failed')
+
+
+def _bind(run: Run, endpoint: str, pooled: PooledLink) -> None:
+    run.session.transaction = OpenTransaction(
+        endpoint, pooled, run.route, run.statement.read_only
+    )
--- a/trefoilhitch_lab/faulty.py
+++ b/trefoilhitch_lab/faulty.py
@@ -31,9 +31,9 @@
     StoreUnavailableError,
     UnreachableError,
 )
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClient, PeerClients
-from trefoilhitch.http_platform import Platform
 from trefoilhitch.store import ObjectStore, VmDirectory
 from trefoilhitch_lab.network import Link, Network
 
--- a/trefoilhitch_lab/stack.py
+++ b/trefoilhitch_lab/stack.py
@@ -26,11 +26,11 @@
     Service,
 )
 from trefoilhitch.decision_log import DecisionLog, SilentLog
+from trefoilhitch.http_platform import Platform
 from trefoilhitch.http_server import AnswererFactory, HttpServer, SharedAnswerer
 from trefoilhitch.keyring import NewKey, create_key
 from trefoilhitch.node import Node
 from trefoilhitch.node_parts import NodeContext
-from trefoilhitch.http_platform import Platform
 from trefoilhitch.publisher import Publisher
 from trefoilhitch.store import HttpObjectStore
 from trefoilhitch_lab.deployment import Deployment
