--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -18,7 +18,11 @@
     sleep_until,
 )
 
-from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
+from trefoilhitch.decision_log import (
+    DecisionLog,
+    JsonLinesHandler,
+    LogbookLog,
+)
 from trefoilhitch.http_message import Answerer, HttpRequest, HttpResponse
 from trefoilhitch.http_server import HttpServer, SharedAnswerer
 from trefoilhitch.metrics import Metrics
@@ -105,7 +109,7 @@
     run(_run_node, cfg, path)
 
 
-def make_outside(cfg: PoolerSettings, log: LogbookLog) -> Outside:
+def make_outside(cfg: PoolerSettings, log: DecisionLog) -> Outside:
     """Reach the platform.
 
     Args:
--- /dev/null
+++ b/trefoilhitch_lab/wire_stack.py
@@ -0,0 +1,306 @@
+"""Nodes on the wire protocol, with stand-ins of the platform, on one loop."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from trio import (
+    CancelScope,
+    Nursery,
+    TaskStatus,
+    current_time,
+    open_nursery,
+    sleep,
+)
+
+from trefoilhitch.decision_log import DecisionLog, SilentLog
+from trefoilhitch.http_message import Answerer
+from trefoilhitch.http_server import HttpServer, SharedAnswerer
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.platform.front import FrontServer
+from trefoilhitch.platform.program import make_outside
+from trefoilhitch.pooler.node import NodeTools, PoolerNode
+from trefoilhitch.pooler.settings import PoolerSettings
+from trefoilhitch_lab.limits import PLATFORM_LIMITS
+from trefoilhitch_lab.platform_store import (
+    PlatformStore,
+    PromotionApi,
+    StoreContent,
+)
+from trefoilhitch_lab.stack import FailingReporter, free_port, loopback_address
+from trefoilhitch_lab.wire_endpoint import WireGroup
+
+DATA_CENTRES = ('patan', 'lakeside', 'biratnagar')
+SERVICE = 'ledger'
+DATABASES = {
+    'orders': 'primary',
+    'stock': 'bounded_staleness',
+    'visits': 'read_your_writes',
+}
+MAX_AGE_MS = 1500
+START_S = 20
+POLL_S = 0.1
+DEFAULT_RATE = 1000
+
+
+@dataclass(slots=True)
+class WireNode:
+    """A node that runs in the stack.
+
+    Args:
+        cfg: its settings.
+        node: the node.
+        front: takes its clients.
+        store: its way to the store.
+        scope: cancelled to kill it.
+
+    """
+
+    cfg: PoolerSettings
+    node: PoolerNode
+    front: FrontServer
+    store: PlatformStore
+    metrics: Metrics
+    scope: CancelScope = field(default_factory=CancelScope)
+
+    @property
+    def address(self) -> str:
+        """Where it takes clients."""
+        return self.cfg.client_address
+
+
+def desired_state(
+    revision: int, *, rate: float = DEFAULT_RATE, **changes: Any
+) -> dict[str, Any]:
+    """Return a declaration of one service, three databases and two tenants.
+
+    Args:
+        revision: its version number.
+        rate: operations a second of each organisation.
+        changes: fields to replace.
+
+    Returns:
+        The declaration as operators write it.
+
+    """
+    routes = [
+        {
+            'name': f'r-{host}',
+            'host': host,
+            'type': kind,
+            'timeout_ms': 1000,
+            'target_latency_ms': 500,
+            'service': SERVICE,
+            'max_staleness_ms': MAX_AGE_MS,
+        }
+        for host, kind in DATABASES.items()
+    ]
+    tenants = [
+        {
+            'name': name,
+            'api_keys': [f'key-{name}'],
+            'rate_per_s': rate,
+            'burst': rate,
+        }
+        for name in ('himal', 'hanbit')
+    ]
+    return {
+        'config_version': revision,
+        'routes': routes,
+        'services': [
+            {'name': SERVICE, 'max_connections': 30, 'sync_replicas': 1}
+        ],
+        'limits': {'header_timeout_ms': 3000, 'tx_idle_ms': 3000},
+        'tenants': tenants,
+        **changes,
+    }
+
+
+class WireStack:
+    """Three data centres with one node and one endpoint each.
+
+    Args:
+        nursery: runs everything.
+        seed: all random choices follow from it.
+        log: log of the nodes.
+
+    """
+
+    def __init__(
+        self, nursery: Nursery, *, seed: int, log: DecisionLog
+    ) -> None:
+        """Start nothing yet."""
+        self.content = StoreContent()
+        self.group = WireGroup(SERVICE, changed=self.list_endpoints)
+        self.promotions = PromotionApi({SERVICE: self.group})
+        self.nodes: dict[str, WireNode] = {}
+        self._nursery = nursery
+        self._random = Random(seed)
+        self._log = log
+        self._promotion_address = ''
+        self._starts = 0
+        self._ports: dict[str, tuple[int, int]] = {}
+
+    async def start(self, *, nodes: int = 3) -> None:
+        """Start the platform and the nodes, and wait until all are ready.
+
+        Args:
+            nodes: how many.
+
+        """
+        await self.group.start(self._nursery, DATA_CENTRES)
+        self.list_endpoints()
+        self._promotion_address = await self._serve(self.promotions)
+        self.content.put('config', 'main', desired_state(1))
+        for number in range(nodes):
+            await self.start_node(f'node-{number}')
+        await self.wait_until_ready()
+
+    def list_endpoints(self) -> None:
+        """Write the entry of each endpoint."""
+        for endpoint in self.group.endpoints.values():
+            spec = self.entry(endpoint.endpoint)
+            self.content.put('servers', endpoint.endpoint, spec)
+
+    def entry(self, endpoint: str, **changes: Any) -> dict[str, Any]:
+        """Return what an endpoint says of itself.
+
+        Args:
+            endpoint: its id.
+            changes: fields to replace.
+
+        Returns:
+            Its entry.
+
+        """
+        server = self.group.endpoints[endpoint]
+        return {
+            'service': SERVICE,
+            'address': server.address,
+            'zone': server.data_centre,
+            'config_version': 'v1',
+            'capacity': 5,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'db_role': 'primary' if server.leads else 'replica',
+            'sequence': 1,
+            'born': 1,
+            **changes,
+        }
+
+    async def start_node(self, name: str) -> WireNode:
+        """Start a node, or start it again.
+
+        Args:
+            name: its name; it keeps its addresses.
+
+        Returns:
+            The node.
+
+        """
+        self._starts += 1
+        store = PlatformStore(self.content)
+        cfg = self._settings(name, await self._serve(store))
+        metrics = Metrics()
+        tools = NodeTools(
+            log=self._log,
+            metrics=metrics,
+            random=Random(self._random.random()),
+            clock=current_time,
+            incarnation=self._starts,
+        )
+        node = PoolerNode(cfg, make_outside(cfg, self._log), tools)
+        front = FrontServer(node.service)
+        running = WireNode(cfg, node, front, store, metrics)
+        self.nodes[name] = running
+        await self._nursery.start(self._run_node, running)
+        return running
+
+    def kill_node(self, name: str) -> None:
+        """End a node at once.
+
+        Args:
+            name: its name.
+
+        """
+        self.nodes.pop(name).scope.cancel()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every node takes clients.
+
+        Raises:
+            TimeoutError: one does not become ready.
+
+        """
+        deadline = current_time() + START_S
+        while not all(each.node.ready for each in self.nodes.values()):
+            if current_time() > deadline:
+                raise TimeoutError('a node does not become ready')
+            await sleep(POLL_S)
+
+    async def _run_node(
+        self, running: WireNode, task_status: TaskStatus[None]
+    ) -> None:
+        with running.scope:
+            async with open_nursery() as nursery:
+                peers = SharedAnswerer(running.node.peers)
+                server = HttpServer(factory=peers, reporter=FailingReporter())
+                host, _, port = running.cfg.peer_address.rpartition(':')
+                await server.listen(nursery, host, int(port))
+                await running.front.listen(nursery, running.address)
+                running.node.start(nursery)
+                task_status.started()
+
+    async def _serve(self, answerer: Answerer) -> str:
+        server = HttpServer(
+            factory=SharedAnswerer(answerer),
+            reporter=FailingReporter(),
+            limits=PLATFORM_LIMITS,
+        )
+        address = loopback_address()
+        port = await server.listen(self._nursery, address, 0)
+        return f'{address}:{port}'
+
+    def _settings(self, name: str, store_address: str) -> PoolerSettings:
+        ports = self._ports.setdefault(name, (free_port(), free_port()))
+        number = int(name.rpartition('-')[2])
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        address = loopback_address()
+        return PoolerSettings(
+            node=name,
+            region=data_centre,
+            data_centre=data_centre,
+            regions={each: each for each in DATA_CENTRES},
+            client_address=f'{address}:{ports[0]}',
+            ready_address=f'{address}:0',
+            peer_address=f'{address}:{ports[1]}',
+            seeds=tuple(each.cfg.peer_address for each in self.nodes.values()),
+            store_address=store_address,
+            promotion_address=self._promotion_address,
+            stop_within_s=6,
+            descriptors=1000,
+        )
+
+
+@asynccontextmanager
+async def running_wire_stack(
+    *, seed: int = 1, nodes: int = 3, log: DecisionLog | None = None
+) -> AsyncIterator[WireStack]:
+    """Run nodes and stand-ins for the length of a block.
+
+    Args:
+        seed: all random choices follow from it.
+        nodes: how many nodes.
+        log: log of the nodes, none by default.
+
+    Yields:
+        The stack, ready to serve.
+
+    """
+    async with open_nursery() as nursery:
+        stack = WireStack(nursery, seed=seed, log=log or SilentLog())
+        await stack.start(nodes=nodes)
+        yield stack
+        nursery.cancel_scope.cancel()
