Failover: restarted endpoints replace themselves, dark leads are not waited for, no long waits without a lead

Change: an entry at the same address of the same service replaces the earlier one; a lead that did not tell its status is not asked again; suspicion after 1.2 s (1.6 s); without an endpoint to ask, requests are refused after 0.24 of the target latency unless a change is under way; questions between nodes carry no proofs; store watches wait 20 s.

--- a/tests/test_pooler_decisions.py
+++ b/tests/test_pooler_decisions.py
@@ -65,7 +65,7 @@
     fields: dict[str, object] = {
         'endpoint': endpoint,
         'service': 'ledger',
-        'address': '10.0.0.1:1',
+        'address': f'10.0.0.{ord(endpoint[0])}:1',
         'data_centre': endpoint,
         'started_at_ms': 1,
         'leaving': False,
@@ -311,6 +311,18 @@
     assert book.usable('ledger')
 
 
+def test_an_endpoint_that_restarts_under_another_id_replaces_itself() -> None:
+    book = EndpointBook()
+    book.put(record('a', address='10.0.0.9:1'))
+    book.put(record('c', address='10.0.0.8:1'))
+    book.remove('a', 10)
+    book.forget(10 + MISSING_GRACE_S)
+    book.put(record('b', address='10.0.0.9:1', started_at_ms=2))
+    book.put(record('d', address='10.0.0.8:1', service='other'))
+    holders = [each.endpoint for each in book.log_holders('ledger')]
+    assert holders == ['b', 'c']
+
+
 def test_an_endpoint_that_was_lost_still_counts_as_holding_commits() -> None:
     book = EndpointBook()
     book.put(record('a'))
--- a/trefoilhitch/platform/front.py
+++ b/trefoilhitch/platform/front.py
@@ -106,6 +106,9 @@
             await self._converse(conn)
         except ByteStreamError:
             return
+        except Exception as exc:
+            # One client's failure must not end the others' sessions.
+            self._service.log.report(exc)
         finally:
             self._open.discard(conn)
             stream.close()
--- a/trefoilhitch/pooler/endpoint_book.py
+++ b/trefoilhitch/pooler/endpoint_book.py
@@ -79,11 +79,16 @@
     def put(self, record: EndpointRecord) -> None:
         """Take over one entry.
 
+        An endpoint that starts again under another id at the same address
+        brings its log along; its earlier entry says nothing any more.
+
         Args:
             record: the entry.
 
         """
         self._listed[record.endpoint] = ListedEndpoint(record)
+        self._listed = _without_predecessors(self._listed, record)
+        self._lost = _without_predecessors(self._lost, record)
         self._lost.pop(record.endpoint, None)
 
     def remove(self, endpoint: str, now: float) -> None:
@@ -210,3 +215,16 @@
             self._lost[record.endpoint] = ListedEndpoint(
                 record, now + LOST_KEPT_S
             )
+
+
+def _without_predecessors(
+    listed: Mapping[str, ListedEndpoint], record: EndpointRecord
+) -> dict[str, ListedEndpoint]:
+    return {
+        endpoint: each
+        for endpoint, each in listed.items()
+        if endpoint == record.endpoint
+        or (each.record.service, each.record.address)
+        != (record.service, record.address)
+        or each.record.started_at_ms > record.started_at_ms
+    }
--- a/trefoilhitch/pooler/fleet_view.py
+++ b/trefoilhitch/pooler/fleet_view.py
@@ -8,9 +8,9 @@
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.membership import Membership
 
-# Heartbeats of others that one message carries, so that its size does not
-# grow with the fleet.
-MAX_TOLD = 1
+# One heartbeat of another node goes along with each so many messages, so that
+# what they carry does not grow with the fleet.
+TELL_EVERY = 3
 
 
 class FleetView:
@@ -35,6 +35,7 @@
         self._random = random
         self._clock = clock
         self._membership = Membership().observe([beat], clock())
+        self._told = 0
         self._order: dict[bool, list[str]] = {True: [], False: []}
 
     @property
@@ -83,8 +84,9 @@
 
     def told(self) -> list[MemberBeat]:
         """Return heartbeats for another node, this node's own first."""
-        sample = self.sample(MAX_TOLD)
-        return [self._beat, *sample]
+        self._told += 1
+        other = [] if self._told % TELL_EVERY else self.sample(1)
+        return [self._beat, *other]
 
     def live(self) -> list[MemberBeat]:
         """Return the live nodes, this one among them unless it leaves."""
--- a/trefoilhitch/pooler/follower.py
+++ b/trefoilhitch/pooler/follower.py
@@ -11,9 +11,9 @@
 from trefoilhitch.errors import StoreHistoryGoneError, StoreUnavailableError
 
 READ_TIMEOUT_S = 1.5
-# How long the store holds a question for changes. A connection that went
-# silent costs at most this long, plus the margin.
-WAIT_S = 8.0
+# How long the store holds a question for changes. Keep-alive probes end a
+# connection that went silent much earlier.
+WAIT_S = 20.0
 WAIT_MARGIN_S = 1.0
 FIRST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 1.5
--- a/trefoilhitch/pooler/knowledge.py
+++ b/trefoilhitch/pooler/knowledge.py
@@ -24,6 +24,8 @@
 AVOID_CLOSED_S = 0.5
 # How long a replica is avoided for reads whose log had not come far enough.
 AVOID_LAGGING_S = 0.4
+# A planned change of a lead is over within this time.
+CHANGE_EXPECTED_S = 1.0
 
 
 class Knowledge:
@@ -53,6 +55,7 @@
         self._log = log
         self._changed = Event()
         self._unanswered: dict[str, float] = {}
+        self._leaderless_since: dict[str, float] = {}
 
     def lead(self, service: str) -> str | None:
         """Return the endpoint to try as the lead of a service.
@@ -64,7 +67,28 @@
             Its id, None if none is known.
 
         """
-        return self._leadership.current(service, self.book.members(service))
+        members = self.book.members(service)
+        lead = self._leadership.current(service, members)
+        if lead is None:
+            self._leaderless_since.setdefault(service, self.clock())
+        else:
+            self._leaderless_since.pop(service, None)
+        return lead
+
+    def expects_lead(self, service: str) -> bool:
+        """Tell whether a service is about to have a lead.
+
+        Args:
+            service: its name.
+
+        Returns:
+            True if it has none, but had one a moment ago.
+
+        """
+        since = self._leaderless_since.get(service)
+        if since is None:
+            return False
+        return self.clock() - since < CHANGE_EXPECTED_S
 
     def lead_data_centre(self, service: str) -> str:
         """Return where the lead of a service stands.
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -103,11 +103,17 @@
 
     async def _watch(self, service: str, rank: int) -> None:
         try:
-            await self._probe(service, rank)
-            await self._judge(service, rank)
+            await self._probe_and_judge(service, rank)
+        except Exception as exc:
+            # Other services are still to be watched.
+            self._parts.succession.log.report(exc)
         finally:
             self._busy.discard(service)
 
+    async def _probe_and_judge(self, service: str, rank: int) -> None:
+        await self._probe(service, rank)
+        await self._judge(service, rank)
+
     async def _probe(self, service: str, rank: int) -> None:
         newest = self._knowledge.observations.newest(service)
         now = self._knowledge.clock()
--- a/trefoilhitch/pooler/peers.py
+++ b/trefoilhitch/pooler/peers.py
@@ -21,7 +21,12 @@
     TokenRequest,
 )
 from trefoilhitch.decision_log import DecisionLog
-from trefoilhitch.errors import BadRequestError, NotFoundError, RefusalError
+from trefoilhitch.errors import (
+    BadRequestError,
+    NotFoundError,
+    RefusalError,
+    TrefoilhitchError,
+)
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.json_client import JsonClient
@@ -42,7 +47,7 @@
 
 # Talk within a data centre is cheap, talk between regions is not.
 NEAR_EVERY_S = 0.25
-FAR_EVERY_S = 0.5
+FAR_EVERY_S = 0.6
 PEER_TIMEOUT_S = 0.5
 # A proof that is older is fetched from the node that watches the lead.
 PROOF_MISSED_AFTER_S = 0.4
@@ -127,7 +132,7 @@
         self._parts.fleet.observe(told.beats)
         learn_proofs(self._parts.knowledge, told.proofs, None)
         learn_commits(self._parts.knowledge, told.commits)
-        return make_exchange(self._parts)
+        return make_exchange(self._parts, proofs=True)
 
     def _declaration(self, req: HttpRequest) -> DeclarationReply:
         above = _read(req, DeclarationRequest).above
@@ -160,11 +165,13 @@
         return CheckReply(answered=True, leads=status.leads)
 
 
-def make_exchange(parts: PeerParts) -> Exchange:
+def make_exchange(parts: PeerParts, *, proofs: bool) -> Exchange:
     """Return what this node tells another.
 
     Args:
         parts: what it knows.
+        proofs: whether to tell of leads. Only the one who asked can tell how
+            old a proof is, so that questions carry none without news.
 
     Returns:
         The message.
@@ -172,7 +179,7 @@
     """
     return Exchange(
         beats=parts.fleet.told(),
-        proofs=lead_proofs(parts.knowledge),
+        proofs=lead_proofs(parts.knowledge) if proofs else [],
         commits=commit_reports(parts.knowledge),
     )
 
@@ -199,17 +206,17 @@
             nursery.start_soon(partial(self._talk_to, near=True))
             nursery.start_soon(partial(self._talk_to, near=False))
 
-    async def exchange(self, address: str) -> None:
+    async def exchange(self, address: str, *, news: bool = False) -> None:
         """Tell another node what this one knows, and learn what it knows.
 
         Args:
             address: its peer address.
+            news: whether a lead has just changed.
 
         """
         asked_at = self._parts.knowledge.clock()
-        reply = await self._ask(
-            address, 'exchange', make_exchange(self._parts), Exchange
-        )
+        told = make_exchange(self._parts, proofs=news)
+        reply = await self._ask(address, 'exchange', told, Exchange)
         if reply is None:
             return
         self._parts.fleet.observe(reply.beats)
@@ -241,9 +248,7 @@
         finally:
             self._fetching = False
         if reply is not None and reply.document:
-            self._parts.declared.offer(
-                self._parts.read_declaration(reply.document)
-            )
+            self._take_declaration(reply.document)
 
     async def publish(self) -> None:
         """Tell other nodes at once what this one knows."""
@@ -253,7 +258,9 @@
         try:
             async with open_nursery() as nursery:
                 for beat in self._parts.fleet.sample(TOLD_NODES):
-                    nursery.start_soon(self.exchange, beat.address)
+                    nursery.start_soon(
+                        partial(self.exchange, beat.address, news=True)
+                    )
         finally:
             self._publishing = False
 
@@ -306,6 +313,14 @@
             given += await self._ask_each(far, organisation, missing, share)
         return given
 
+    def _take_declaration(self, document: str) -> None:
+        try:
+            declaration = self._parts.read_declaration(document)
+        except TrefoilhitchError as exc:
+            self._parts.log.event('declaration_ignored', detail=str(exc))
+            return
+        self._parts.declared.offer(declaration)
+
     async def _talk_to(self, *, near: bool) -> None:
         pause_s = NEAR_EVERY_S if near else FAR_EVERY_S
         async with open_nursery() as nursery:
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -44,8 +44,12 @@
 # Part of a statement's time that one read may wait for one endpoint, so that
 # another one can still be asked.
 READ_ATTEMPT_PART = 0.6
-# Part of a statement's time for which it waits for a lead.
+# Part of a statement's time for which it waits for a lead that is about to be
+# there.
 WAIT_PART = 0.7
+# Part of an operation's target latency after which it is refused if there is
+# no endpoint that could be asked.
+REFUSE_PART = 0.24
 _MS_PER_S = 1000
 
 
@@ -58,11 +62,15 @@
         statement: the statement.
         route: how its database is served.
         deadline: monotonic time by which it is answered.
-        wait_until: monotonic time until which it waits for a lead.
+        wait_until: monotonic time until which it waits for a lead that is
+            about to be there.
+        refuse_at: monotonic time after which it is refused if no endpoint
+            could be asked.
         writes: whether it may change data.
         tried: endpoints that could not run it as a read.
         attempts: how often it was tried.
         loss: how the last attempt was lost.
+        answered: whether an endpoint could be asked at all.
 
     """
 
@@ -71,10 +79,12 @@
     route: Route
     deadline: float
     wait_until: float
+    refuse_at: float
     writes: bool
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
     loss: Loss = Loss.NOT_SENT
+    answered: bool = False
 
     @classmethod
     def from_statement(
@@ -101,6 +111,7 @@
             route,
             deadline=now + route.timeout_s,
             wait_until=now + route.timeout_s * WAIT_PART,
+            refuse_at=now + route.target_latency_s * REFUSE_PART,
             writes=session.access(statement) == 'write',
         )
 
@@ -179,14 +190,18 @@
             answer = await self._attempt(run, target, keep)
             if answer is not None:
                 return answer
+            if not run.answered and current_time() > run.refuse_at:
+                break
         return single_lost(Attempt(run.writes, run.loss))
 
     async def _find_target(self, run: Run) -> Target | None:
         while True:
             target = self._choose(run)
-            if target is not None or current_time() >= run.wait_until:
+            expects = self._knowledge.expects_lead(run.route.service)
+            limit = run.wait_until if expects else run.refuse_at
+            if target is not None or current_time() >= limit:
                 return target
-            with move_on_at(run.wait_until):
+            with move_on_at(limit):
                 await self._knowledge.wait_for_change()
 
     def _choose(self, run: Run) -> Target | None:
@@ -216,6 +231,7 @@
             await self._unopened(run, target, exc)
             return None
         kept = False
+        run.answered = True
         try:
             answer = await self._run_on(run, target, pooled)
             kept = keep is not None and answer is not None and answer.ok
--- a/trefoilhitch/pooler/succession.py
+++ b/trefoilhitch/pooler/succession.py
@@ -17,10 +17,10 @@
 # Without proof of the lead for this long, it is asked to show itself.
 PROOF_WANTED_AFTER_S = 0.45
 # A lead that nobody could prove for this long is replaced.
-SILENT_AFTER_S = 1.6
+SILENT_AFTER_S = 1.2
 # A lead that answers, but acknowledged no commit since one was sent this long
 # ago, is cut off from its replicas.
-STALLED_AFTER_S = 1.6
+STALLED_AFTER_S = 1.3
 LEAST_FENCED = 2
 
 
--- a/trefoilhitch/pooler/successor.py
+++ b/trefoilhitch/pooler/successor.py
@@ -190,17 +190,13 @@
         lead: str | None,
         statuses: dict[str, EndpointStatus],
     ) -> list[FencedEndpoint]:
-        parts = self._parts
-        proved = parts.knowledge.term(self._service)
-        known = {
-            name: max(status.term, status.fenced_term)
-            for name, status in statuses.items()
-        }
-        term = next_term(known, proved)
-        if self._reason != Reason.SILENT:
+        term = self._next_term(statuses)
+        if lead in statuses:
             await self._settle(lead, term)
         self._fenced.update(each for each in ids if each != lead)
-        told = await ask_all(ids, partial(self._stop_one, lead, term))
+        # A lead that has just not told its status is not waited for again.
+        asked = [each for each in ids if each in statuses or each != lead]
+        told = await ask_all(asked, partial(self._stop_one, lead, term))
         fenced = [
             FencedEndpoint(
                 name, status.term, status.position, was_lead=name == lead
@@ -208,16 +204,24 @@
             for name, status in told.items()
             if not status.leads
         ]
-        parts.log.event(
+        self._parts.log.event(
             'fenced',
             service=self._service,
             reason=self._reason.value,
             term=term,
             lead=lead,
+            members=ids,
             endpoints={each.endpoint: each.position for each in fenced},
         )
         return fenced
 
+    def _next_term(self, statuses: dict[str, EndpointStatus]) -> int:
+        known = {
+            name: max(status.term, status.fenced_term)
+            for name, status in statuses.items()
+        }
+        return next_term(known, self._parts.knowledge.term(self._service))
+
     async def _stop_one(
         self, lead: str | None, term: int, endpoint: str
     ) -> EndpointStatus | None:
