--- a/trefoilhitch/decision_log.py
+++ b/trefoilhitch/decision_log.py
@@ -1,6 +1,6 @@
 """The structured log: JSON lines, one for each decision and event."""
 
-from typing import Any, Protocol, TextIO
+from typing import Any, Protocol
 
 from logbook import Logger, LogRecord, StreamHandler, lookup_level
 from msgspec import Struct
@@ -68,6 +68,24 @@
         """
 
 
+class LineStream(Protocol):
+    """Takes whole lines."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line.
+
+        Args:
+            text: the line with its end.
+
+        Returns:
+            Its length.
+
+        """
+
+    def flush(self) -> None:
+        """Have the lines written."""
+
+
 class JsonLinesHandler(StreamHandler):  # type: ignore[misc]
     """Writes each log record as one JSON line.
 
@@ -77,7 +95,7 @@
 
     """
 
-    def __init__(self, stream: TextIO, level: str = 'info') -> None:
+    def __init__(self, stream: LineStream, level: str = 'info') -> None:
         """Open nothing: the stream belongs to the caller."""
         super().__init__(stream, level=lookup_level(level.upper()))
 
--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -30,7 +30,18 @@
             label: what is counted apart.
 
         """
-        self._counters[name, label] += 1
+        self.add(name, 1, label)
+
+    def add(self, name: str, number: int, label: str = '') -> None:
+        """Add to a counter.
+
+        Args:
+            name: name of the counter.
+            number: how much.
+            label: what is counted apart.
+
+        """
+        self._counters[name, label] += number
 
     def observe(self, seconds: float) -> None:
         """Record how long a request took.
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -25,6 +25,7 @@
 )
 from trefoilhitch.http_message import Answerer, HttpRequest, HttpResponse
 from trefoilhitch.http_server import HttpServer, SharedAnswerer
+from trefoilhitch.log_writer import FLUSH_EVERY_S, LogWriter
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.platform.endpoint_link import WireDialer
 from trefoilhitch.platform.front import FrontServer
@@ -133,7 +134,8 @@
 
 
 async def _run_node(cfg: PoolerSettings, path: Path) -> None:
-    log = LogbookLog(node=cfg.node, sink=JsonLinesHandler(sys.stdout))
+    writer = LogWriter(sys.stdout.fileno())
+    log = LogbookLog(node=cfg.node, sink=JsonLinesHandler(writer))
     metrics = Metrics()
     tools = NodeTools(
         log=log,
@@ -146,14 +148,27 @@
     front = FrontServer(node.service)
     log.event('started', data_centre=cfg.data_centre, seeds=list(cfg.seeds))
     async with open_nursery() as nursery:
+        nursery.start_soon(_write_log, writer, log, metrics)
         await _listen(cfg, node, metrics, log, nursery)
         await front.listen(nursery, cfg.client_address)
         node.start(nursery)
         await _handle_signals(node, front, log, path)
         log.event('stopped', sessions=front.connections)
+        writer.drain()
         nursery.cancel_scope.cancel()
 
 
+async def _write_log(
+    writer: LogWriter, log: LogbookLog, metrics: Metrics
+) -> None:
+    while True:
+        await sleep(FLUSH_EVERY_S)
+        dropped = writer.drain()
+        if dropped:
+            metrics.add('log_lines_dropped', dropped)
+            log.event('log_dropped', lines=dropped)
+
+
 async def _listen(
     cfg: PoolerSettings,
     node: PoolerNode,
--- a/trefoilhitch/pooler/link_runner.py
+++ b/trefoilhitch/pooler/link_runner.py
@@ -148,5 +148,4 @@
         return Command(command.text, command.request_id, call.needed)
 
     def _count(self, kind: str, number: int) -> None:
-        for _ in range(number):
-            self._metrics.count('own_statements', kind)
+        self._metrics.add('own_statements', number, kind)
