--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -99,3 +99,50 @@
         cappa.invoke(Daemon, argv=['--settings', str(bad)])
     assert caught.value.code == ExitCode.USAGE
     assert len(capsys.readouterr().err.splitlines()) >= 5
+
+
+NODE_SETTINGS = {
+    'node_name': 'edge-1',
+    'zone': 'patan',
+    'region': 'bagmati',
+    'zones': {'patan': 'bagmati'},
+    'listen_addrs': {
+        'front': '10.0.0.1:1',
+        'ready': '10.0.0.1:2',
+        'control': '10.0.0.1:3',
+    },
+    'limits': {'memory_mb': 300, 'max_fds': 4300},
+    'bounds': {'grace_period_s': 6},
+    'platform': {'address': '10.0.0.9:1'},
+    'cloud_api': {'address': '10.0.0.8:1'},
+    'a_field_of_tomorrow': True,
+}
+
+
+def test_settings_of_the_platform_are_checked(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    good = tmp_path / 'node.json'
+    good.write_bytes(json.encode(NODE_SETTINGS))
+    assert _exit_code('check', str(good)) == ExitCode.DONE
+    assert 'edge-1 in patan' in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ('changes', 'text'),
+    [
+        ({'platform': {}}, 'address'),
+        ({'zone': 7}, 'zone'),
+        ({'limits': {'max_fds': 'many'}}, 'max_fds'),
+    ],
+)
+def test_faults_of_the_platforms_settings_are_named(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    changes: dict[str, object],
+    text: str,
+) -> None:
+    bad = tmp_path / 'node.json'
+    bad.write_bytes(json.encode({**NODE_SETTINGS, **changes}))
+    assert _exit_code('check', str(bad)) == ExitCode.REFUSED
+    assert text in capsys.readouterr().err
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 from trefoilhitch_lab.demo import run_demo
 from trefoilhitch_lab.deployment import Tenant
 from trefoilhitch_lab.ledger import Ledger
+from trefoilhitch_lab.wire_demo import run_wire_demo
 from trefoilhitch_lab.workload import rate_excess
 
 
@@ -117,3 +118,10 @@
     database.apply(1)
     with pytest.raises(SqlRejectedError):
         database.read(sql, [])
+
+
+@virtual
+async def test_the_wire_demo_keeps_every_promise() -> None:
+    verdict = await run_wire_demo(7)
+    assert verdict.holds()
+    assert verdict.failovers == 1
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -31,6 +31,8 @@
 from trefoilhitch.keyring import create_key
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClient
+from trefoilhitch.platform.settings import SettingsFileError
+from trefoilhitch.platform.settings import load_settings as load_node_settings
 from trefoilhitch.publisher import OutcomeUnknownError, Published, Publisher
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.store import HttpObjectStore
@@ -51,12 +53,15 @@
 @cappa.command(name='check')
 @dataclass(frozen=True)
 class Check:
-    """Check a declaration; every fault is printed."""
+    """Check a declaration, or a node's JSON settings on the platform."""
 
     path: FileArg
 
     def __call__(self) -> None:
-        """Check the file."""
+        """Check the file; every fault is printed."""
+        if self.path.suffix == '.json':
+            print(_checked_settings(self.path))
+            return
         bundle = load_declaration(self.path)
         print(
             f'{len(bundle.services)} services, '
@@ -354,6 +359,18 @@
         raise failing(lines, ExitCode.REFUSED) from group
 
 
+def _checked_settings(path: Path) -> str:
+    try:
+        cfg = load_node_settings(path)
+    except SettingsFileError as exc:
+        raise failing(str(exc), ExitCode.REFUSED) from exc
+    return (
+        f'{cfg.node} in {cfg.data_centre} ({cfg.region}): '
+        f'clients {cfg.client_address}, peers {cfg.peer_address}, '
+        f'store {cfg.store_address}'
+    )
+
+
 def _ask(call: Any) -> Any:
     return _refusing(partial(run, call))
 
--- a/trefoilhitch_lab/demo.py
+++ b/trefoilhitch_lab/demo.py
@@ -10,12 +10,14 @@
 from rich.console import Console
 from rich.table import Table
 from trio import open_nursery, run
+from trio.testing import MockClock
 
 from trefoilhitch.errors import RefusalError
 from trefoilhitch_lab.caller import Caller
 from trefoilhitch_lab.deployment import SMALL
 from trefoilhitch_lab.ledger import Ledger, Verdict
 from trefoilhitch_lab.stack import Stack, running_stack
+from trefoilhitch_lab.wire_demo import render_wire, run_wire_demo
 
 Rows: TypeAlias = Sequence[Sequence[Any]]
 SESSIONS = 6
@@ -208,8 +210,11 @@
 
     """
     verdict = run(run_demo, seed)
+    wire = run(run_wire_demo, seed, clock=MockClock(autojump_threshold=0))
     if json:
-        print(encode(verdict).decode())
+        print(encode({**as_builtins(verdict), 'wire': wire}).decode())
     else:
         Console().print(render(verdict))
-    return 1 if verdict.violations() or not verdict.acknowledged_writes else 0
+        Console().print(render_wire(wire))
+    broken = verdict.violations() or not verdict.acknowledged_writes
+    return 1 if broken or not wire.holds() else 0
