The stand-in replicates in order; a rollback that may take variables back costs its connection

A fault of the stand-in, not of the pooler. Change: a replica receives a commit with all that came before it.

--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -39,6 +39,7 @@
         pooled: the connection.
         route: how its database was served when it began.
         read_only: whether it only reads.
+        began_with: variables of the connection when it began.
         wrote: whether a write was sent.
 
     """
@@ -47,6 +48,7 @@
     pooled: PooledLink
     route: Route
     read_only: bool
+    began_with: Mapping[str, str]
     wrote: bool = False
 
 
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -143,6 +143,10 @@
         sent_at: float,
     ) -> None:
         session.transaction = None
+        changed = opened.pooled.variables != opened.began_with
+        if changed and statement.verb == Verb.ROLLBACK:
+            # Whether a rollback takes variables back is the endpoint's matter.
+            opened.pooled.link.close()
         self._pool.release(opened.endpoint, opened.pooled)
         committed = statement.verb == Verb.COMMIT and answer.ok
         if not (committed and opened.wrote) or answer.position is None:
@@ -168,5 +172,9 @@
 
 def _bind(run: Run, endpoint: str, pooled: PooledLink) -> None:
     run.session.transaction = OpenTransaction(
-        endpoint, pooled, run.route, run.statement.read_only
+        endpoint,
+        pooled,
+        run.route,
+        run.statement.read_only,
+        dict(pooled.variables),
     )
--- a/trefoilhitch_lab/wire_demo.py
+++ b/trefoilhitch_lab/wire_demo.py
@@ -1,6 +1,6 @@
 """The demo's second half: sessions on the wire protocol, through a failover."""
 
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from itertools import pairwise
 
 from rich.table import Table
@@ -81,8 +81,8 @@
     table = Table(title='wire protocol: 3 nodes, 3 endpoints, the lead crashes')
     table.add_column('measure')
     table.add_column('count', justify='right')
-    for name in WireVerdict.__slots__:
-        table.add_row(name.replace('_', ' '), str(getattr(verdict, name)))
+    for name, count in asdict(verdict).items():
+        table.add_row(name.replace('_', ' '), str(count))
     return table
 
 
@@ -98,7 +98,8 @@
         self.acknowledged_at.append(current_time())
 
     def close(self, stack: WireStack) -> WireVerdict:
-        held = stack.group.lead.tables() if stack.group.lead else {}
+        lead = stack.group.lead
+        held = lead.tables() if lead else {}
         lost = [
             name
             for name, text in self.written.items()
@@ -106,10 +107,7 @@
         ]
         self.verdict.lost_writes = len(lost)
         self.verdict.failovers = len(stack.promotions.done)
-        gaps = [
-            after - before for before, after in pairwise(self.acknowledged_at)
-        ]
-        self.verdict.longest_gap_ms = round(max(gaps, default=0) * _MS_PER_S)
+        self.verdict.longest_gap_ms = _longest_gap_ms(self.acknowledged_at)
         return self.verdict
 
 
@@ -145,6 +143,11 @@
             self._record.verdict.stale_reads += 1
 
 
+def _longest_gap_ms(moments: list[float]) -> int:
+    gaps = [after - before for before, after in pairwise(moments)]
+    return round(max(gaps, default=0) * _MS_PER_S)
+
+
 def _number(text: str) -> int:
     return int(text[1:]) if text.startswith('v') else -1
 
--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -135,16 +135,19 @@
         for stream in self._streams:
             stream.socket.close()
 
-    def take(self, entry: LogEntry) -> None:
-        """Receive a commit.
+    def follow(self, lead: 'WireEndpoint', entry: LogEntry) -> None:
+        """Receive a commit, and all that came before it.
 
         Args:
-            entry: the commit; what contradicts it is discarded.
+            lead: endpoint that it comes from.
+            entry: the commit; what contradicts the lead's log is discarded.
 
         """
-        self.log = [kept for kept in self.log if kept.position < entry.position]
-        self.applied = min(self.applied, len(self.log))
-        self.log.append(entry)
+        if self.position < entry.position:
+            self.log = [
+                sent for sent in lead.log if sent.position <= entry.position
+            ]
+            self.applied = min(self.applied, len(self.log))
 
     async def _accept(self, listener: SocketListener) -> None:
         async with open_nursery() as nursery:
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -83,7 +83,7 @@
         entry = LogEntry(
             self.term, lead.position[1] + 1, dict(writes), request_ids
         )
-        lead.take(entry)
+        lead.log.append(entry)
         lead.applied = len(lead.log)
         held = Event()
         holders: list[str] = []
@@ -153,7 +153,7 @@
             return
         if entry.term != self.term or not lead.leads:
             return
-        replica.take(entry)
+        replica.follow(lead, entry)
         holders.append(replica.endpoint)
         if len(holders) >= self._sync_replicas:
             held.set()
