--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -269,12 +269,14 @@
         now = current_time()
         self._metrics.count('connections_not_opened', target.endpoint)
         run.tried.add(target.endpoint)
+        # Others' failures count: the lead is not only slow for this one.
+        failed_before = self._knowledge.choice.is_avoided(target.endpoint, now)
         if isinstance(exc, LinkLostError):
             self._knowledge.choice.avoid(target.endpoint, now + AVOID_SILENT_S)
         if target.endpoint == self._knowledge.lead(run.route.service):
             asked_at = self._knowledge.clock()
             self._knowledge.question_unanswered(run.route.service, asked_at)
-            run.lead_failures += 1
+            run.lead_failures += MAX_LEAD_FAILURES if failed_before else 1
             await sleep(BUSY_PAUSE_S)
 
     async def _run_on(
