A lead whose entry lapses for a moment is kept; ports of the lab's nodes are counted

Test failed before, passes. Lab: 'address already in use' came from two probes that were given the same free port.

--- a/tests/test_pooler_decisions.py
+++ b/tests/test_pooler_decisions.py
@@ -189,7 +189,7 @@
 
 
 @pytest.mark.parametrize(
-    ('evidence', 'changes', 'missing', 'reason'),
+    ('evidence', 'changes', 'lost', 'reason'),
     [
         (LeadEvidence(), {}, False, None),
         (LeadEvidence(asked_since=SILENT_SINCE), {}, False, 'silent'),
@@ -207,19 +207,19 @@
 def test_reasons_to_replace_a_lead(
     evidence: LeadEvidence,
     changes: dict[str, object],
-    missing: bool,
+    lost: bool,
     reason: str | None,
 ) -> None:
     lead = record('a', role='primary', **changes)
-    found = reason_to_replace(evidence, lead, missing=missing, now=10)
+    found = reason_to_replace(evidence, lead, lost=lost, now=10)
     assert (found and found.value) == reason
 
 
 def test_no_lead_is_a_reason_only_after_a_while() -> None:
     since = LeadEvidence(asked_since=SILENT_SINCE)
-    found = reason_to_replace(LeadEvidence(), None, missing=False, now=NOW)
+    found = reason_to_replace(LeadEvidence(), None, lost=False, now=NOW)
     assert found is None
-    found = reason_to_replace(since, None, missing=False, now=NOW)
+    found = reason_to_replace(since, None, lost=False, now=NOW)
     assert found == Reason.NONE_LEADS
 
 
--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -216,3 +216,29 @@
             assert current_time() - began < GAP_BOUND_S
             await sleep(0.05)
     assert stack.group.lost == []
+
+
+@virtual
+async def test_an_entry_that_lapses_for_a_moment_moves_no_lead() -> None:
+    async with running_wire_stack() as stack:
+        await write(stack, 'before')
+        old = lead_of(stack)
+        stack.stored.remove('servers', old.endpoint)
+        await sleep(2)
+        assert await write(stack, 'meanwhile') == ''
+        stack.list_endpoints()
+        await sleep(5)
+        assert lead_of(stack) is old
+    assert stack.promotions.received == []
+
+
+@virtual
+async def test_a_lead_whose_entry_stays_away_hands_over() -> None:
+    async with running_wire_stack() as stack:
+        await write(stack, 'before')
+        old = lead_of(stack)
+        stack.stored.remove('servers', old.endpoint)
+        await sleep(6)
+        assert lead_of(stack) is not old
+        assert await write(stack, 'after') == ''
+    assert stack.group.lost == []
--- a/trefoilhitch/pooler/endpoint_book.py
+++ b/trefoilhitch/pooler/endpoint_book.py
@@ -197,6 +197,18 @@
             if not record.leaving and not self.is_missing(record.endpoint)
         ]
 
+    def is_lost(self, endpoint: str) -> bool:
+        """Tell whether an endpoint's entry stayed away for too long.
+
+        Args:
+            endpoint: its id.
+
+        Returns:
+            True if the endpoint is to be taken as gone, for a while.
+
+        """
+        return endpoint in self._lost
+
     def is_missing(self, endpoint: str) -> bool:
         """Tell whether an endpoint's entry is gone at the moment.
 
--- a/trefoilhitch/pooler/knowledge.py
+++ b/trefoilhitch/pooler/knowledge.py
@@ -67,8 +67,8 @@
             Its id, None if none is known.
 
         """
-        members = self.book.members(service)
-        lead = self._leadership.current(service, members)
+        holders = self.book.log_holders(service)
+        lead = self._leadership.current(service, holders)
         if lead is None:
             self._leaderless_since.setdefault(service, self.clock())
         else:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -184,7 +184,7 @@
         return reason_to_replace(
             self._knowledge.evidence(service, lead),
             record,
-            missing=bool(lead) and self._knowledge.book.is_missing(lead or ''),
+            lost=self._knowledge.book.is_lost(lead or ''),
             now=self._knowledge.clock(),
         )
 
--- a/trefoilhitch/pooler/succession.py
+++ b/trefoilhitch/pooler/succession.py
@@ -58,7 +58,7 @@
     evidence: LeadEvidence,
     lead: EndpointRecord | None,
     *,
-    missing: bool,
+    lost: bool,
     now: float,
 ) -> Reason | None:
     """Decide whether a service needs a new lead.
@@ -66,7 +66,7 @@
     Args:
         evidence: what the nodes know of the lead.
         lead: its entry, None if no endpoint is known to lead.
-        missing: whether its entry has gone from the directory.
+        lost: whether its entry stayed away from the directory.
         now: monotonic time.
 
     Returns:
@@ -80,7 +80,7 @@
     reasons = (
         (silent, Reason.SILENT),
         (lead.leaving, Reason.LEAVING),
-        (missing, Reason.GONE),
+        (lost, Reason.GONE),
         (stalled, Reason.STALLED),
     )
     return next((reason for holds, reason in reasons if holds), None)
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from itertools import count
 from random import Random
 from types import MappingProxyType
 from typing import Any
@@ -30,7 +31,7 @@
     PromotionApi,
     StoreContent,
 )
-from trefoilhitch_lab.stack import FailingReporter, free_port, loopback_address
+from trefoilhitch_lab.stack import FailingReporter, loopback_address
 from trefoilhitch_lab.wire_group import WireGroup
 
 DATA_CENTRES = ('patan', 'lakeside', 'biratnagar')
@@ -46,6 +47,9 @@
 START_S = 20
 POLL_S = 0.1
 DEFAULT_RATE = 1000
+# Ports of nodes, on a loopback address that no other process uses. They lie
+# below those that the kernel hands out.
+_PORTS = count(20001)
 
 
 @dataclass(slots=True)
@@ -267,7 +271,7 @@
         return f'{address}:{port}'
 
     def _settings(self, name: str, store_address: str) -> PoolerSettings:
-        ports = self._ports.setdefault(name, (free_port(), free_port()))
+        ports = self._ports.setdefault(name, (next(_PORTS), next(_PORTS)))
         number = int(name.rpartition('-')[2])
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         address = loopback_address()
