--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -49,7 +49,8 @@
 DEFAULT_RATE = 1000
 # Ports of nodes, on a loopback address that no other process uses. They lie
 # below those that the kernel hands out.
-_PORTS = count(20001)
+FIRST_PORT = 20001
+_PORTS = count(FIRST_PORT)
 
 
 @dataclass(slots=True)
