--- a/tests/test_wire_outcomes.py
+++ b/tests/test_wire_outcomes.py
@@ -1,6 +1,6 @@
 """What clients are told when attempts fail, and whether it is true."""
 
-from trio import open_nursery, sleep
+from trio import current_time, open_nursery, sleep
 
 from tests.support import virtual
 from trefoilhitch_lab.wire_client import wire_client
@@ -132,3 +132,32 @@
 async def _speak_again(endpoint: WireEndpoint) -> None:
     await sleep(0.2)
     endpoint.faults.silent = False
+
+
+@virtual
+async def test_a_restarted_fleet_starts_with_its_parts_of_a_rate() -> None:
+    async with running_wire_stack() as stack:
+        stack.stored.put('config', 'main', desired_state(2, rate=100))
+        await sleep(2)
+        names = list(stack.nodes)
+        for name in names:
+            stack.kill_node(name)
+        began = current_time()
+        for name in names:
+            await stack.start_node(name)
+        await sleep(0.4)
+        served = [
+            await _reads_until_refused(node.address)
+            for node in stack.nodes.values()
+        ]
+        elapsed_s = current_time() - began
+    assert sum(served) <= 100 * elapsed_s + 1
+
+
+async def _reads_until_refused(address: str) -> int:
+    async with wire_client(address) as client:
+        await client.start('visits', KEY)
+        served = 0
+        while not (await client.query('READ a1')).code:
+            served += 1
+        return served
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -122,6 +122,7 @@
         self._outside = outside
         self._tools = tools
         self._registered = False
+        self._knows_nodes = False
         self._declared = DeclaredState()
         self._rates = RateBook()
         self._knowledge = _knowledge(cfg, tools)
@@ -197,7 +198,7 @@
         service = None
         if record is not None and catalogue is not None:
             service = catalogue.services.get(record.service)
-        if service is None:
+        if service is None or not self._knows_nodes:
             return 1
         shared = service.max_connections - CONTROL_CONNECTIONS
         return max(1, shared // max(1, self._fleet.remembered()))
@@ -222,19 +223,26 @@
         await registry.register(self._fleet.beat, deadline)
         self._registered = True
 
+    def _share_rates(self) -> None:
+        """Take part in rates once it is known among how many nodes."""
+        if self._knows_nodes:
+            nodes = self._fleet.remembered()
+            self._rates.share_among(nodes, self._tools.clock())
+
     def _take_over(self, nodes: list[MemberBeat]) -> None:
         self._fleet.observe(nodes)
         for beat in nodes:
             if beat.node == self._cfg.node:
                 own = self._fleet.beat.incarnation
                 self._fleet.restart_as(max(own, beat.incarnation + 1))
+        self._knows_nodes = True
+        self._share_rates()
 
     async def _housekeep(self) -> None:
         while True:
             await sleep(HOUSEKEEPING_EVERY_S)
             self._fleet.forget()
-            nodes = self._fleet.remembered()
-            self._rates.share_among(nodes, self._tools.clock())
+            self._share_rates()
             self._store_view.forget_lost()
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
--- a/trefoilhitch/pooler/rate_book.py
+++ b/trefoilhitch/pooler/rate_book.py
@@ -9,7 +9,8 @@
 
     def __init__(self) -> None:
         """Start without organisations."""
-        self._nodes = 1
+        # Nothing is spent before it is known how many nodes share a rate.
+        self._nodes = 0
         self._shares: dict[str, RateShare] = {}
         self._catalogue: Catalogue | None = None
 
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -112,13 +112,15 @@
         Args:
             rate_per_s: operations a second over all nodes.
             burst: operations at once over all nodes.
-            nodes: nodes that may spend, those out of reach among them.
+            nodes: nodes that may spend, those out of reach among them; 0
+                while their number is not known.
             now: time in seconds.
 
         """
         self._bucket.fill(now)
-        self._bucket.rate_per_s = rate_per_s / max(1, nodes)
-        self._bucket.size = burst / max(1, nodes)
+        part = 1 / nodes if nodes else 0
+        self._bucket.rate_per_s = rate_per_s * part
+        self._bucket.size = burst * part
         self._bucket.fill(now)
 
     def ask(self, now: float) -> None:
