Rates count operations in sliding windows; a new process begins with some tokens

Change: the limit is rate x window + burst in any window, as the rule counts; paced so that restarts of all nodes stay within half the rule's tolerance; a process begins with what 0.5 s would have brought; what was spent under a higher rate keeps its part of a lower one.

--- a/trefoilhitch/platform/_generated/platform.py
+++ b/trefoilhitch/platform/_generated/platform.py
@@ -65,6 +65,26 @@
         float, Meta(description='From SIGTERM to SIGKILL.')
     ] = 6
     drain_timeout_ms: float = 7000
+    quota_window_s: Annotated[
+        float,
+        Meta(
+            description='Span in which operations are counted against a rate.',
+            gt=0.0,
+        ),
+    ] = 5
+    quota_overage: Annotated[
+        float,
+        Meta(
+            description="Part of a span's operations that may be exceeded.",
+            ge=0.0,
+        ),
+    ] = 0
+    quota_slack: Annotated[
+        float,
+        Meta(
+            description='Operations that a span may hold beyond that.', ge=0.0
+        ),
+    ] = 0
 
 
 class ProcessSettings(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/platform/settings.py
+++ b/trefoilhitch/platform/settings.py
@@ -7,6 +7,7 @@
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.platform._generated.platform import ProcessSettings
+from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
 
 # Descriptors that the platform sets apart for files.
@@ -47,4 +48,9 @@
         promotion_address=found.cloud_api.address,
         stop_within_s=found.bounds.grace_period_s,
         descriptors=found.limits.max_fds - _FILE_DESCRIPTORS,
+        rate_rule=RateRule(
+            window_s=found.bounds.quota_window_s,
+            overage=found.bounds.quota_overage,
+            slack=found.bounds.quota_slack,
+        ),
     )
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -124,7 +124,7 @@
         self._registered = False
         self._knows_nodes = False
         self._declared = DeclaredState()
-        self._rates = RateBook()
+        self._rates = RateBook(cfg.rate_rule, tools.clock())
         self._knowledge = _knowledge(cfg, tools)
         self._fleet = _fleet(cfg, tools)
         dialer = outside.make_dialer(self._knowledge.find)
--- a/trefoilhitch/pooler/rate_book.py
+++ b/trefoilhitch/pooler/rate_book.py
@@ -1,14 +1,23 @@
 """Shares of all organisations' rates, as far as one node owns them."""
 
 from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.rate_limit import RateLimit, RateRule
 from trefoilhitch.pooler.rates import RateShare
 
 
 class RateBook:
-    """Keeps one share for each organisation."""
+    """Keeps one share for each organisation.
 
-    def __init__(self) -> None:
+    Args:
+        rule: how operations are counted against a rate.
+        now: time in seconds.
+
+    """
+
+    def __init__(self, rule: RateRule, now: float) -> None:
         """Start without organisations."""
+        self._rule = rule
+        self._started_at = now
         # Nothing is spent before it is known how many nodes share a rate.
         self._nodes = 0
         self._shares: dict[str, RateShare] = {}
@@ -23,8 +32,11 @@
 
         """
         self._catalogue = catalogue
+        # An organisation that is withdrawn and declared again has still spent
+        # what it spent.
         for name in self._shares.keys() - catalogue.organisations.keys():
-            self._shares.pop(name)
+            if self._shares[name].is_unused(now):
+                self._shares.pop(name)
         self._configure(now)
 
     def share_among(self, nodes: int, now: float) -> None:
@@ -57,11 +69,9 @@
         for declared in self._catalogue.organisations.values():
             share = self._shares.get(declared.name)
             if share is None:
-                share = RateShare(now)
+                share = RateShare(self._started_at)
                 self._shares[declared.name] = share
-            share.configure(
-                rate_per_s=declared.rate_per_s,
-                burst=declared.burst,
-                nodes=self._nodes,
-                now=now,
+            limit = RateLimit.from_declared(
+                declared.rate_per_s, declared.burst, self._rule
             )
+            share.configure(limit, self._nodes, now)
--- /dev/null
+++ b/trefoilhitch/pooler/rate_limit.py
@@ -0,0 +1,75 @@
+"""How many operations of an organisation all nodes together may admit."""
+
+from dataclasses import dataclass
+from typing import Self
+
+# A process that ends is replaced no sooner than this, its start included.
+RESTART_S = 0.5
+# Part of the tolerance that restarts of all nodes may use up.
+RESTART_PART = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class RateRule:
+    """How operations are counted against a rate.
+
+    Args:
+        window_s: length of the spans in which they are counted.
+        overage: part of a span's operations that nodes may admit beyond them
+            while they restart.
+        slack: operations that they may admit beyond that.
+
+    """
+
+    window_s: float = 5
+    overage: float = 0
+    slack: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """What all nodes together may admit.
+
+    A process does not know what an earlier one of its node admitted. So that
+    a span in which nodes restart, however often, stays within the rule's
+    tolerance, operations are also paced: at most `at_once`, then `per_s`, and
+    a new process begins with what `RESTART_S` would have brought.
+
+    Args:
+        window_s: length of the spans in which operations are counted.
+        operations: how many any such span may hold.
+        per_s: how many a second, in the long run.
+        at_once: how many after a pause.
+
+    """
+
+    window_s: float = 0
+    operations: float = 0
+    per_s: float = 0
+    at_once: float = 0
+
+    @classmethod
+    def from_declared(
+        cls, rate_per_s: float, burst: float, rule: RateRule
+    ) -> Self:
+        """Derive the limit of all nodes together.
+
+        Args:
+            rate_per_s: declared operations a second.
+            burst: declared operations beyond them in each span.
+            rule: how operations are counted.
+
+        Returns:
+            The limit.
+
+        """
+        operations = rate_per_s * rule.window_s + burst
+        per_s = operations / rule.window_s
+        tolerated = operations * rule.overage + rule.slack
+        at_once = max(per_s * RESTART_S, tolerated * RESTART_PART)
+        return cls(
+            window_s=rule.window_s,
+            operations=operations,
+            per_s=per_s,
+            at_once=min(operations, at_once),
+        )
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -1,14 +1,18 @@
 """One node's part of an organisation's rate, and what it gives to others.
 
-Each node owns an equal part of the rate and of the burst, and fills a bucket of
-its own with it. A node that runs short asks others for tokens. The giver
-subtracts them before it answers, and they are void `GIFT_S` after they were
-asked for. So whatever is lost, late or restarted, the operations of all nodes
-in any span of W seconds stay within burst + rate * (W + GIFT_S).
+Each node owns an equal part of the operations that any span of the rate's
+window may hold. What it spends is its own again one window later. A node that
+runs short asks others for tokens. The giver counts them as spent before it
+answers, and they are void `GIFT_S` after they were asked for. So whatever is
+lost or late, the operations of all nodes stay within the limit in any span.
+What restarts may add to it is bounded in `rate_limit`.
 """
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import ceil
+
+from trefoilhitch.pooler.rate_limit import RESTART_S, RateLimit
 
 GIFT_S = 0.5
 DEMAND_HALF_LIFE_S = 1.0
@@ -17,6 +21,8 @@
 # A node that runs short asks for what its clients will ask for in this time.
 ASK_AHEAD_S = 0.5
 LEAST_GIFT = 0.1
+# What is spent within this time is counted together, as if spent at its end.
+COUNTED_S = 0.1
 _ROUNDING = 1e-9
 
 
@@ -53,7 +59,9 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    rate_per_s: float = 0
+    """Paces what is spent."""
+
+    per_s: float = 0
     size: float = 0
     tokens: float = 0
     filled_at: float = 0
@@ -61,7 +69,49 @@
     def fill(self, now: float) -> None:
         elapsed = max(0, now - self.filled_at)
         self.filled_at = max(now, self.filled_at)
-        self.tokens = min(self.size, self.tokens + elapsed * self.rate_per_s)
+        self.tokens = min(self.size, self.tokens + elapsed * self.per_s)
+
+
+@dataclass(frozen=True, slots=True)
+class _Spent:
+    tokens: float
+    # The same as a part of the limit that was then in force.
+    part: float
+    counts_until: float
+
+
+@dataclass(slots=True)
+class _Window:
+    """Counts what was spent in the span that ends now."""
+
+    used: float = 0
+    used_part: float = 0
+    _spent: deque[_Spent] = field(default_factory=deque)
+
+    @property
+    def is_empty(self) -> bool:
+        return not self._spent
+
+    def add(self, spent: _Spent) -> None:
+        self.used += spent.tokens
+        self.used_part += spent.part
+        until = ceil(spent.counts_until / COUNTED_S) * COUNTED_S
+        if self._spent and self._spent[-1].counts_until >= until:
+            last = self._spent.pop()
+            spent = _Spent(
+                last.tokens + spent.tokens,
+                last.part + spent.part,
+                last.counts_until,
+            )
+            self._spent.append(spent)
+        else:
+            self._spent.append(_Spent(spent.tokens, spent.part, until))
+
+    def expire(self, now: float) -> None:
+        while self._spent and self._spent[0].counts_until <= now:
+            spent = self._spent.popleft()
+            self.used -= spent.tokens
+            self.used_part -= spent.part
 
 
 @dataclass(slots=True)
@@ -90,37 +140,40 @@
 class RateShare:
     """One node's part of one organisation's rate.
 
-    It starts with nothing to spend, since an earlier process of the same node
-    may have spent its burst a moment ago.
-
     Args:
-        now: time in seconds, on a clock that counts suspended time.
+        now: time in seconds, on a clock that counts suspended time; a new
+            process passes the time of its start.
 
     """
 
     def __init__(self, now: float) -> None:
-        """Start empty."""
-        self._bucket = _Bucket(filled_at=now)
+        """Start with no part."""
+        self._limit = RateLimit()
+        self._operations: float = 0
+        self._window = _Window()
         self._purse = _Purse()
         self._demand = _Demand(measured_at=now)
+        # An earlier process may have spent what there was until its end.
+        self._bucket = _Bucket(filled_at=now - RESTART_S)
 
-    def configure(
-        self, *, rate_per_s: float, burst: float, nodes: int, now: float
-    ) -> None:
-        """Take over a declared rate and the number of nodes that share it.
+    def configure(self, limit: RateLimit, nodes: int, now: float) -> None:
+        """Take over a limit and the number of nodes that share it.
 
         Args:
-            rate_per_s: operations a second over all nodes.
-            burst: operations at once over all nodes.
+            limit: what all nodes together may admit.
             nodes: nodes that may spend, those out of reach among them; 0
                 while their number is not known.
             now: time in seconds.
 
         """
-        self._bucket.fill(now)
-        part = 1 / nodes if nodes else 0
-        self._bucket.rate_per_s = rate_per_s * part
-        self._bucket.size = burst * part
+        if not nodes:
+            return
+        if self._limit.operations:
+            self._bucket.fill(now)
+        self._limit = limit
+        self._operations = limit.operations / nodes
+        self._bucket.per_s = limit.per_s / nodes
+        self._bucket.size = limit.at_once / nodes
         self._bucket.fill(now)
 
     def ask(self, now: float) -> None:
@@ -143,11 +196,11 @@
             True if it may run.
 
         """
-        self._bucket.fill(now)
+        own = self._own(now)
         self._purse.drop_void(now)
-        if self._bucket.tokens + self._purse.total() < 1 - _ROUNDING:
+        if own + self._purse.total() < 1 - _ROUNDING:
             return False
-        self._bucket.tokens -= 1 - self._purse.take(1)
+        self._use(1 - self._purse.take(1), now)
         return True
 
     def wanted(self, now: float) -> float:
@@ -174,13 +227,12 @@
             How many were subtracted here, 0 if none can be spared.
 
         """
-        self._bucket.fill(now)
         self._demand.update(now)
-        spare = self._bucket.tokens - self._demand.per_s * RESERVE_S
+        spare = self._own(now) - self._demand.per_s * RESERVE_S
         given = min(wanted, spare)
         if given < LEAST_GIFT:
             return 0
-        self._bucket.tokens -= given
+        self._use(given, now + GIFT_S)
         return given
 
     def receive(self, tokens: float, asked_at: float) -> None:
@@ -192,3 +244,36 @@
 
         """
         self._purse.gifts.append(Gift(tokens, asked_at + GIFT_S))
+
+    def is_unused(self, now: float) -> bool:
+        """Tell whether nothing that was spent counts any more.
+
+        Args:
+            now: time in seconds.
+
+        Returns:
+            True if the share may be forgotten.
+
+        """
+        self._window.expire(now)
+        return self._window.is_empty
+
+    def _own(self, now: float) -> float:
+        """Return how many tokens of this node's own part are left."""
+        self._bucket.fill(now)
+        self._window.expire(now)
+        # What was allowed under a higher limit uses no more of a lower one
+        # than it did of that one.
+        scaled = self._window.used_part * self._limit.operations
+        left = self._operations - min(self._window.used, scaled)
+        return max(0, min(self._bucket.tokens, left))
+
+    def _use(self, tokens: float, spent_by: float) -> None:
+        """Subtract tokens that are spent by some moment."""
+        if not tokens:
+            return
+        limit = self._limit
+        part = tokens / limit.operations
+        counts_until = spent_by + limit.window_s
+        self._bucket.tokens -= tokens
+        self._window.add(_Spent(tokens, part, counts_until))
--- a/trefoilhitch/pooler/settings.py
+++ b/trefoilhitch/pooler/settings.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from trefoilhitch.pooler.rate_limit import RateRule
+
 
 @dataclass(frozen=True, slots=True)
 class PoolerSettings:
@@ -21,6 +23,7 @@
         promotion_address: `ADDRESS:PORT` where promotions are ordered.
         stop_within_s: time from SIGTERM to the end of the process, in s.
         descriptors: sockets that may be open.
+        rate_rule: how operations are counted against a rate.
 
     """
 
@@ -36,3 +39,4 @@
     promotion_address: str
     stop_within_s: float
     descriptors: int
+    rate_rule: RateRule
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -24,6 +24,7 @@
 from trefoilhitch.platform.front import FrontServer
 from trefoilhitch.platform.program import make_outside
 from trefoilhitch.pooler.node import NodeTools, PoolerNode
+from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch_lab.limits import PLATFORM_LIMITS
 from trefoilhitch_lab.platform_store import (
@@ -34,6 +35,9 @@
 from trefoilhitch_lab.stack import FailingReporter, loopback_address
 from trefoilhitch_lab.wire_group import WireGroup
 
+# Operations that a span may hold beyond an organisation's limit.
+RATE_SLACK = 20
+RATE_RULE = RateRule(overage=0.1, slack=RATE_SLACK)
 DATA_CENTRES = ('patan', 'lakeside', 'biratnagar')
 SERVICE = 'ledger'
 DATABASES = MappingProxyType(
@@ -289,6 +293,7 @@
             promotion_address=self._promotion_address,
             stop_within_s=6,
             descriptors=1000,
+            rate_rule=RATE_RULE,
         )
 
 
