Nodes that spare no tokens are asked ever more rarely

Cause: an organisation beyond its rate had every node ask all others each 0.15 s for as long as that lasted; bytes between regions are the dearest price that can be moved. Change: the pause after a vain question doubles up to 0.6 s and ends with the first gift.

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,74 @@
+"""When other nodes are asked for tokens, on the virtual clock."""
+
+from trio import current_time, sleep
+
+from tests.support import virtual
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.admission import LONGEST_PAUSE_S, Admission
+from trefoilhitch.pooler.catalogue import Catalogue, Organisation
+from trefoilhitch.pooler.rate_book import RateBook
+from trefoilhitch.pooler.rate_limit import RateRule
+from trefoilhitch.pooler.rates import RateShare
+
+NAME = 'himal'
+
+
+class Tokens:
+    """Other nodes, that spare nothing until they are told to."""
+
+    def __init__(self) -> None:
+        """Spare nothing."""
+        self.asked_at: list[float] = []
+        self.spare: float = 0
+
+    async def ask_tokens(
+        self, organisation: str, wanted: float, share: RateShare
+    ) -> float:
+        """Note the question."""
+        await sleep(0.02)
+        self.asked_at.append(current_time())
+        if self.spare:
+            share.receive(self.spare, current_time())
+        return self.spare
+
+
+def admission(tokens: Tokens) -> Admission:
+    """Return the admission of a node whose own part is used up."""
+    rates = RateBook(RateRule(), current_time())
+    rates.declare(
+        Catalogue(
+            revision=1,
+            routes={},
+            services={},
+            keys={},
+            organisations={NAME: Organisation(NAME, 1, 1)},
+        ),
+        current_time(),
+    )
+    return Admission(
+        rates=rates, tokens=tokens, clock=current_time, metrics=Metrics()
+    )
+
+
+@virtual
+async def test_nodes_that_spare_nothing_are_asked_ever_more_rarely() -> None:
+    tokens = Tokens()
+    admitting = admission(tokens)
+    for _ in range(200):
+        assert not await admitting.admit(NAME)
+        await sleep(0.05)
+    # 10 s of steady refusals, up to 25 a second.
+    assert len(tokens.asked_at) <= 3 + 10 / LONGEST_PAUSE_S
+
+
+@virtual
+async def test_nodes_that_spare_something_are_asked_at_once_again() -> None:
+    tokens = Tokens()
+    admitting = admission(tokens)
+    for _ in range(40):
+        await admitting.admit(NAME)
+        await sleep(0.05)
+    tokens.spare = 1
+    await sleep(LONGEST_PAUSE_S)
+    admitted = [await admitting.admit(NAME) for _ in range(5)]
+    assert all(admitted)
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -1,6 +1,7 @@
 """Admits operations within their organisation's rate."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from trio import Event, move_on_after
@@ -11,8 +12,10 @@
 
 # How long an operation waits for tokens of other nodes.
 TOKEN_WAIT_S = 0.15
-# How long no node is asked again after all had nothing to spare.
+# How long no node is asked again after all had nothing to spare; twice as long
+# each further time, up to the longest.
 REFUSED_PAUSE_S = 0.15
+LONGEST_PAUSE_S = 0.6
 
 
 class TokenSource(Protocol):
@@ -34,6 +37,21 @@
         """
 
 
+@dataclass(slots=True)
+class _Questions:
+    """When other nodes are asked for tokens of one organisation."""
+
+    answered: Event | None = None
+    pause_s: float = 0
+    paused_until: float = 0
+
+    def refuse(self, now: float) -> None:
+        self.pause_s = min(
+            LONGEST_PAUSE_S, max(REFUSED_PAUSE_S, 2 * self.pause_s)
+        )
+        self.paused_until = now + self.pause_s
+
+
 class Admission:
     """Spends this node's shares, and other nodes' spare tokens.
 
@@ -58,8 +76,7 @@
         self._tokens = tokens
         self._clock = clock
         self._metrics = metrics
-        self._asking: dict[str, Event] = {}
-        self._paused_until: dict[str, float] = {}
+        self._questions: dict[str, _Questions] = {}
 
     async def admit(self, organisation: str) -> bool:
         """Admit one operation if the organisation's rate allows it.
@@ -77,32 +94,31 @@
         share.ask(self._clock())
         if share.spend(self._clock()):
             return True
+        questions = self._questions.setdefault(organisation, _Questions())
         with move_on_after(TOKEN_WAIT_S):
-            while not self._is_paused(organisation):
-                await self._ask(organisation, share)
+            while self._clock() >= questions.paused_until:
+                await self._ask(organisation, share, questions)
                 if share.spend(self._clock()):
                     return True
         self._metrics.count('rate_refusals', organisation)
         return False
 
-    def _is_paused(self, organisation: str) -> bool:
-        return self._clock() < self._paused_until.get(organisation, 0)
-
-    async def _ask(self, organisation: str, share: RateShare) -> None:
-        asking = self._asking.get(organisation)
-        if asking is not None:
-            await asking.wait()
+    async def _ask(
+        self, organisation: str, share: RateShare, questions: _Questions
+    ) -> None:
+        if questions.answered is not None:
+            await questions.answered.wait()
             return
-        asking = Event()
-        self._asking[organisation] = asking
+        questions.answered = answered = Event()
         self._metrics.count('token_requests', organisation)
         wanted = share.wanted(self._clock())
         given: float = 0
         try:
             given = await self._tokens.ask_tokens(organisation, wanted, share)
         finally:
-            self._asking.pop(organisation)
-            asking.set()
+            questions.answered = None
+            answered.set()
         if given < 1:
-            until = self._clock() + REFUSED_PAUSE_S
-            self._paused_until[organisation] = until
+            questions.refuse(self._clock())
+        else:
+            questions.pause_s = 0
