A free connection goes to its own organisation first; connections by distance

Change: link_shelf decides who gets a connection: users of the same organisation, until it has paid off or others have waited for 0.1 s; whoever is next gets it handed over, so that nobody overtakes. A user waits 60 ms for a connection of its own organisation before one of another is closed. Time to be accepted (0.25 s) and to be answered (0.7 s) are apart. connection_share gives nodes of a replica's data centre more of its connections. What a node is given moved to outside.

--- /dev/null
+++ b/tests/test_link_pool.py
@@ -0,0 +1,219 @@
+"""The pool of endpoint connections, on the virtual clock."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from trio import current_time, open_nursery, sleep, sleep_until
+
+from tests.support import virtual
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.answer import SessionState
+from trefoilhitch.pooler.connection_share import Holders, connection_share
+from trefoilhitch.pooler.link_pool import (
+    CONNECT_TIMEOUT_S,
+    OWN_WAIT_S,
+    LinkPool,
+)
+from trefoilhitch.pooler.link_shelf import PAID_OFF_USES, PASSED_OVER_S
+from trefoilhitch.pooler.outcome import Loss
+from trefoilhitch.pooler.ports import EndpointDialer, LinkLostError
+
+ENDPOINT = 'i-1'
+HANDSHAKE_S = 0.03
+WORK_S = 0.02
+ORGANISATIONS = tuple('abcdefgh')
+
+
+@dataclass(eq=False)
+class Link:
+    """A connection that always works."""
+
+    organisation: str
+    endpoint: str = ENDPOINT
+    state: SessionState = SessionState.IDLE
+    closed: bool = False
+
+    def is_usable(self) -> bool:
+        """Tell whether it is open."""
+        return not self.closed
+
+    def close(self) -> None:
+        """Close it."""
+        self.closed = True
+
+
+@dataclass
+class Dialer(EndpointDialer):
+    """Opens connections after a while, and counts them."""
+
+    handshake_s: float = HANDSHAKE_S
+    links: list[Link] = field(default_factory=list)
+
+    async def dial(
+        self,
+        endpoint: str,
+        organisation: str,
+        *,
+        connect_by: float,
+        deadline: float,
+    ) -> Link:
+        """Open a connection."""
+        if current_time() + self.handshake_s > deadline:
+            await sleep_until(deadline)
+            raise LinkLostError(Loss.NOT_SENT, 'too late')
+        await sleep(self.handshake_s)
+        self.links.append(Link(organisation))
+        return self.links[-1]
+
+
+def make_pool(dialer: Dialer, cap: int) -> LinkPool:
+    """Return a pool with a fixed number of connections."""
+    return LinkPool(dialer=dialer, cap=lambda _: cap, metrics=Metrics())
+
+
+async def use(
+    pool: LinkPool,
+    organisation: str,
+    *,
+    work_s: float = WORK_S,
+    within_s: float = 5,
+) -> float:
+    """Use a connection once, return how long it took to get it."""
+    began = current_time()
+    pooled = await pool.acquire(
+        ENDPOINT, organisation, {}, current_time() + within_s
+    )
+    waited_s = current_time() - began
+    try:
+        await sleep(work_s)
+    finally:
+        pool.release(ENDPOINT, pooled)
+    return waited_s
+
+
+async def _use_often(pool: LinkPool, organisation: str, times: int) -> None:
+    for _ in range(times):
+        await use(pool, organisation)
+
+
+@virtual
+async def test_users_who_take_turns_reuse_connections_under_load() -> None:
+    """Eight organisations, two users each, press on four connections."""
+    dialer = Dialer()
+    pool = make_pool(dialer, 4)
+    async with open_nursery() as nursery:
+        for organisation in ORGANISATIONS * 2:
+            nursery.start_soon(_use_often, pool, organisation, 50)
+    assert len(dialer.links) < 800 / 2
+
+
+@virtual
+async def test_no_organisation_is_passed_over_for_long() -> None:
+    dialer = Dialer()
+    pool = make_pool(dialer, 1)
+    async with open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(_use_often, pool, 'a', 100)
+        await sleep(1)
+        waited_s = await use(pool, 'b')
+        nursery.cancel_scope.cancel()
+    paid_off_s = PAID_OFF_USES * WORK_S
+    assert waited_s <= max(PASSED_OVER_S, paid_off_s) + 2 * WORK_S + HANDSHAKE_S
+
+
+@virtual
+async def test_a_second_user_waits_for_the_own_connection_first() -> None:
+    dialer = Dialer()
+    pool = make_pool(dialer, 2)
+    await use(pool, 'b')
+    async with open_nursery() as nursery:
+        for _ in range(2):
+            nursery.start_soon(use, pool, 'a')
+    assert Counter(link.organisation for link in dialer.links) == {
+        'a': 1,
+        'b': 1,
+    }
+
+
+@virtual
+async def test_an_own_connection_that_stays_in_use_is_not_waited_for() -> None:
+    dialer = Dialer()
+    pool = make_pool(dialer, 2)
+    await use(pool, 'b')
+    pooled = await pool.acquire(ENDPOINT, 'a', {}, current_time() + 1)
+    assert await use(pool, 'a') == pytest.approx(OWN_WAIT_S + HANDSHAKE_S)
+    pool.release(ENDPOINT, pooled)
+
+
+@virtual
+async def test_a_busy_endpoint_that_accepted_is_given_more_time() -> None:
+    dialer = Dialer(handshake_s=2 * CONNECT_TIMEOUT_S)
+    waited_s = await use(make_pool(dialer, 1), 'a')
+    assert waited_s == pytest.approx(2 * CONNECT_TIMEOUT_S)
+
+
+@virtual
+async def test_who_gets_no_connection_in_time_is_told_so() -> None:
+    pool = make_pool(Dialer(), 1)
+    pooled = await pool.acquire(ENDPOINT, 'a', {}, current_time() + 1)
+    with pytest.raises(LinkLostError) as caught:
+        await use(pool, 'b', within_s=0.2)
+    assert caught.value.loss == Loss.NOT_SENT
+    pool.release(ENDPOINT, pooled)
+    assert await use(pool, 'b') == pytest.approx(HANDSHAKE_S)
+
+
+@virtual
+async def test_a_user_that_is_cancelled_passes_its_turn_on() -> None:
+    pool = make_pool(Dialer(), 1)
+    pooled = await pool.acquire(ENDPOINT, 'a', {}, current_time() + 1)
+    async with open_nursery() as nursery:
+        nursery.start_soon(use, pool, 'a')
+        nursery.start_soon(use, pool, 'b')
+        await sleep(0.01)
+        pool.release(ENDPOINT, pooled)
+        nursery.cancel_scope.cancel()
+    for organisation in 'abc':
+        assert await use(pool, organisation) <= HANDSHAKE_S + OWN_WAIT_S
+
+
+@virtual
+async def test_a_smaller_part_closes_connections() -> None:
+    caps = [4]
+    dialer = Dialer()
+    pool = LinkPool(dialer=dialer, cap=lambda _: caps[0], metrics=Metrics())
+    held = [
+        await pool.acquire(ENDPOINT, name, {}, current_time() + 1)
+        for name in ORGANISATIONS[:4]
+    ]
+    pool.release(ENDPOINT, held[0])
+    caps[0] = 2
+    pool.trim()
+    assert [link.closed for link in dialer.links] == [True, False, False, False]
+    for pooled in held[1:]:
+        pool.release(ENDPOINT, pooled)
+    assert sum(not link.closed for link in dialer.links) == 2
+
+
+@pytest.mark.parametrize(
+    ('total', 'near', 'far'), [(39, 3, 5), (29, 2, 5), (29, 3, 4), (39, 0, 8)]
+)
+@pytest.mark.parametrize('leads', [True, False])
+def test_parts_stay_within_what_an_endpoint_accepts(
+    total: int, near: int, far: int, *, leads: bool
+) -> None:
+    near_part, far_part = (
+        connection_share(total, Holders(near, far, is_near), leads=leads)
+        for is_near in (True, False)
+    )
+    assert near * near_part + far * far_part <= total
+
+
+def test_near_nodes_hold_most_of_a_replicas_connections() -> None:
+    near = connection_share(39, Holders(3, 5, own_is_near=True), leads=False)
+    far = connection_share(39, Holders(3, 5, own_is_near=False), leads=False)
+    assert (near, far) == (9, 2)
+    assert (
+        connection_share(39, Holders(3, 5, own_is_near=True), leads=True) == 4
+    )
--- a/trefoilhitch/fair_queue.py
+++ b/trefoilhitch/fair_queue.py
@@ -92,6 +92,25 @@
             self._next_turn(organisation, lane)
         return None
 
+    def pop_of(self, organisation: str, now: float) -> Ticket | None:
+        """Take the next request of one organisation, out of turn.
+
+        Args:
+            organisation: whose request.
+            now: monotonic time; requests whose deadline passed are skipped.
+
+        Returns:
+            The request, or None if the organisation has none that waits.
+
+        """
+        lane = self._lanes.get(organisation)
+        if lane is None:
+            return None
+        _skip_expired(lane, now)
+        ticket = lane.waiting.popleft() if lane.waiting else None
+        self._drop_if_empty(organisation)
+        return ticket
+
     def ahead_of(self, organisation: str) -> float:
         """Estimate how many requests start before a new one of an organisation.
 
--- a/trefoilhitch/platform/endpoint_link.py
+++ b/trefoilhitch/platform/endpoint_link.py
@@ -156,14 +156,20 @@
         self._find = find
 
     async def dial(
-        self, endpoint: str, organisation: str, deadline: float
+        self,
+        endpoint: str,
+        organisation: str,
+        *,
+        connect_by: float,
+        deadline: float,
     ) -> WireLink:
         """Open a connection.
 
         Args:
             endpoint: id of the endpoint.
             organisation: for whom statements will run.
-            deadline: monotonic time.
+            connect_by: monotonic time by which the endpoint has to accept.
+            deadline: monotonic time by which it has to answer.
 
         Returns:
             The connection.
@@ -178,7 +184,8 @@
             raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no entry')
         try:
             with CancelScope(deadline=deadline):
-                return await _open(record, organisation)
+                stream = await _connect(record, connect_by)
+                return await _start(stream, record, organisation)
         except (OSError, ByteStreamError, WireError) as exc:
             raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: {exc}') from exc
         raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no connection in time')
@@ -231,8 +238,17 @@
             raise LinkLostError(Loss.CONNECTION, str(exc)) from exc
 
 
-async def _open(record: EndpointRecord, organisation: str) -> WireLink:
-    stream = await open_stream(record.address)
+async def _connect(record: EndpointRecord, connect_by: float) -> ByteStream:
+    with CancelScope(deadline=connect_by):
+        return await open_stream(record.address)
+    raise LinkLostError(
+        Loss.NOT_SENT, f'{record.endpoint}: not accepted in time'
+    )
+
+
+async def _start(
+    stream: ByteStream, record: EndpointRecord, organisation: str
+) -> WireLink:
     link = WireLink(stream, record.endpoint, organisation)
     started = False
     try:
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -38,7 +38,8 @@
     EndpointSource,
     read_declaration,
 )
-from trefoilhitch.pooler.node import NodeTools, Outside, PoolerNode
+from trefoilhitch.pooler.node import PoolerNode
+from trefoilhitch.pooler.outside import NodeTools, Outside
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.tcp import split_address
 
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -109,7 +109,8 @@
         if questions.answered is not None:
             await questions.answered.wait()
             return
-        questions.answered = answered = Event()
+        answered = Event()
+        questions.answered = answered
         self._metrics.count('token_requests', organisation)
         wanted = share.wanted(self._clock())
         given: float = 0
--- a/trefoilhitch/pooler/control.py
+++ b/trefoilhitch/pooler/control.py
@@ -138,7 +138,12 @@
             return link
         if link is not None:
             link.close()
-        return await self._dialer.dial(endpoint, CONTROL_ORGANISATION, deadline)
+        return await self._dialer.dial(
+            endpoint,
+            CONTROL_ORGANISATION,
+            connect_by=deadline,
+            deadline=deadline,
+        )
 
     def _keep(self, endpoint: str, link: EndpointLink) -> None:
         self.close(endpoint)
--- a/trefoilhitch/pooler/fleet_view.py
+++ b/trefoilhitch/pooler/fleet_view.py
@@ -31,6 +31,8 @@
         clock: Callable[[], float],
     ) -> None:
         """Start knowing only of itself."""
+        # Whether all nodes that had registered have been read from the store.
+        self.listed = False
         self._beat = beat
         self._random = random
         self._clock = clock
@@ -113,16 +115,14 @@
         others = self.peers()
         return self._random.sample(others, min(number, len(others)))
 
-    def remembered(self) -> int:
-        """Return how many nodes may still spend rates and hold connections."""
-        return len(
-            [
-                member
-                for member in self._membership.members.values()
-                if member.beat.state == 'live'
-                or member.expires_at > self._clock()
-            ]
-        )
+    def remembered(self) -> list[MemberBeat]:
+        """Return the nodes that may still spend rates and hold connections."""
+        now = self._clock()
+        return [
+            member.beat
+            for member in self._membership.members.values()
+            if member.beat.state == 'live' or member.expires_at > now
+        ]
 
     def forget(self) -> None:
         """Drop nodes that failed long ago."""
--- a/trefoilhitch/pooler/link_pool.py
+++ b/trefoilhitch/pooler/link_pool.py
@@ -1,29 +1,33 @@
 """Endpoint connections, bound to an organisation, used by one at a time."""
 
-from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from trio import Event, current_time, move_on_at
 
-from trefoilhitch.fair_queue import FairQueue, Ticket
+from trefoilhitch.fair_queue import Ticket
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.pooler.answer import SessionState
+from trefoilhitch.pooler.link_shelf import LinkShelf
 from trefoilhitch.pooler.outcome import Loss
 from trefoilhitch.pooler.pooled_link import PooledLink
 from trefoilhitch.pooler.ports import EndpointDialer, LinkLostError
 
-# A connection that cannot be opened within this time is given up. A lost
-# packet is sent again only after a second.
-DIAL_TIMEOUT_S = 0.25
+# An endpoint that does not accept within this time is given up. A lost packet
+# is sent again only after a second.
+CONNECT_TIMEOUT_S = 0.25
+# Longest time for a new connection. A busy endpoint accepts at once, but has
+# its statements go first; giving up there costs it the same work again.
+DIAL_TIMEOUT_S = 0.7
+# How long a user waits for a connection of its own organisation that is in
+# use, before one of another organisation is closed for it.
+OWN_WAIT_S = 0.06
 
 
-@dataclass(slots=True)
-class _Shelf:
-    opened: int = 0
-    idle: deque[PooledLink] = field(default_factory=deque)
-    queue: FairQueue = field(default_factory=lambda: FairQueue(weights={}))
-    waiting: dict[Ticket, Event] = field(default_factory=dict)
+@dataclass(frozen=True, slots=True)
+class _User:
+    endpoint: str
+    organisation: str
+    deadline: float
 
 
 class LinkPool:
@@ -47,7 +51,8 @@
         self._dialer = dialer
         self._cap = cap
         self._metrics = metrics
-        self._shelves: dict[str, _Shelf] = {}
+        self._shelves: dict[str, LinkShelf] = {}
+        self._turns: dict[Ticket, Event] = {}
 
     async def acquire(
         self,
@@ -72,14 +77,14 @@
             LinkRefusedError: the endpoint refused a new one.
 
         """
-        shelf = self._shelves.setdefault(endpoint, _Shelf())
-        while True:
-            pooled = _take_idle(shelf, organisation, variables)
-            if pooled is not None:
-                return pooled
-            if shelf.opened < self._cap(endpoint) or _evict(shelf):
-                return await self._dial(shelf, endpoint, organisation, deadline)
-            await self._wait(shelf, organisation, deadline)
+        shelf = self._shelves.setdefault(endpoint, LinkShelf())
+        user = _User(endpoint, organisation, deadline)
+        pooled = shelf.take_idle(organisation, variables)
+        if pooled is None and not shelf.reserve(
+            organisation, self._cap(endpoint)
+        ):
+            pooled = await self._wait_or_evict(shelf, user)
+        return pooled or await self._dial(shelf, user)
 
     def release(self, endpoint: str, pooled: PooledLink) -> None:
         """Give a connection back.
@@ -90,12 +95,8 @@
 
         """
         shelf = self._shelves[endpoint]
-        usable = pooled.link.is_usable()
-        if usable and pooled.link.state == SessionState.IDLE:
-            shelf.idle.append(pooled)
-        else:
-            _close(shelf, pooled)
-        _wake_next(shelf)
+        cap = self._cap(endpoint)
+        self._wake(shelf.put_back(pooled, cap, current_time()))
 
     def retire(self, endpoint: str) -> None:
         """Close the idle connections of an endpoint that is not used any more.
@@ -105,77 +106,82 @@
 
         """
         shelf = self._shelves.get(endpoint)
-        while shelf is not None and shelf.idle:
-            _close(shelf, shelf.idle.pop())
+        if shelf is not None:
+            shelf.trim(0)
+
+    def trim(self) -> None:
+        """Close idle connections beyond this node's part of their number."""
+        for endpoint, shelf in self._shelves.items():
+            shelf.trim(self._cap(endpoint))
+
+    async def _wait_or_evict(
+        self, shelf: LinkShelf, user: _User
+    ) -> PooledLink | None:
+        """Return a connection, or None if a new one is reserved."""
+        ticket = None
+        if shelf.in_use[user.organisation]:
+            patience = min(user.deadline, current_time() + OWN_WAIT_S)
+            ticket = await self._wait(shelf, user, patience)
+        if ticket is None:
+            cap = self._cap(user.endpoint)
+            if shelf.evict() and shelf.reserve(user.organisation, cap):
+                return None
+            ticket = await self._wait(shelf, user, user.deadline)
+        if ticket is None:
+            raise LinkLostError(Loss.NOT_SENT, 'no free connection in time')
+        return shelf.collect(ticket)
 
-    def opened(self) -> int:
-        """Return how many connections are open."""
-        return sum(shelf.opened for shelf in self._shelves.values())
+    async def _wait(
+        self, shelf: LinkShelf, user: _User, deadline: float
+    ) -> Ticket | None:
+        """Wait for a turn; None if it did not come in time."""
+        ticket = Ticket(user.organisation, deadline)
+        turn = Event()
+        self._turns[ticket] = turn
+        shelf.join(ticket, current_time())
+        try:
+            with move_on_at(deadline):
+                await turn.wait()
+        except BaseException:
+            if turn.is_set():
+                self._decline(shelf, user.endpoint, ticket)
+            raise
+        finally:
+            self._turns.pop(ticket)
+            shelf.leave(ticket)
+        return ticket if turn.is_set() else None
 
-    async def _dial(
-        self, shelf: _Shelf, endpoint: str, organisation: str, deadline: float
-    ) -> PooledLink:
-        shelf.opened += 1
+    async def _dial(self, shelf: LinkShelf, user: _User) -> PooledLink:
         pooled = None
-        limit = min(deadline, current_time() + DIAL_TIMEOUT_S)
+        now = current_time()
         try:
-            link = await self._dialer.dial(endpoint, organisation, limit)
-            pooled = PooledLink(link)
+            link = await self._dialer.dial(
+                user.endpoint,
+                user.organisation,
+                connect_by=min(user.deadline, now + CONNECT_TIMEOUT_S),
+                deadline=min(user.deadline, now + DIAL_TIMEOUT_S),
+            )
+            pooled = PooledLink(link, uses=1)
         finally:
             if pooled is None:
-                shelf.opened -= 1
-                _wake_next(shelf)
-        self._metrics.count('endpoint_connections_opened', endpoint)
+                self._give_up(shelf, user.endpoint, user.organisation)
+        self._metrics.count('endpoint_connections_opened', user.endpoint)
         return pooled
 
-    async def _wait(
-        self, shelf: _Shelf, organisation: str, deadline: float
-    ) -> None:
-        ticket = Ticket(organisation, deadline)
-        turn = Event()
-        shelf.queue.push(ticket)
-        shelf.waiting[ticket] = turn
-        try:
-            with move_on_at(deadline):
-                await turn.wait()
-        finally:
-            shelf.queue.discard(ticket)
-            shelf.waiting.pop(ticket, None)
-        if not turn.is_set():
-            raise LinkLostError(Loss.NOT_SENT, 'no free connection in time')
+    def _decline(self, shelf: LinkShelf, endpoint: str, ticket: Ticket) -> None:
+        """Pass on what was given to a user that was cancelled."""
+        pooled = shelf.collect(ticket)
+        if pooled is None:
+            self._give_up(shelf, endpoint, ticket.organisation)
+        else:
+            self.release(endpoint, pooled)
 
+    def _give_up(
+        self, shelf: LinkShelf, endpoint: str, organisation: str
+    ) -> None:
+        cap = self._cap(endpoint)
+        self._wake(shelf.give_up(organisation, cap, current_time()))
 
-def _take_idle(
-    shelf: _Shelf, organisation: str, variables: Mapping[str, str]
-) -> PooledLink | None:
-    own = [
-        pooled
-        for pooled in reversed(shelf.idle)
-        if pooled.link.organisation == organisation
-    ]
-    # Sorting is stable: among equals, the one used last comes first.
-    own.sort(key=lambda each: each.variables != variables)
-    for pooled in own:
-        shelf.idle.remove(pooled)
-        if pooled.link.is_usable():
-            return pooled
-        _close(shelf, pooled)
-    return None
-
-
-def _evict(shelf: _Shelf) -> bool:
-    if not shelf.idle:
-        return False
-    _close(shelf, shelf.idle.popleft())
-    return True
-
-
-def _close(shelf: _Shelf, pooled: PooledLink) -> None:
-    pooled.link.close()
-    shelf.opened -= 1
-
-
-def _wake_next(shelf: _Shelf) -> None:
-    ticket = shelf.queue.pop(current_time())
-    if ticket is not None:
-        shelf.waiting[ticket].set()
+    def _wake(self, ticket: Ticket | None) -> None:
+        if ticket is not None:
+            self._turns[ticket].set()
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -1,31 +1,24 @@
 """A node that pools connections: its parts, its start and its end."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from random import Random
-from typing import Protocol
-
 from trio import Nursery, current_time, sleep
 
 from trefoilhitch._generated.peer import MemberBeat
-from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import StoreError
-from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.client_session import SessionParts
+from trefoilhitch.pooler.connection_caps import ConnectionCaps
 from trefoilhitch.pooler.control import EndpointControl
-from trefoilhitch.pooler.declared import Declaration, DeclaredState
-from trefoilhitch.pooler.endpoint_book import EndpointRecord
+from trefoilhitch.pooler.declared import DeclaredState
 from trefoilhitch.pooler.fleet_view import FleetView
-from trefoilhitch.pooler.follower import ChangeSource
 from trefoilhitch.pooler.gate import DrainPlan, Readiness
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.link_pool import LinkPool
 from trefoilhitch.pooler.link_runner import LinkRunner
 from trefoilhitch.pooler.monitor import Monitor, MonitorParts
+from trefoilhitch.pooler.outside import NodeTools, Outside
 from trefoilhitch.pooler.peers import PeerAnswerer, PeerParts, PeerTalk
-from trefoilhitch.pooler.ports import EndpointDialer, LeaseStore, Promotion
+from trefoilhitch.pooler.ports import EndpointDialer
 from trefoilhitch.pooler.rate_book import RateBook
 from trefoilhitch.pooler.service import PoolerService
 from trefoilhitch.pooler.settings import PoolerSettings
@@ -38,72 +31,10 @@
 REGISTER_TIMEOUT_S = 1.5
 REGISTER_PAUSE_S = 0.7
 HOUSEKEEPING_EVERY_S = 0.5
-# Connections that each endpoint keeps free for questions of nodes.
-CONTROL_CONNECTIONS = 4
 # Sockets that are not clients' sessions.
 OTHER_SOCKETS = 200
 
 
-class NodeRegistry(Protocol):
-    """Keeps an entry for each node."""
-
-    async def list_nodes(self, deadline: float) -> list[MemberBeat]:
-        """Read the entries of all nodes."""
-
-    async def register(self, beat: MemberBeat, deadline: float) -> None:
-        """Write this node's entry."""
-
-    async def deregister(self, node: str, deadline: float) -> None:
-        """Remove this node's entry."""
-
-
-@dataclass(frozen=True, slots=True)
-class Outside:
-    """What a node reaches outside.
-
-    Args:
-        make_dialer: returns what opens connections to endpoints, given where
-            their entries are found.
-        leases: keeps leases.
-        promotion: orders promotions.
-        registry: keeps nodes' entries.
-        declarations: the operators' declaration.
-        endpoints: entries of endpoints.
-        read_declaration: reads a declaration's text.
-
-    """
-
-    make_dialer: Callable[
-        [Callable[[str], EndpointRecord | None]], EndpointDialer
-    ]
-    leases: LeaseStore
-    promotion: Promotion
-    registry: NodeRegistry
-    declarations: ChangeSource[Declaration]
-    endpoints: ChangeSource[EndpointRecord]
-    read_declaration: Callable[[str], Declaration]
-
-
-@dataclass(frozen=True, slots=True)
-class NodeTools:
-    """What a node uses inside.
-
-    Args:
-        log: takes note of decisions.
-        metrics: counts and measures.
-        random: spreads retries and picks peers.
-        clock: seconds, on a clock that counts suspended time.
-        incarnation: tells this start from earlier ones.
-
-    """
-
-    log: DecisionLog
-    metrics: Metrics
-    random: Random
-    clock: Callable[[], float]
-    incarnation: int
-
-
 class PoolerNode:
     """One node.
 
@@ -122,14 +53,18 @@
         self._outside = outside
         self._tools = tools
         self._registered = False
-        self._knows_nodes = False
         self._declared = DeclaredState()
         self._rates = RateBook(cfg.rate_rule, tools.clock())
         self._knowledge = _knowledge(cfg, tools)
         self._fleet = _fleet(cfg, tools)
         dialer = outside.make_dialer(self._knowledge.find)
+        caps = ConnectionCaps(
+            declared=self._declared,
+            knowledge=self._knowledge,
+            fleet=self._fleet,
+        )
         self._pool = LinkPool(
-            dialer=dialer, cap=self._cap, metrics=tools.metrics
+            dialer=dialer, cap=caps.cap, metrics=tools.metrics
         )
         self._control = EndpointControl(
             dialer=dialer, log=tools.log, metrics=tools.metrics
@@ -192,17 +127,6 @@
     def _has_basis(self) -> bool:
         return self._declared.catalogue is not None and self._store_view.listed
 
-    def _cap(self, endpoint: str) -> int:
-        record = self._knowledge.find(endpoint)
-        catalogue = self._declared.catalogue
-        service = None
-        if record is not None and catalogue is not None:
-            service = catalogue.services.get(record.service)
-        if service is None or not self._knows_nodes:
-            return 1
-        shared = service.max_connections - CONTROL_CONNECTIONS
-        return max(1, shared // max(1, self._fleet.remembered()))
-
     def _sync_replicas(self, name: str) -> int:
         catalogue = self._declared.catalogue
         service = catalogue.services.get(name) if catalogue else None
@@ -225,8 +149,8 @@
 
     def _share_rates(self) -> None:
         """Take part in rates once it is known among how many nodes."""
-        if self._knows_nodes:
-            nodes = self._fleet.remembered()
+        if self._fleet.listed:
+            nodes = len(self._fleet.remembered())
             self._rates.share_among(nodes, self._tools.clock())
 
     def _take_over(self, nodes: list[MemberBeat]) -> None:
@@ -235,7 +159,7 @@
             if beat.node == self._cfg.node:
                 own = self._fleet.beat.incarnation
                 self._fleet.restart_as(max(own, beat.incarnation + 1))
-        self._knows_nodes = True
+        self._fleet.listed = True
         self._share_rates()
 
     async def _housekeep(self) -> None:
@@ -243,6 +167,7 @@
             await sleep(HOUSEKEEPING_EVERY_S)
             self._fleet.forget()
             self._share_rates()
+            self._pool.trim()
             self._store_view.forget_lost()
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
--- a/trefoilhitch/pooler/pooled_link.py
+++ b/trefoilhitch/pooler/pooled_link.py
@@ -13,9 +13,11 @@
         link: the connection.
         variables: session variables that the endpoint holds for it.
         prepared: pooled names of the shapes prepared on it.
+        uses: how often it was taken.
 
     """
 
     link: EndpointLink
     variables: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
+    uses: int = 0
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -111,14 +111,20 @@
     """Opens connections to endpoints and knows their own statements."""
 
     async def dial(
-        self, endpoint: str, organisation: str, deadline: float
+        self,
+        endpoint: str,
+        organisation: str,
+        *,
+        connect_by: float,
+        deadline: float,
     ) -> EndpointLink:
         """Open a connection.
 
         Args:
             endpoint: id of the endpoint.
             organisation: for whom statements will run.
-            deadline: monotonic time.
+            connect_by: monotonic time by which the endpoint has to accept.
+            deadline: monotonic time by which it has to answer.
 
         Returns:
             The connection.
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -23,7 +23,8 @@
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.platform.front import FrontServer
 from trefoilhitch.platform.program import make_outside
-from trefoilhitch.pooler.node import NodeTools, PoolerNode
+from trefoilhitch.pooler.node import PoolerNode
+from trefoilhitch.pooler.outside import NodeTools
 from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch_lab.limits import PLATFORM_LIMITS
