A node that runs short gives no tokens away; fewer questions for them

Change: a node whose clients ask for more than it gets keeps what they will miss in a window; two nodes of other data centres are asked, not all; the pause after vain questions grows to 1.2 s; three quarters of the tolerance may be admitted at once, so that small parts hold whole operations.

--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -277,6 +277,14 @@
     assert len(fleet.admitted) > 3 * RATE
 
 
+def test_a_node_that_runs_short_itself_gives_nothing_away() -> None:
+    share = RateShare(0)
+    share.configure(LIMIT, NODES, 0)
+    for step in range(200):
+        share.ask(10 + step * 0.05)
+    assert not share.give(1, 20)
+
+
 def test_a_lower_rate_binds_at_once() -> None:
     share = RateShare(0)
     share.configure(RateLimit.from_declared(100, 100, RULE), 1, 0)
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -15,7 +15,7 @@
 # How long no node is asked again after all had nothing to spare; twice as long
 # each further time, up to the longest.
 REFUSED_PAUSE_S = 0.15
-LONGEST_PAUSE_S = 0.6
+LONGEST_PAUSE_S = 1.2
 
 
 class TokenSource(Protocol):
--- a/trefoilhitch/pooler/peers.py
+++ b/trefoilhitch/pooler/peers.py
@@ -56,6 +56,8 @@
 ASKED_NODES = 3
 # Nodes that are told at once of a change, or asked for tokens.
 TOLD_NODES = 16
+# Nodes of other data centres that are asked for tokens.
+FAR_ASKED_NODES = 2
 # Characters of a failure that are logged.
 MAX_DETAIL = 200
 _PREFIX = '/v1/pooler'
@@ -310,7 +312,8 @@
         given = await self._ask_each(near, organisation, wanted, share)
         if given < 1:
             missing = wanted - given
-            given += await self._ask_each(far, organisation, missing, share)
+            asked = far[:FAR_ASKED_NODES]
+            given += await self._ask_each(asked, organisation, missing, share)
         return given
 
     def _take_declaration(self, document: str) -> None:
--- a/trefoilhitch/pooler/rate_limit.py
+++ b/trefoilhitch/pooler/rate_limit.py
@@ -6,7 +6,7 @@
 # A process that ends is replaced no sooner than this, its start included.
 RESTART_S = 0.5
 # Part of the tolerance that restarts of all nodes may use up.
-RESTART_PART = 0.5
+RESTART_PART = 0.75
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -18,8 +18,11 @@
 DEMAND_HALF_LIFE_S = 1.0
 # A node keeps what its own clients will ask for in this time.
 RESERVE_S = 0.25
+# A node whose clients ask for more than it gets keeps as much as they will
+# miss in this time: what it gave away would only be refused here.
+KEPT_S = 5.0
 # A node that runs short asks for what its clients will ask for in this time.
-ASK_AHEAD_S = 0.5
+ASK_AHEAD_S = 0.2
 LEAST_GIFT = 0.1
 # What is spent within this time is counted together, as if spent at its end.
 COUNTED_S = 0.1
@@ -228,7 +231,9 @@
 
         """
         self._demand.update(now)
-        spare = self._own(now) - self._demand.per_s * RESERVE_S
+        missing_per_s = max(0, self._demand.per_s - self._bucket.per_s)
+        kept = self._demand.per_s * RESERVE_S + missing_per_s * KEPT_S
+        spare = self._own(now) - kept
         given = min(wanted, spare)
         if given < LEAST_GIFT:
             return 0
