--- a/trefoilhitch/pooler/rate_limit.py
+++ b/trefoilhitch/pooler/rate_limit.py
@@ -5,6 +5,9 @@
 
 # A process that ends is replaced no sooner than this, its start included.
 RESTART_S = 0.5
+# A lower limit takes hold within this part of a span, since the spans that it
+# applies to first began under the higher one.
+LANDING_PART = 0.6
 # Part of the tolerance that restarts of all nodes may use up.
 RESTART_PART = 0.75
 
@@ -73,3 +76,25 @@
             per_s=per_s,
             at_once=min(operations, at_once),
         )
+
+    def toward(self, target: 'RateLimit', progress: float) -> 'RateLimit':
+        """Return a limit between this one and another.
+
+        Args:
+            target: the other limit.
+            progress: 0 for this one, 1 for the other.
+
+        Returns:
+            The limit, counted in the other one's spans.
+
+        """
+        return RateLimit(
+            window_s=target.window_s,
+            operations=_between(self.operations, target.operations, progress),
+            per_s=_between(self.per_s, target.per_s, progress),
+            at_once=_between(self.at_once, target.at_once, progress),
+        )
+
+
+def _between(first: float, second: float, progress: float) -> float:
+    return first + (second - first) * progress
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -12,7 +12,11 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from trefoilhitch.pooler.rate_limit import RESTART_S, RateLimit
+from trefoilhitch.pooler.rate_limit import (
+    LANDING_PART,
+    RESTART_S,
+    RateLimit,
+)
 
 GIFT_S = 0.5
 DEMAND_HALF_LIFE_S = 1.0
@@ -151,8 +155,11 @@
 
     def __init__(self, now: float) -> None:
         """Start with no part."""
+        self._nodes = 0
         self._limit = RateLimit()
-        self._operations: float = 0
+        # The limit that is being left, and the time since when.
+        self._higher: RateLimit | None = None
+        self._lowered_at: float = 0
         self._window = _Window()
         self._purse = _Purse()
         self._demand = _Demand(measured_at=now)
@@ -171,13 +178,17 @@
         """
         if not nodes:
             return
-        if self._limit.operations:
+        if self._nodes:
             self._bucket.fill(now)
+        present = self._present(now)
+        if limit.operations > present.operations:
+            self._higher = None
+        elif limit != self._limit:
+            self._higher = present
+            self._lowered_at = now
         self._limit = limit
-        self._operations = limit.operations / nodes
-        self._bucket.per_s = limit.per_s / nodes
-        self._bucket.size = limit.at_once / nodes
-        self._bucket.fill(now)
+        self._nodes = nodes
+        self._fill(now)
 
     def ask(self, now: float) -> None:
         """Count an operation that a client asks for.
@@ -203,7 +214,7 @@
         self._purse.drop_void(now)
         if own + self._purse.total() < 1 - _ROUNDING:
             return False
-        self._use(1 - self._purse.take(1), now)
+        self._use(1 - self._purse.take(1), now, spent_by=now)
         return True
 
     def wanted(self, now: float) -> float:
@@ -237,7 +248,7 @@
         given = min(wanted, spare)
         if given < LEAST_GIFT:
             return 0
-        self._use(given, now + GIFT_S)
+        self._use(given, now, spent_by=now + GIFT_S)
         return given
 
     def receive(self, tokens: float, asked_at: float) -> None:
@@ -263,22 +274,44 @@
         self._window.expire(now)
         return self._window.is_empty
 
+    def _present(self, now: float) -> RateLimit:
+        """Return the limit, or one on the way to it from a higher one."""
+        if self._higher is None:
+            return self._limit
+        elapsed = now - self._lowered_at
+        progress = elapsed / (LANDING_PART * self._limit.window_s)
+        if progress >= 1:
+            self._higher = None
+            return self._limit
+        return self._higher.toward(self._limit, progress)
+
+    def _fill(self, now: float) -> None:
+        if not self._nodes:
+            return
+        present = self._present(now)
+        self._bucket.per_s = present.per_s / self._nodes
+        self._bucket.size = present.at_once / self._nodes
+        self._bucket.fill(now)
+
     def _own(self, now: float) -> float:
         """Return how many tokens of this node's own part are left."""
-        self._bucket.fill(now)
+        if not self._nodes:
+            return 0
+        self._fill(now)
         self._window.expire(now)
+        operations = self._present(now).operations
         # What was allowed under a higher limit uses no more of a lower one
         # than it did of that one.
-        scaled = self._window.used_part * self._limit.operations
-        left = self._operations - min(self._window.used, scaled)
+        scaled = self._window.used_part * operations
+        left = operations / self._nodes - min(self._window.used, scaled)
         return max(0, min(self._bucket.tokens, left))
 
-    def _use(self, tokens: float, spent_by: float) -> None:
+    def _use(self, tokens: float, now: float, *, spent_by: float) -> None:
         """Subtract tokens that are spent by some moment."""
         if not tokens:
             return
-        limit = self._limit
-        part = tokens / limit.operations
-        counts_until = spent_by + limit.window_s
+        present = self._present(now)
+        part = tokens / present.operations
+        counts_until = spent_by + present.window_s
         self._bucket.tokens -= tokens
         self._window.add(_Spent(tokens, part, counts_until))
