Lease calls are repeated when an answer is lost; proofs are fetched when missed; peers split

A holder that froze was waited for from the moment at which the next monitor's turn came, 1.5 s after the lease was taken. Change: lease_calls repeats reads and writes within 1.5 s; a write that is found in the store, by its attempt and step, is a success. A monitor whose turn has not come looks at the lease each 0.5 s.

--- /dev/null
+++ b/tests/test_lease_calls.py
@@ -0,0 +1,119 @@
+"""Leases in a store that loses answers, on the virtual clock."""
+
+from dataclasses import replace
+from itertools import repeat
+
+import pytest
+from trio import current_time, sleep, sleep_until
+
+from tests.support import virtual
+from trefoilhitch.errors import StoreUnavailableError
+from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.lease_calls import (
+    CALL_TIMEOUT_S,
+    TRY_TIMEOUT_S,
+    LeaseCalls,
+)
+from trefoilhitch.pooler.ports import LeaseStore
+
+SERVICE = 'orders'
+MINE = LeaseRecord(revision=3, token=8, holder='node-1', attempt='a/1')
+ANSWER_S = 0.01
+ROUNDING_S = 1e-6
+
+
+class Store(LeaseStore):
+    """One lease, and a plan of what happens to each call.
+
+    Args:
+        plan: for each call 'ok', 'lost' (done, no answer), 'dropped' (not
+            done, no answer) or 'down' (refused at once); then 'ok'.
+
+    """
+
+    def __init__(self, *plan: str) -> None:
+        """Keep a lease of someone else that is free."""
+        self.lease = LeaseRecord(revision=3, token=7, attempt='b/1')
+        self.writes = 0
+        self._plan = list(plan)
+
+    async def read_lease(self, service: str, deadline: float) -> LeaseRecord:
+        """Read the lease."""
+        await self._answer(deadline)
+        return self.lease
+
+    async def write_lease(
+        self, service: str, lease: LeaseRecord, deadline: float
+    ) -> LeaseRecord | None:
+        """Write the lease under its revision."""
+        fate = self._plan[0] if self._plan else 'ok'
+        stored = None
+        if fate in {'ok', 'lost'} and lease.revision == self.lease.revision:
+            self.writes += 1
+            stored = replace(lease, revision=lease.revision + 1)
+            self.lease = stored
+        await self._answer(deadline)
+        return stored
+
+    async def _answer(self, deadline: float) -> None:
+        fate = self._plan.pop(0) if self._plan else 'ok'
+        if fate in {'lost', 'dropped'}:
+            await sleep_until(deadline)
+        if fate != 'ok':
+            raise StoreUnavailableError(fate)
+        await sleep(ANSWER_S)
+
+
+@pytest.mark.parametrize(
+    ('plan', 'within_s'),
+    [
+        ((), ANSWER_S),
+        (('lost',), TRY_TIMEOUT_S + ANSWER_S),
+        (('dropped',), TRY_TIMEOUT_S + 2 * ANSWER_S),
+        (('lost', 'lost'), 2 * TRY_TIMEOUT_S + ANSWER_S),
+        (('down', 'ok'), CALL_TIMEOUT_S / 2),
+    ],
+)
+def test_a_write_takes_effect_once(
+    plan: tuple[str, ...], within_s: float
+) -> None:
+    store = Store(*plan)
+    took_s: list[float] = []
+
+    @virtual
+    async def write() -> None:
+        began = current_time()
+        stored = await LeaseCalls(store).write(SERVICE, MINE)
+        took_s.append(current_time() - began)
+        assert stored == replace(MINE, revision=4)
+
+    write()
+    assert store.writes == 1
+    assert took_s[0] <= within_s + ROUNDING_S
+
+
+@virtual
+async def test_a_lease_that_someone_else_took_is_not_taken() -> None:
+    store = Store('dropped')
+    store.lease = replace(store.lease, revision=4, holder='node-2')
+    assert await LeaseCalls(store).write(SERVICE, MINE) is None
+    assert store.lease.holder == 'node-2'
+
+
+@virtual
+async def test_a_conflict_with_the_own_lost_write_is_a_success() -> None:
+    store = Store('lost', 'dropped')
+    stored = await LeaseCalls(store).write(SERVICE, MINE)
+    assert stored == store.lease
+    assert store.writes == 1
+
+
+@virtual
+async def test_a_store_that_is_away_is_given_up_in_time() -> None:
+    began = current_time()
+    store = Store(*repeat('dropped', 20))
+    with pytest.raises(StoreUnavailableError):
+        await LeaseCalls(store).write(SERVICE, MINE)
+    assert current_time() - began <= CALL_TIMEOUT_S + ROUNDING_S
+    with pytest.raises(StoreUnavailableError):
+        await LeaseCalls(Store(*repeat('down', 20))).read(SERVICE)
--- a/tests/test_pooler_decisions.py
+++ b/tests/test_pooler_decisions.py
@@ -3,6 +3,7 @@
 import pytest
 
 from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.answer import Refusal, SessionState
 from trefoilhitch.pooler.catalogue import Catalogue, Freshness, Route
 from trefoilhitch.pooler.commits import Commits
@@ -27,6 +28,11 @@
     SeenLease,
     may_take,
 )
+from trefoilhitch.pooler.monitor_order import (
+    PROOF_MISSED_AFTER_S,
+    PROOF_MISSED_STEP_S,
+    missed_after_s,
+)
 from trefoilhitch.pooler.outcome import (
     Attempt,
     Loss,
@@ -419,3 +425,24 @@
     assert Readiness(declared=True, endpoints=True, stopping=False).ready
     assert not Readiness(declared=True, endpoints=False, stopping=False).ready
     assert not Readiness(declared=True, endpoints=True, stopping=True).ready
+
+
+def test_one_node_of_a_data_centre_after_the_other_fetches_a_proof() -> None:
+    nodes = [
+        MemberBeat(
+            node=name,
+            address='',
+            region='',
+            data_centre=name[0],
+            incarnation=1,
+            counter=1,
+            state='live',
+        )
+        for name in ('a1', 'a2', 'b1')
+    ]
+    ages = [missed_after_s(node, nodes) for node in nodes]
+    assert ages == [
+        PROOF_MISSED_AFTER_S,
+        PROOF_MISSED_AFTER_S + PROOF_MISSED_STEP_S,
+        PROOF_MISSED_AFTER_S,
+    ]
--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -3,6 +3,8 @@
 from trio import current_time, open_nursery, sleep
 
 from tests.support import virtual
+from trefoilhitch.platform.object_store import LEASE_KIND
+from trefoilhitch.pooler.lease import LEASE_S
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
@@ -10,6 +12,9 @@
 KEY = 'key-himal'
 # The bound on the time without an acknowledged write.
 GAP_BOUND_S = 11
+# What a change takes once its lease can be had.
+TAKE_OVER_S = 1.5
+SERVICE = 'ledger'
 
 
 def lead_of(stack: WireStack) -> WireEndpoint:
@@ -18,6 +23,12 @@
     return stack.group.lead
 
 
+def lease_holder(stack: WireStack) -> str:
+    """Return the node that has the lease of the service."""
+    kept = stack.stored.by_kind.get(LEASE_KIND, {}).get(SERVICE)
+    return str(kept['spec']['holder']) if kept else ''
+
+
 async def write(stack: WireStack, mark: str, node: str = 'node-1') -> str:
     """Write once in a session of its own; return the code of the answer."""
     async with wire_client(stack.nodes[node].address) as client:
@@ -242,3 +253,27 @@
         assert lead_of(stack) is not old
         assert await write(stack, 'after') == ''
     assert stack.group.lost == []
+
+
+@virtual
+async def test_a_holder_that_stops_delays_a_change_by_its_lease_only() -> None:
+    async with running_wire_stack() as stack:
+        await write(stack, 'before')
+        lead_of(stack).crash()
+        lead_of(stack).leads = False
+        holder = ''
+        while not holder:
+            await sleep(0.01)
+            holder = lease_holder(stack)
+        # It does not release the lease any more.
+        stack.nodes[holder].store.faults.outage = True
+        stack.kill_node(holder)
+        began = current_time()
+        node = next(iter(stack.nodes))
+        number = 0
+        while await write(stack, f'after-{number}', node):
+            number += 1
+            await sleep(0.05)
+        took_s = current_time() - began
+    assert took_s <= LEASE_S + TAKE_OVER_S
+    assert stack.group.lost == []
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -1,6 +1,6 @@
 """The lease under which one node at a time replaces the leads of a service."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 LEASE_S = 4.0
 # The holder stops this much earlier than others may take over.
@@ -60,3 +60,17 @@
     if seen.record.holder in {'', node}:
         return True
     return now >= seen.seen_at + LEASE_S
+
+
+def same_content(first: LeaseRecord, second: LeaseRecord) -> bool:
+    """Tell whether two leases say the same, whatever their revisions.
+
+    Args:
+        first: a lease.
+        second: another one.
+
+    Returns:
+        True if they are of the same attempt and step.
+
+    """
+    return replace(first, revision=0) == replace(second, revision=0)
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -20,7 +20,6 @@
     reason_to_replace,
 )
 from trefoilhitch.pooler.successor import (
-    STORE_TIMEOUT_S,
     Succession,
     SuccessionParts,
     SuccessionStoppedError,
@@ -32,6 +31,8 @@
 # Each further monitor acts this much later than the one before it.
 RANK_DELAY_S = 1.5
 RETRY_PAUSE_S = 0.7
+# How often a monitor whose turn has not come looks at the lease.
+LEASE_LOOK_EVERY_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,7 @@
         self._busy: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._since: dict[str, float] = {}
+        self._look_again_at: dict[str, float] = {}
         self._attempts = count(1)
 
     async def run(self) -> None:
@@ -167,11 +169,28 @@
             since + rank * RANK_DELAY_S, self._pause_until.get(service, 0)
         )
         if now < ready_at:
+            await self._watch_lease(service)
             return
         if reason == Reason.SILENT and not await self._is_silent(service):
             return
         await self._replace(service, reason)
 
+    async def _watch_lease(self, service: str) -> None:
+        """Look who has the lease, so that its end is known when it matters.
+
+        A lease counts as held for its whole time from when this node first saw
+        it, and its holder may stand still.
+        """
+        parts = self._parts.succession
+        now = current_time()
+        if now < self._look_again_at.get(service, 0):
+            return
+        self._look_again_at[service] = now + LEASE_LOOK_EVERY_S
+        try:
+            await self._read_lease(service)
+        except StoreError as exc:
+            parts.log.event('lease_unread', service=service, detail=str(exc))
+
     async def _is_silent(self, service: str) -> bool:
         lead = self._knowledge.lead(service)
         if lead is None:
@@ -207,9 +226,7 @@
         self._parts.publish()
 
     async def _read_lease(self, service: str) -> SeenLease:
-        parts = self._parts.succession
-        deadline = current_time() + STORE_TIMEOUT_S
-        record = await parts.leases.read_lease(service, deadline)
+        record = await self._parts.succession.leases.read(service)
         known = self._seen.get(service)
         if known is None or known.record.revision != record.revision:
             known = SeenLease(record, self._knowledge.clock())
--- a/trefoilhitch/pooler/monitor_order.py
+++ b/trefoilhitch/pooler/monitor_order.py
@@ -6,6 +6,12 @@
 from trefoilhitch._generated.record import PlacementNode
 from trefoilhitch.placement import ranking
 
+# A proof that is older is fetched from the node that watches the lead, by the
+# first node of each data centre. It reaches the others by near talk; each of
+# them fetches it itself if it stays away for so much longer.
+PROOF_MISSED_AFTER_S = 0.75
+PROOF_MISSED_STEP_S = 0.15
+
 
 def monitor_order(
     service: str, data_centre: str, nodes: Sequence[MemberBeat]
@@ -34,3 +40,19 @@
             for beat in nodes
         ],
     )
+
+
+def missed_after_s(own: MemberBeat, nodes: Sequence[MemberBeat]) -> float:
+    """Return the age from which a node fetches a proof itself.
+
+    Args:
+        own: heartbeat of the node.
+        nodes: heartbeats of live nodes, by name.
+
+    Returns:
+        Seconds, more for each further node of a data centre.
+
+    """
+    near = [beat.node for beat in nodes if beat.data_centre == own.data_centre]
+    rank = near.index(own.node) if own.node in near else 0
+    return PROOF_MISSED_AFTER_S + rank * PROOF_MISSED_STEP_S
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -13,11 +13,15 @@
 from trefoilhitch.pooler.fleet_view import FleetView
 from trefoilhitch.pooler.gate import DrainPlan, Readiness
 from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.lease_calls import LeaseCalls
 from trefoilhitch.pooler.link_pool import LinkPool
 from trefoilhitch.pooler.link_runner import LinkRunner
 from trefoilhitch.pooler.monitor import Monitor, MonitorParts
 from trefoilhitch.pooler.outside import NodeTools, Outside
-from trefoilhitch.pooler.peers import PeerAnswerer, PeerParts, PeerTalk
+from trefoilhitch.pooler.peer_answerer import PeerAnswerer
+from trefoilhitch.pooler.peer_calls import PeerCalls
+from trefoilhitch.pooler.peer_parts import PeerParts
+from trefoilhitch.pooler.peer_talk import PeerTalk
 from trefoilhitch.pooler.ports import EndpointDialer
 from trefoilhitch.pooler.rate_book import RateBook
 from trefoilhitch.pooler.service import PoolerService
@@ -26,6 +30,7 @@
 from trefoilhitch.pooler.store_view import StoreView, StoreViewParts
 from trefoilhitch.pooler.successor import SuccessionParts
 from trefoilhitch.pooler.target import EndpointChoice
+from trefoilhitch.pooler.token_questions import TokenQuestions
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 REGISTER_TIMEOUT_S = 1.5
@@ -70,7 +75,8 @@
             dialer=dialer, log=tools.log, metrics=tools.metrics
         )
         self._peer_parts = self._make_peer_parts()
-        self.talk = PeerTalk(self._peer_parts)
+        self._peer_calls = PeerCalls(tools.log)
+        self.talk = PeerTalk(self._peer_parts, self._peer_calls)
         self.peers = PeerAnswerer(self._peer_parts)
         self.service = PoolerService(
             self._session_parts(dialer),
@@ -215,7 +221,7 @@
             node=self._cfg.node,
             knowledge=self._knowledge,
             control=self._control,
-            leases=self._outside.leases,
+            leases=LeaseCalls(self._outside.leases),
             promotion=self._outside.promotion,
             sync_replicas=self._sync_replicas,
             log=self._tools.log,
@@ -249,7 +255,9 @@
         )
         admission = Admission(
             rates=self._rates,
-            tokens=self.talk,
+            tokens=TokenQuestions(
+                fleet=self._fleet, calls=self._peer_calls, clock=tools.clock
+            ),
             clock=tools.clock,
             metrics=tools.metrics,
         )
--- /dev/null
+++ b/trefoilhitch/pooler/peer_parts.py
@@ -0,0 +1,60 @@
+"""What talk between nodes needs, and what a node tells of itself."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from trefoilhitch._generated.peer import Exchange
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.control import EndpointControl
+from trefoilhitch.pooler.declared import Declaration, DeclaredState
+from trefoilhitch.pooler.fleet_view import FleetView
+from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.peer_messages import commit_reports, lead_proofs
+from trefoilhitch.pooler.rate_book import RateBook
+
+PEER_PREFIX = '/v1/pooler'
+
+
+@dataclass(frozen=True, slots=True)
+class PeerParts:
+    """What talk between nodes needs.
+
+    Args:
+        fleet: the nodes.
+        knowledge: endpoints and leads.
+        declared: the declaration in force.
+        rates: this node's shares of rates.
+        control: questions to endpoints.
+        read_declaration: reads a declaration's text.
+        seeds: peer addresses to begin with.
+        log: takes note of what changes.
+
+    """
+
+    fleet: FleetView
+    knowledge: Knowledge
+    declared: DeclaredState
+    rates: RateBook
+    control: EndpointControl
+    read_declaration: Callable[[str], Declaration]
+    seeds: Sequence[str]
+    log: DecisionLog
+
+
+def make_exchange(parts: PeerParts, *, proofs: bool) -> Exchange:
+    """Return what this node tells another.
+
+    Args:
+        parts: what it knows.
+        proofs: whether to tell of leads. Only the one who asked can tell how
+            old a proof is, so that questions carry none without news.
+
+    Returns:
+        The message.
+
+    """
+    return Exchange(
+        beats=parts.fleet.told(),
+        proofs=lead_proofs(parts.knowledge) if proofs else [],
+        commits=commit_reports(parts.knowledge),
+    )
--- a/trefoilhitch/pooler/successor.py
+++ b/trefoilhitch/pooler/successor.py
@@ -19,7 +19,8 @@
     SeenLease,
     may_take,
 )
-from trefoilhitch.pooler.ports import EndpointStatus, LeaseStore, Promotion
+from trefoilhitch.pooler.lease_calls import LeaseCalls
+from trefoilhitch.pooler.ports import EndpointStatus, Promotion
 from trefoilhitch.pooler.succession import (
     FencedEndpoint,
     Reason,
@@ -29,7 +30,6 @@
     next_term,
 )
 
-STORE_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 1.2
 MAX_ORDERS = 4
 # How long the new lead may take to show itself after the order was accepted.
@@ -52,7 +52,7 @@
         node: name of this node.
         knowledge: endpoints and leads.
         control: orders to endpoints.
-        leases: keeps leases.
+        leases: reads and writes leases.
         promotion: orders promotions.
         sync_replicas: returns a service's replicas that hold a commit before
             it is acknowledged.
@@ -64,7 +64,7 @@
     node: str
     knowledge: Knowledge
     control: EndpointControl
-    leases: LeaseStore
+    leases: LeaseCalls
     promotion: Promotion
     sync_replicas: Callable[[str], int]
     log: DecisionLog
@@ -136,8 +136,7 @@
     async def _write_lease(self, lease: LeaseRecord) -> None:
         parts = self._parts
         asked_at = parts.knowledge.clock()
-        deadline = current_time() + STORE_TIMEOUT_S
-        stored = await parts.leases.write_lease(self._service, lease, deadline)
+        stored = await parts.leases.write(self._service, lease)
         if stored is None:
             raise SuccessionStoppedError('the lease changed meanwhile')
         self._lease = stored
