--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -266,7 +266,8 @@
             await sleep(0.01)
             holder = lease_holder(stack)
         # It does not release the lease any more.
-        stack.nodes[holder].store.faults.outage = True
+        store = stack.nodes[holder].store
+        store.faults.outage = True
         stack.kill_node(holder)
         began = current_time()
         node = next(iter(stack.nodes))
