Other nodes are asked earlier; a process that stood still accuses nobody

Change: the first monitor asks after 0.6 s; the lead is still replaced after 1.2 s at the earliest. Change: a missing answer that ended more than 0.3 s after its deadline says nothing of the endpoint. Unused evidence fields are gone.

--- a/trefoilhitch/pooler/knowledge.py
+++ b/trefoilhitch/pooler/knowledge.py
@@ -11,6 +11,7 @@
 from trefoilhitch.pooler.freshness import Observation, Observations
 from trefoilhitch.pooler.leadership import Lead, Leadership
 from trefoilhitch.pooler.succession import LeadEvidence
+from trefoilhitch.pooler.suspension import stood_still
 from trefoilhitch.pooler.target import (
     EndpointChoice,
     ReadNeed,
@@ -136,18 +137,6 @@
         """
         return self._leadership.term(service)
 
-    def proved_lead(self, service: str) -> Lead | None:
-        """Return the proved lead of a service.
-
-        Args:
-            service: its name.
-
-        Returns:
-            The lead, None if nothing is proved.
-
-        """
-        return self._leadership.proved(service)
-
     def prove(
         self,
         lead: Lead,
@@ -205,19 +194,39 @@
             )
             self.announce()
 
-    def question_unanswered(self, service: str, asked_at: float) -> None:
+    def question_unanswered(
+        self, service: str, asked_at: float, patience_s: float = 0
+    ) -> None:
         """Take note that the lead did not answer a question.
 
         Args:
             service: the service.
             asked_at: when the question was sent.
+            patience_s: how long the answer was waited for.
 
         """
+        if self._stood_still(service, asked_at, patience_s):
+            return
         newest = self.observations.newest(service)
         if newest is not None and newest.asked_at >= asked_at:
             return
         self._unanswered.setdefault(service, asked_at)
 
+    def commit_overdue(
+        self, service: str, endpoint: str, sent_at: float, patience_s: float
+    ) -> None:
+        """Take note that the lead did not acknowledge a commit.
+
+        Args:
+            service: the service.
+            endpoint: id of the endpoint.
+            sent_at: when the commit was sent.
+            patience_s: how long the answer was waited for.
+
+        """
+        if not self._stood_still(service, sent_at, patience_s):
+            self.commits.miss(service, endpoint, sent_at)
+
     def evidence(self, service: str, lead: str | None) -> LeadEvidence:
         """Return what is known of a service's lead.
 
@@ -229,12 +238,9 @@
             The evidence.
 
         """
-        newest = self.observations.newest(service)
         track = self.commits.track(service, lead or '')
         return LeadEvidence(
-            proved_at=newest.asked_at if newest else None,
             asked_since=self._unanswered.get(service),
-            committed_at=track.acknowledged_at,
             unacknowledged_since=track.overdue_since,
         )
 
@@ -283,6 +289,20 @@
         """Wait until something changes that a statement may wait for."""
         await self._changed.wait()
 
+    def _stood_still(
+        self, service: str, asked_at: float, patience_s: float
+    ) -> bool:
+        now = self.clock()
+        still = bool(patience_s) and stood_still(asked_at, patience_s, now)
+        if still:
+            self._log.event(
+                'suspicion_dropped',
+                service=service,
+                detail='this process stood still',
+                waited_s=round(now - asked_at, 3),
+            )
+        return still
+
     def _answered(self, service: str, asked_at: float) -> None:
         since = self._unanswered.get(service)
         if since is not None and since <= asked_at:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -8,7 +8,11 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError
-from trefoilhitch.pooler.control import EndpointControl, ask_all
+from trefoilhitch.pooler.control import (
+    CONTROL_TIMEOUT_S,
+    EndpointControl,
+    ask_all,
+)
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.leadership import Lead
 from trefoilhitch.pooler.lease import SeenLease
@@ -31,6 +35,8 @@
 # Each further monitor acts this much later than the one before it.
 RANK_DELAY_S = 1.5
 RETRY_PAUSE_S = 0.7
+# How long it counts that other nodes did not reach a lead.
+OPINION_COUNTS_S = 0.7
 # How often a monitor whose turn has not come looks at the lease.
 LEASE_LOOK_EVERY_S = 0.5
 
@@ -54,6 +60,26 @@
     publish: Callable[[], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Opinion:
+    """What other nodes said of a lead.
+
+    Args:
+        lead: the endpoint.
+        silent: whether nobody reached it as the lead.
+        heard_at: when, on a clock that counts suspended time.
+
+    """
+
+    lead: str
+    silent: bool
+    heard_at: float
+
+    def counts(self, lead: str, now: float) -> bool:
+        recent = now - self.heard_at < OPINION_COUNTS_S
+        return self.silent and recent and self.lead == lead
+
+
 class Monitor:
     """Keeps proofs of leads fresh and replaces leads that are lost.
 
@@ -69,6 +95,7 @@
         self._busy: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._since: dict[str, float] = {}
+        self._opinions: dict[str, _Opinion] = {}
         self._look_again_at: dict[str, float] = {}
         self._attempts = count(1)
 
@@ -130,7 +157,9 @@
         asked_at = self._knowledge.clock()
         status = await self._control.status(endpoint)
         if status is None:
-            self._knowledge.question_unanswered(service, asked_at)
+            self._knowledge.question_unanswered(
+                service, asked_at, CONTROL_TIMEOUT_S
+            )
             return
         self._learn(service, endpoint, status, asked_at)
 
@@ -143,7 +172,9 @@
         for endpoint in leading:
             self._learn(service, endpoint, statuses[endpoint], asked_at)
         if not leading:
-            self._knowledge.question_unanswered(service, asked_at)
+            self._knowledge.question_unanswered(
+                service, asked_at, CONTROL_TIMEOUT_S
+            )
 
     def _learn(
         self,
@@ -163,6 +194,8 @@
         now = current_time()
         if reason is None:
             self._since.pop(service, None)
+            if rank == 0:
+                await self._ask_early(service)
             return
         since = self._since.setdefault(service, now)
         ready_at = max(
@@ -175,6 +208,17 @@
             return
         await self._replace(service, reason)
 
+    async def _ask_early(self, service: str) -> None:
+        """Ask other nodes before the lead has been silent for long enough."""
+        lead = self._knowledge.lead(service)
+        evidence = self._knowledge.evidence(service, lead)
+        if lead is None or not evidence.is_doubted(self._knowledge.clock()):
+            self._opinions.pop(service, None)
+        elif service not in self._opinions:
+            silent = await self._parts.confirm_silence(service, lead)
+            heard_at = self._knowledge.clock()
+            self._opinions[service] = _Opinion(lead, silent, heard_at)
+
     async def _watch_lease(self, service: str) -> None:
         """Look who has the lease, so that its end is known when it matters.
 
@@ -195,6 +239,11 @@
         lead = self._knowledge.lead(service)
         if lead is None:
             return True
+        opinion = self._opinions.pop(service, None)
+        if opinion is not None and opinion.counts(
+            lead, self._knowledge.clock()
+        ):
+            return True
         return await self._parts.confirm_silence(service, lead)
 
     def _reason(self, service: str) -> Reason | None:
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -283,6 +283,7 @@
         self, run: Run, target: Target, pooled: PooledLink
     ) -> Answer | None:
         sent_at = self._knowledge.clock()
+        sent_monotonic = current_time()
         deadline = run.attempt_deadline()
         call = StatementCall(
             run.statement,
@@ -294,12 +295,18 @@
         try:
             found = await self._links.run(pooled, variables, call, deadline)
         except LinkLostError as exc:
-            return self._lost(run, target, exc, sent_at)
+            patience_s = deadline - sent_monotonic
+            return self._lost(run, target, exc, sent_at, patience_s)
         self._knowledge.choice.clear(target.endpoint)
         return await self._judge(run, target, found, sent_at)
 
     def _lost(
-        self, run: Run, target: Target, exc: LinkLostError, sent_at: float
+        self,
+        run: Run,
+        target: Target,
+        exc: LinkLostError,
+        sent_at: float,
+        patience_s: float,
     ) -> Answer | None:
         now = current_time()
         run.loss = exc.loss
@@ -316,9 +323,11 @@
         run.tried.add(target.endpoint)
         service = run.route.service
         if target.endpoint == self._knowledge.lead(service):
-            self._knowledge.question_unanswered(service, sent_at)
+            self._knowledge.question_unanswered(service, sent_at, patience_s)
             if run.writes and exc.loss == Loss.DEADLINE:
-                self._knowledge.commits.miss(service, target.endpoint, sent_at)
+                self._knowledge.commit_overdue(
+                    service, target.endpoint, sent_at, patience_s
+                )
         attempt = Attempt(run.writes, exc.loss)
         return None if attempt.may_repeat else single_lost(attempt)
 
--- a/trefoilhitch/pooler/succession.py
+++ b/trefoilhitch/pooler/succession.py
@@ -16,6 +16,8 @@
 
 # Without proof of the lead for this long, it is asked to show itself.
 PROOF_WANTED_AFTER_S = 0.45
+# After this long without proof of the lead, other nodes are asked.
+DOUBTED_AFTER_S = 0.6
 # A lead that nobody could prove for this long is replaced.
 SILENT_AFTER_S = 1.2
 # A lead that answers, but acknowledged no commit since one was sent this long
@@ -39,20 +41,28 @@
     """What the nodes together know of a service's lead.
 
     Args:
-        proved_at: when the newest question was sent that a lead answered.
         asked_since: when the first question was sent that stays unanswered
             since then, None if none does.
-        committed_at: when the newest commit was sent that was acknowledged.
         unacknowledged_since: when the first commit was sent after it whose
             acknowledgement is overdue, None if there is none.
 
     """
 
-    proved_at: float | None = None
     asked_since: float | None = None
-    committed_at: float | None = None
     unacknowledged_since: float | None = None
 
+    def is_doubted(self, now: float) -> bool:
+        """Tell whether other nodes should be asked about the lead.
+
+        Args:
+            now: monotonic time.
+
+        Returns:
+            True some time before its silence is a reason to replace it.
+
+        """
+        return _passed(self.asked_since, DOUBTED_AFTER_S, now)
+
 
 def reason_to_replace(
     evidence: LeadEvidence,
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -89,7 +89,7 @@
                 opened.pooled, session.variables, call, deadline
             )
         except LinkLostError as exc:
-            return self._lost(session, opened, statement, exc.loss)
+            return self._lost(session, opened, statement, exc.loss, sent_at)
         if found.answer.state == SessionState.IDLE:
             self._ended(session, opened, statement, found.answer, sent_at)
         return found.answer
@@ -116,6 +116,7 @@
         opened: OpenTransaction,
         statement: Statement,
         loss: Loss,
+        sent_at: float,
     ) -> Answer:
         self._log.event(
             'transaction_lost',
@@ -125,10 +126,11 @@
             wrote=opened.wrote,
         )
         service = opened.route.service
-        asked_at = self._knowledge.clock() - opened.route.timeout_s
         committing = statement.verb == Verb.COMMIT and opened.wrote
         if committing and loss == Loss.DEADLINE:
-            self._knowledge.commits.miss(service, opened.endpoint, asked_at)
+            self._knowledge.commit_overdue(
+                service, opened.endpoint, sent_at, opened.route.timeout_s
+            )
         self._discard(session, opened)
         return in_transaction_lost(
             statement.verb, wrote=opened.wrote, loss=loss
