Statements for an endpoint out of reach are not queued

Change: reach, a circuit breaker for each endpoint: after two connections in a row that were not accepted, who waits for it is told at once, and one statement each 0.4 s tries it; a statement without another endpoint waits for news of the lead as before (a quarter of its target) and is refused. A busy endpoint that accepts, or one that is over its limit, does not count. Run is a module of its own.

--- a/trefoilhitch/platform/endpoint_link.py
+++ b/trefoilhitch/platform/endpoint_link.py
@@ -25,6 +25,7 @@
 from trefoilhitch.pooler.ports import (
     Command,
     EndpointStatus,
+    EndpointUnreachableError,
     LinkLostError,
     LinkRefusedError,
 )
@@ -175,7 +176,8 @@
             The connection.
 
         Raises:
-            LinkLostError: no connection.
+            EndpointUnreachableError: the endpoint did not accept in time.
+            LinkLostError: no connection for another cause.
             LinkRefusedError: the endpoint refused.
 
         """
@@ -186,7 +188,7 @@
             with CancelScope(deadline=deadline):
                 stream = await _connect(record, connect_by)
                 return await _start(stream, record, organisation)
-        except (OSError, ByteStreamError, WireError) as exc:
+        except (ByteStreamError, WireError) as exc:
             raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: {exc}') from exc
         raise LinkLostError(Loss.NOT_SENT, f'{endpoint}: no connection in time')
 
@@ -239,10 +241,14 @@
 
 
 async def _connect(record: EndpointRecord, connect_by: float) -> ByteStream:
-    with CancelScope(deadline=connect_by):
-        return await open_stream(record.address)
-    raise LinkLostError(
-        Loss.NOT_SENT, f'{record.endpoint}: not accepted in time'
+    name = record.endpoint
+    try:
+        with CancelScope(deadline=connect_by):
+            return await open_stream(record.address)
+    except OSError as exc:
+        raise EndpointUnreachableError(Loss.NOT_SENT, f'{name}: {exc}') from exc
+    raise EndpointUnreachableError(
+        Loss.NOT_SENT, f'{name}: not accepted in time'
     )
 
 
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -17,9 +17,10 @@
 from trefoilhitch.pooler.catalogue import Catalogue, Route
 from trefoilhitch.pooler.declared import DeclaredState
 from trefoilhitch.pooler.knowledge import Knowledge
+from trefoilhitch.pooler.run import Run
 from trefoilhitch.pooler.session import SessionData, Trace
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
-from trefoilhitch.pooler.statement_runner import Run, StatementRunner
+from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 PUBLIC_ORGANISATION = 'public'
--- a/trefoilhitch/pooler/knowledge.py
+++ b/trefoilhitch/pooler/knowledge.py
@@ -10,6 +10,7 @@
 from trefoilhitch.pooler.endpoint_book import EndpointBook, EndpointRecord
 from trefoilhitch.pooler.freshness import Observation, Observations
 from trefoilhitch.pooler.leadership import Lead, Leadership
+from trefoilhitch.pooler.reach import Reach
 from trefoilhitch.pooler.succession import LeadEvidence
 from trefoilhitch.pooler.suspension import stood_still
 from trefoilhitch.pooler.target import (
@@ -51,6 +52,7 @@
         self.observations = Observations()
         self.commits = Commits()
         self.choice = choice
+        self.reach = Reach()
         self.clock = clock
         self._leadership = Leadership()
         self._log = log
@@ -280,6 +282,17 @@
         """
         return self.book.get(endpoint)
 
+    def reached(self, endpoint: str) -> None:
+        """Take note that an endpoint answered this node.
+
+        Args:
+            endpoint: its id.
+
+        """
+        self.choice.clear(endpoint)
+        if self.reach.succeed(endpoint):
+            self.announce()
+
     def announce(self) -> None:
         """Wake whoever waits for a change."""
         self._changed.set()
--- a/trefoilhitch/pooler/link_pool.py
+++ b/trefoilhitch/pooler/link_pool.py
@@ -1,7 +1,7 @@
 """Endpoint connections, bound to an organisation, used by one at a time."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from trio import Event, current_time, move_on_at
 
@@ -30,6 +30,12 @@
     deadline: float
 
 
+@dataclass(slots=True)
+class _Turn:
+    begun: Event = field(default_factory=Event)
+    dismissed: bool = False
+
+
 class LinkPool:
     """Keeps connections by endpoint, within this node's part of their number.
 
@@ -52,7 +58,7 @@
         self._cap = cap
         self._metrics = metrics
         self._shelves: dict[str, LinkShelf] = {}
-        self._turns: dict[Ticket, Event] = {}
+        self._turns: dict[Ticket, _Turn] = {}
 
     async def acquire(
         self,
@@ -109,6 +115,17 @@
         if shelf is not None:
             shelf.trim(0)
 
+    def dismiss(self, endpoint: str) -> None:
+        """Tell all who wait for a connection that there is none.
+
+        Args:
+            endpoint: id of an endpoint that is out of reach.
+
+        """
+        for ticket in self._shelves[endpoint].dismiss():
+            self._turns[ticket].dismissed = True
+            self._wake(ticket)
+
     def trim(self) -> None:
         """Close idle connections beyond this node's part of their number."""
         for endpoint, shelf in self._shelves.items():
@@ -136,20 +153,22 @@
     ) -> Ticket | None:
         """Wait for a turn; None if it did not come in time."""
         ticket = Ticket(user.organisation, deadline)
-        turn = Event()
+        turn = _Turn()
         self._turns[ticket] = turn
         shelf.join(ticket, current_time())
         try:
             with move_on_at(deadline):
-                await turn.wait()
+                await turn.begun.wait()
         except BaseException:
-            if turn.is_set():
+            if turn.begun.is_set() and not turn.dismissed:
                 self._decline(shelf, user.endpoint, ticket)
             raise
         finally:
             self._turns.pop(ticket)
             shelf.leave(ticket)
-        return ticket if turn.is_set() else None
+        if turn.dismissed:
+            raise LinkLostError(Loss.NOT_SENT, 'the endpoint is out of reach')
+        return ticket if turn.begun.is_set() else None
 
     async def _dial(self, shelf: LinkShelf, user: _User) -> PooledLink:
         pooled = None
@@ -184,4 +203,4 @@
 
     def _wake(self, ticket: Ticket | None) -> None:
         if ticket is not None:
-            self._turns[ticket].set()
+            self._turns[ticket].begun.set()
--- a/trefoilhitch/pooler/link_shelf.py
+++ b/trefoilhitch/pooler/link_shelf.py
@@ -182,6 +182,18 @@
             self._give(ticket, None)
         return ticket
 
+    def dismiss(self) -> list[Ticket]:
+        """Remove all users that wait.
+
+        Returns:
+            The users, who get no connection.
+
+        """
+        waiting = list(self._waiting_since)
+        for ticket in waiting:
+            self.leave(ticket)
+        return waiting
+
     def trim(self, cap: int) -> None:
         """Close idle connections beyond a number.
 
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -61,6 +61,10 @@
         self.loss = loss
 
 
+class EndpointUnreachableError(LinkLostError):
+    """The endpoint accepted no connection; nothing was sent."""
+
+
 class LinkRefusedError(TrefoilhitchError):
     """An endpoint refused to open a connection.
 
@@ -130,7 +134,8 @@
             The connection.
 
         Raises:
-            LinkLostError: no connection.
+            EndpointUnreachableError: the endpoint did not accept in time.
+            LinkLostError: no connection for another cause.
             LinkRefusedError: the endpoint refused.
 
         """
--- /dev/null
+++ b/trefoilhitch/pooler/run.py
@@ -0,0 +1,108 @@
+"""One statement on its way to an answer."""
+
+from dataclasses import dataclass, field
+
+from trio import current_time
+
+from trefoilhitch.pooler.catalogue import Route
+from trefoilhitch.pooler.outcome import Loss
+from trefoilhitch.pooler.session import SessionData
+from trefoilhitch.pooler.statement import Statement, Verb
+from trefoilhitch.pooler.target import ReadNeed
+
+# Part of a statement's time that one read may wait for one endpoint, so that
+# another one can still be asked.
+READ_ATTEMPT_PART = 0.6
+# Part of a statement's time for which it waits for a lead that is about to be
+# there.
+WAIT_PART = 0.7
+# Part of an operation's target latency after which it is refused if there is
+# no endpoint that could be asked.
+REFUSE_PART = 0.24
+
+
+@dataclass(slots=True)
+class Run:
+    """One statement on its way to an answer.
+
+    Args:
+        session: whose it is.
+        statement: the statement.
+        route: how its database is served.
+        deadline: monotonic time by which it is answered.
+        wait_until: monotonic time until which it waits for a lead that is
+            about to be there.
+        refuse_at: monotonic time after which it is refused if no endpoint
+            could be asked.
+        writes: whether it may change data.
+        tried: endpoints that could not run it as a read.
+        attempts: how often it was tried.
+        loss: how the last attempt was lost.
+        lead_failures: how often the lead could not be reached.
+
+    """
+
+    session: SessionData
+    statement: Statement
+    route: Route
+    deadline: float
+    wait_until: float
+    refuse_at: float
+    writes: bool
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    loss: Loss = Loss.NOT_SENT
+    lead_failures: int = 0
+
+    @classmethod
+    def from_statement(
+        cls,
+        session: SessionData,
+        statement: Statement,
+        route: Route,
+    ) -> 'Run':
+        """Start the way of a statement.
+
+        Args:
+            session: whose it is.
+            statement: the statement.
+            route: how its database is served.
+
+        Returns:
+            The run.
+
+        """
+        now = current_time()
+        return cls(
+            session,
+            statement,
+            route,
+            deadline=now + route.timeout_s,
+            wait_until=now + route.timeout_s * WAIT_PART,
+            refuse_at=now + route.target_latency_s * REFUSE_PART,
+            writes=session.access(statement) == 'write',
+        )
+
+    @property
+    def reads(self) -> bool:
+        """Whether it may run on a replica."""
+        if self.statement.verb == Verb.BEGIN:
+            return self.statement.read_only
+        return not self.writes
+
+    def need(self, asked_at: float) -> ReadNeed:
+        """Return what it asks for as a read.
+
+        Args:
+            asked_at: when it is about to be sent, on the ages' clock.
+
+        """
+        own = self.session.own_position(self.route.service)
+        return ReadNeed(self.route, asked_at, own)
+
+    def attempt_deadline(self) -> float:
+        """Return by when the present attempt is given up."""
+        if not self.reads:
+            return self.deadline
+        span = self.route.timeout_s * READ_ATTEMPT_PART
+        return min(self.deadline, current_time() + span)
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -1,14 +1,12 @@
 """Runs single statements: choice of endpoint, proof, repetition, outcome."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from trio import current_time, move_on_at, sleep
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.answer import Answer, Refusal, refused
-from trefoilhitch.pooler.catalogue import Route
 from trefoilhitch.pooler.knowledge import (
     AVOID_CLOSED_S,
     AVOID_LAGGING_S,
@@ -31,117 +29,22 @@
 from trefoilhitch.pooler.pooled_link import PooledLink
 from trefoilhitch.pooler.ports import (
     EndpointStatus,
+    EndpointUnreachableError,
     LinkLostError,
     LinkRefusedError,
 )
-from trefoilhitch.pooler.session import SessionData, Trace
-from trefoilhitch.pooler.statement import Statement, Verb
-from trefoilhitch.pooler.target import ReadNeed, Target
+from trefoilhitch.pooler.run import Run
+from trefoilhitch.pooler.session import Trace
+from trefoilhitch.pooler.target import Target
 
 MAX_ATTEMPTS = 8
 # A lead that could not be reached once may have lost a packet.
 MAX_LEAD_FAILURES = 2
 # Pause before a busy endpoint is asked again.
 BUSY_PAUSE_S = 0.03
-# Part of a statement's time that one read may wait for one endpoint, so that
-# another one can still be asked.
-READ_ATTEMPT_PART = 0.6
-# Part of a statement's time for which it waits for a lead that is about to be
-# there.
-WAIT_PART = 0.7
-# Part of an operation's target latency after which it is refused if there is
-# no endpoint that could be asked.
-REFUSE_PART = 0.24
 _MS_PER_S = 1000
 
 
-@dataclass(slots=True)
-class Run:
-    """One statement on its way to an answer.
-
-    Args:
-        session: whose it is.
-        statement: the statement.
-        route: how its database is served.
-        deadline: monotonic time by which it is answered.
-        wait_until: monotonic time until which it waits for a lead that is
-            about to be there.
-        refuse_at: monotonic time after which it is refused if no endpoint
-            could be asked.
-        writes: whether it may change data.
-        tried: endpoints that could not run it as a read.
-        attempts: how often it was tried.
-        loss: how the last attempt was lost.
-        lead_failures: how often the lead could not be reached.
-
-    """
-
-    session: SessionData
-    statement: Statement
-    route: Route
-    deadline: float
-    wait_until: float
-    refuse_at: float
-    writes: bool
-    tried: set[str] = field(default_factory=set)
-    attempts: int = 0
-    loss: Loss = Loss.NOT_SENT
-    lead_failures: int = 0
-
-    @classmethod
-    def from_statement(
-        cls,
-        session: SessionData,
-        statement: Statement,
-        route: Route,
-    ) -> 'Run':
-        """Start the way of a statement.
-
-        Args:
-            session: whose it is.
-            statement: the statement.
-            route: how its database is served.
-
-        Returns:
-            The run.
-
-        """
-        now = current_time()
-        return cls(
-            session,
-            statement,
-            route,
-            deadline=now + route.timeout_s,
-            wait_until=now + route.timeout_s * WAIT_PART,
-            refuse_at=now + route.target_latency_s * REFUSE_PART,
-            writes=session.access(statement) == 'write',
-        )
-
-    @property
-    def reads(self) -> bool:
-        """Whether it may run on a replica."""
-        if self.statement.verb == Verb.BEGIN:
-            return self.statement.read_only
-        return not self.writes
-
-    def need(self, asked_at: float) -> ReadNeed:
-        """Return what it asks for as a read.
-
-        Args:
-            asked_at: when it is about to be sent, on the ages' clock.
-
-        """
-        own = self.session.own_position(self.route.service)
-        return ReadNeed(self.route, asked_at, own)
-
-    def attempt_deadline(self) -> float:
-        """Return by when the present attempt is given up."""
-        if not self.reads:
-            return self.deadline
-        span = self.route.timeout_s * READ_ATTEMPT_PART
-        return min(self.deadline, current_time() + span)
-
-
 class StatementRunner:
     """Finds an endpoint for a statement and brings back its answer.
 
@@ -200,13 +103,19 @@
     async def _find_target(self, run: Run) -> Target | None:
         while True:
             target = self._choose(run)
+            if target is not None and self._may_try(target):
+                return target
             expects = self._knowledge.expects_lead(run.route.service)
             limit = run.wait_until if expects else run.refuse_at
-            if target is not None or current_time() >= limit:
-                return target
+            if current_time() >= limit:
+                return None
             with move_on_at(limit):
                 await self._knowledge.wait_for_change()
 
+    def _may_try(self, target: Target) -> bool:
+        reach = self._knowledge.reach
+        return reach.may_try(target.endpoint, current_time())
+
     def _choose(self, run: Run) -> Target | None:
         if run.reads:
             return self._knowledge.reading(
@@ -273,12 +182,19 @@
         failed_before = self._knowledge.choice.is_avoided(target.endpoint, now)
         if isinstance(exc, LinkLostError):
             self._knowledge.choice.avoid(target.endpoint, now + AVOID_SILENT_S)
+        if isinstance(exc, EndpointUnreachableError):
+            self._unreachable(target.endpoint, now)
         if target.endpoint == self._knowledge.lead(run.route.service):
             asked_at = self._knowledge.clock()
             self._knowledge.question_unanswered(run.route.service, asked_at)
             run.lead_failures += MAX_LEAD_FAILURES if failed_before else 1
             await sleep(BUSY_PAUSE_S)
 
+    def _unreachable(self, endpoint: str, now: float) -> None:
+        if self._knowledge.reach.fail(endpoint, now):
+            self._log.event('endpoint_out_of_reach', endpoint=endpoint)
+            self._pool.dismiss(endpoint)
+
     async def _run_on(
         self, run: Run, target: Target, pooled: PooledLink
     ) -> Answer | None:
@@ -297,7 +213,7 @@
         except LinkLostError as exc:
             patience_s = deadline - sent_monotonic
             return self._lost(run, target, exc, sent_at, patience_s)
-        self._knowledge.choice.clear(target.endpoint)
+        self._knowledge.reached(target.endpoint)
         return await self._judge(run, target, found, sent_at)
 
     def _lost(
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -19,9 +19,10 @@
 from trefoilhitch.pooler.outcome import Loss, in_transaction_lost
 from trefoilhitch.pooler.pooled_link import PooledLink
 from trefoilhitch.pooler.ports import LinkLostError
+from trefoilhitch.pooler.run import Run
 from trefoilhitch.pooler.session import OpenTransaction, SessionData, Trace
 from trefoilhitch.pooler.statement import Statement, Verb
-from trefoilhitch.pooler.statement_runner import Run, StatementRunner
+from trefoilhitch.pooler.statement_runner import StatementRunner
 
 
 class TransactionRunner:
