--- a/trefoilhitch/pooler/answer.py
+++ b/trefoilhitch/pooler/answer.py
@@ -1,6 +1,6 @@
 """What a statement is answered with."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import Enum
 
 from trefoilhitch._generated.messages import LogPosition
@@ -76,18 +76,6 @@
         """Whether the statement succeeded."""
         return self.refusal is None
 
-    def in_state(self, state: SessionState) -> 'Answer':
-        """Return the answer with another state.
-
-        Args:
-            state: state of the session.
-
-        Returns:
-            The answer.
-
-        """
-        return replace(self, state=state)
-
 
 def refused(
     refusal: Refusal,
--- a/trefoilhitch/pooler/commits.py
+++ b/trefoilhitch/pooler/commits.py
@@ -2,9 +2,6 @@
 
 from dataclasses import dataclass, replace
 
-# An acknowledgement that takes longer than this is overdue.
-OVERDUE_S = 0.7
-
 
 @dataclass(frozen=True, slots=True)
 class CommitTrack:
--- a/trefoilhitch/pooler/declared.py
+++ b/trefoilhitch/pooler/declared.py
@@ -1,6 +1,6 @@
 """The catalogue in force on this node, which never goes back."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from trefoilhitch.pooler.catalogue import Catalogue
@@ -45,11 +45,6 @@
         """Catalogue in force, None if there is none."""
         return self._declaration.catalogue if self._declaration else None
 
-    @property
-    def listeners(self) -> Sequence[Listener]:
-        """Whoever is told of a new catalogue."""
-        return tuple(self._listeners)
-
     def tell(self, listener: Listener) -> None:
         """Tell someone of each new catalogue.
 
--- a/trefoilhitch/pooler/leadership.py
+++ b/trefoilhitch/pooler/leadership.py
@@ -88,18 +88,6 @@
         known = self._proved.get(service) or self._deposed.get(service)
         return known.term if known else 0
 
-    def proved(self, service: str) -> Lead | None:
-        """Return the proved lead of a service.
-
-        Args:
-            service: its name.
-
-        Returns:
-            The lead, or None if there is none.
-
-        """
-        return self._proved.get(service)
-
     def current(
         self, service: str, members: Sequence[EndpointRecord]
     ) -> str | None:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -13,6 +13,7 @@
     EndpointControl,
     ask_all,
 )
+from trefoilhitch.pooler.held_lease import SuccessionStoppedError
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.leadership import Lead
 from trefoilhitch.pooler.lease import SeenLease
@@ -26,7 +27,6 @@
 from trefoilhitch.pooler.successor import (
     Succession,
     SuccessionParts,
-    SuccessionStoppedError,
 )
 
 CHECK_EVERY_S = 0.15
--- a/trefoilhitch/pooler/rates.py
+++ b/trefoilhitch/pooler/rates.py
@@ -8,18 +8,22 @@
 What restarts may add to it is bounded in `rate_limit`.
 """
 
-from collections import deque
-from dataclasses import dataclass, field
-from math import ceil
-
+from trefoilhitch.pooler.rate_ledger import (
+    Bucket,
+    Demand,
+    Gift,
+    Purse,
+    Spent,
+    Window,
+)
 from trefoilhitch.pooler.rate_limit import (
     LANDING_PART,
     RESTART_S,
     RateLimit,
 )
 
+# Tokens of another node are void after this time.
 GIFT_S = 0.5
-DEMAND_HALF_LIFE_S = 1.0
 # A node keeps what its own clients will ask for in this time.
 RESERVE_S = 0.25
 # A node whose clients ask for more than it gets keeps as much as they will
@@ -28,122 +32,9 @@
 # A node that runs short asks for what its clients will ask for in this time.
 ASK_AHEAD_S = 0.2
 LEAST_GIFT = 0.1
-# What is spent within this time is counted together, as if spent at its end.
-COUNTED_S = 0.1
 _ROUNDING = 1e-9
 
 
-@dataclass(frozen=True, slots=True)
-class Gift:
-    """Tokens that another node gave up.
-
-    Args:
-        tokens: how many are left of them.
-        void_at: time after which they must not be spent.
-
-    """
-
-    tokens: float
-    void_at: float
-
-
-@dataclass(slots=True)
-class _Demand:
-    measured_at: float
-    asked: int = 0
-    per_s: float = 0
-
-    def update(self, now: float) -> None:
-        elapsed = now - self.measured_at
-        if elapsed < RESERVE_S:
-            return
-        weight = 0.5 ** (elapsed / DEMAND_HALF_LIFE_S)
-        recent = self.asked / elapsed
-        self.per_s = weight * self.per_s + (1 - weight) * recent
-        self.asked = 0
-        self.measured_at = now
-
-
-@dataclass(slots=True)
-class _Bucket:
-    """Paces what is spent."""
-
-    per_s: float = 0
-    size: float = 0
-    tokens: float = 0
-    filled_at: float = 0
-
-    def fill(self, now: float) -> None:
-        elapsed = max(0, now - self.filled_at)
-        self.filled_at = max(now, self.filled_at)
-        self.tokens = min(self.size, self.tokens + elapsed * self.per_s)
-
-
-@dataclass(frozen=True, slots=True)
-class _Spent:
-    tokens: float
-    # The same as a part of the limit that was then in force.
-    part: float
-    counts_until: float
-
-
-@dataclass(slots=True)
-class _Window:
-    """Counts what was spent in the span that ends now."""
-
-    used: float = 0
-    used_part: float = 0
-    _spent: deque[_Spent] = field(default_factory=deque)
-
-    @property
-    def is_empty(self) -> bool:
-        return not self._spent
-
-    def add(self, spent: _Spent) -> None:
-        self.used += spent.tokens
-        self.used_part += spent.part
-        until = ceil(spent.counts_until / COUNTED_S) * COUNTED_S
-        if self._spent and self._spent[-1].counts_until >= until:
-            last = self._spent.pop()
-            spent = _Spent(
-                last.tokens + spent.tokens,
-                last.part + spent.part,
-                last.counts_until,
-            )
-            self._spent.append(spent)
-        else:
-            self._spent.append(_Spent(spent.tokens, spent.part, until))
-
-    def expire(self, now: float) -> None:
-        while self._spent and self._spent[0].counts_until <= now:
-            spent = self._spent.popleft()
-            self.used -= spent.tokens
-            self.used_part -= spent.part
-
-
-@dataclass(slots=True)
-class _Purse:
-    gifts: deque[Gift] = field(default_factory=deque)
-
-    def drop_void(self, now: float) -> None:
-        while self.gifts and self.gifts[0].void_at <= now:
-            self.gifts.popleft()
-
-    def total(self) -> float:
-        return sum(gift.tokens for gift in self.gifts)
-
-    def take(self, wanted: float) -> float:
-        """Spend up to some tokens, those that are void first first."""
-        taken: float = 0
-        while self.gifts and taken < wanted:
-            gift = self.gifts.popleft()
-            used = min(gift.tokens, wanted - taken)
-            taken += used
-            if gift.tokens > used:
-                self.gifts.appendleft(Gift(gift.tokens - used, gift.void_at))
-        return taken
-
-
 class RateShare:
     """One node's part of one organisation's rate.
 
@@ -160,11 +51,11 @@
         # The limit that is being left, and the time since when.
         self._higher: RateLimit | None = None
         self._lowered_at: float = 0
-        self._window = _Window()
-        self._purse = _Purse()
-        self._demand = _Demand(measured_at=now)
+        self._window = Window()
+        self._purse = Purse()
+        self._demand = Demand(measured_at=now)
         # An earlier process may have spent what there was until its end.
-        self._bucket = _Bucket(filled_at=now - RESTART_S)
+        self._bucket = Bucket(filled_at=now - RESTART_S)
 
     def configure(self, limit: RateLimit, nodes: int, now: float) -> None:
         """Take over a limit and the number of nodes that share it.
@@ -314,4 +205,4 @@
         part = tokens / present.operations
         counts_until = spent_by + present.window_s
         self._bucket.tokens -= tokens
-        self._window.add(_Spent(tokens, part, counts_until))
+        self._window.add(Spent(tokens, part, counts_until))
--- a/trefoilhitch/pooler/successor.py
+++ b/trefoilhitch/pooler/successor.py
@@ -1,24 +1,19 @@
 """Replaces the lead of a service: lease, fence, choose, order, confirm."""
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 
 from trio import current_time, sleep
 
 from trefoilhitch.decision_log import DecisionLog
-from trefoilhitch.errors import StoreUnavailableError, TrefoilhitchError
+from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.control import EndpointControl, ask_all
+from trefoilhitch.pooler.held_lease import HeldLease, SuccessionStoppedError
 from trefoilhitch.pooler.knowledge import Knowledge
 from trefoilhitch.pooler.leadership import Lead
-from trefoilhitch.pooler.lease import (
-    LEASE_MARGIN_S,
-    LEASE_S,
-    LeaseRecord,
-    SeenLease,
-    may_take,
-)
+from trefoilhitch.pooler.lease import SeenLease
 from trefoilhitch.pooler.lease_calls import LeaseCalls
 from trefoilhitch.pooler.ports import EndpointStatus, Promotion
 from trefoilhitch.pooler.succession import (
@@ -40,10 +35,6 @@
 SETTLE_S = 0.1
 
 
-class SuccessionStoppedError(TrefoilhitchError):
-    """A replacement of a lead was given up."""
-
-
 @dataclass(frozen=True, slots=True)
 class SuccessionParts:
     """What replacing a lead needs.
@@ -95,8 +86,13 @@
         self._service = service
         self._reason = reason
         self._attempt = attempt
-        self._lease = LeaseRecord()
-        self._lease_ends_at = current_time()
+        self._held = HeldLease(
+            parts.leases,
+            service=service,
+            node=parts.node,
+            clock=parts.knowledge.clock,
+            log=parts.log,
+        )
         self._fenced: set[str] = set()
         self._ordered = False
         self._answered = False
@@ -112,42 +108,18 @@
             StoreUnavailableError: the store or the platform did not answer.
 
         """
-        await self._take_lease(seen)
+        await self._held.take(seen, self._attempt)
         try:
             await self._replace()
         finally:
             if not self._ordered:
                 await self._undo()
-            await self._release()
-
-    async def _take_lease(self, seen: SeenLease) -> None:
-        parts = self._parts
-        if not may_take(seen, parts.node, parts.knowledge.clock()):
-            raise SuccessionStoppedError(f'{seen.record.holder} has the lease')
-        await self._write_lease(
-            replace(
-                seen.record,
-                token=seen.record.token + 1,
-                holder=parts.node,
-                attempt=self._attempt,
-            )
-        )
+            await self._held.release(keep_candidate=self._is_pending)
 
-    async def _write_lease(self, lease: LeaseRecord) -> None:
-        parts = self._parts
-        asked_at = parts.knowledge.clock()
-        stored = await parts.leases.write(self._service, lease)
-        if stored is None:
-            raise SuccessionStoppedError('the lease changed meanwhile')
-        self._lease = stored
-        self._lease_ends_at = asked_at + LEASE_S - LEASE_MARGIN_S
-        parts.log.event(
-            'lease_written',
-            service=self._service,
-            token=stored.token,
-            candidate=stored.candidate,
-            revision=stored.revision,
-        )
+    @property
+    def _is_pending(self) -> bool:
+        """Whether an order may still be carried out."""
+        return self._ordered and not self._answered
 
     async def _replace(self) -> None:
         knowledge = self._parts.knowledge
@@ -246,7 +218,7 @@
     ) -> FencedEndpoint:
         sync = self._parts.sync_replicas(self._service)
         names = [each.endpoint for each in fenced]
-        pending = self._lease.candidate
+        pending = self._held.lease.candidate
         chosen = acknowledged_successor(fenced, ids, sync, unusable)
         if chosen is None and holds_every_commit(names, lead, ids, sync):
             chosen = choose_successor(fenced, unusable, lead)
@@ -260,15 +232,14 @@
 
     async def _order(self, endpoint: str) -> None:
         parts = self._parts
-        await self._write_lease(replace(self._lease, candidate=endpoint))
+        await self._held.name_candidate(endpoint)
         for _ in range(MAX_ORDERS):
-            if parts.knowledge.clock() >= self._lease_ends_at:
-                raise SuccessionStoppedError('the lease ran out')
+            self._held.require()
             self._ordered = True
             deadline = current_time() + ORDER_TIMEOUT_S
             try:
                 accepted = await parts.promotion.promote(
-                    self._service, endpoint, self._lease.token, deadline
+                    self._service, endpoint, self._held.lease.token, deadline
                 )
             except StoreUnavailableError as exc:
                 await self._repeat_order(endpoint, exc)
@@ -285,19 +256,17 @@
             'promotion_unanswered',
             service=self._service,
             endpoint=endpoint,
-            token=self._lease.token,
+            token=self._held.lease.token,
             detail=str(exc),
         )
-        await self._write_lease(
-            replace(self._lease, token=self._lease.token + 1)
-        )
+        await self._held.raise_token()
 
     def _note_order(self, endpoint: str, *, accepted: bool) -> None:
         self._parts.log.event(
             'promotion_ordered',
             service=self._service,
             endpoint=endpoint,
-            token=self._lease.token,
+            token=self._held.lease.token,
             reason=self._reason.value,
             accepted=accepted,
         )
@@ -326,13 +295,6 @@
     async def _undo(self) -> None:
         await ask_all(sorted(self._fenced), self._parts.control.unfence)
 
-    async def _release(self) -> None:
-        if self._ordered and not self._answered:
-            # The order may still be carried out: whoever is next must know.
-            await self._write_lease(replace(self._lease, holder=''))
-            return
-        await self._write_lease(replace(self._lease, holder='', candidate=''))
-
 
 def _leading(statuses: dict[str, EndpointStatus]) -> str | None:
     leading = [name for name, status in statuses.items() if status.leads]
