trefoilhitch explain: what decided a request, from the nodes' logs

It prints the request's own lines, those of its endpoints, services and nodes in the seconds around it, and the declaration that was in force, by time.

--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -26,6 +26,7 @@
     TrefoilhitchError,
 )
 from trefoilhitch.exit_code import ExitCode
+from trefoilhitch.explain_command import Explain
 from trefoilhitch.failing import failing
 from trefoilhitch.ini import IniFile
 from trefoilhitch.keyring import create_key
@@ -329,6 +330,7 @@
         | Drain
         | KeyCommand
         | TraceCommand
+        | Explain
     ]
 
 
--- /dev/null
+++ b/trefoilhitch/explain_command.py
@@ -0,0 +1,56 @@
+"""`trefoilhitch explain`: a request's way through the logs."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from trefoilhitch.exit_code import ExitCode
+from trefoilhitch.failing import failing
+from trefoilhitch.log_story import read_events, tell_story
+
+AROUND_S = 3.0
+
+
+@cappa.command(name='explain')
+@dataclass(frozen=True)
+class Explain:
+    """Show what decided a request, from the logs of the nodes."""
+
+    request: Annotated[str, cappa.Arg(help="the request's id")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help='logs of nodes, JSON lines', num_args=-1)
+    ] = field(default_factory=list)
+    around: Annotated[
+        float,
+        cappa.Arg(long='--around', help='seconds before and after the request'),
+    ] = AROUND_S
+
+    def __call__(self) -> None:
+        """Print the events; the request's own are marked."""
+        story = tell_story(
+            read_events(self._lines()),
+            self.request,
+            timedelta(seconds=self.around),
+        )
+        if not story:
+            raise failing(
+                f'{self.request}: not in these logs', ExitCode.REFUSED
+            )
+        for event in story:
+            own = event.fields.get('request') == self.request
+            mark = '*' if own else ' '
+            print(f'{mark} {event.render()}')
+
+    def _lines(self) -> Iterator[str]:
+        for path in self.logs:
+            try:
+                with path.open(errors='replace') as lines:
+                    yield from lines
+            except OSError as exc:
+                raise failing(
+                    f'{path}: {exc.strerror}', ExitCode.USAGE
+                ) from exc
