A question to a dark lead holds up no judgement

Change: questions and judgements of a service run beside each other; while its lead is replaced none is asked, as before.

--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -5,6 +5,7 @@
 from tests.support import virtual
 from trefoilhitch.platform.object_store import LEASE_KIND
 from trefoilhitch.pooler.lease import LEASE_S
+from trefoilhitch.pooler.succession import SILENT_AFTER_S
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
@@ -12,6 +13,11 @@
 KEY = 'key-himal'
 # The bound on the time without an acknowledged write.
 GAP_BOUND_S = 11
+# The aim for it.
+AIM_S = 3
+# What a change takes from its reason to the order: two questions that a dark
+# endpoint does not answer, and calls of the store and the platform.
+STEPS_S = 1.2
 # What a change takes once its lease can be had.
 TAKE_OVER_S = 1.5
 SERVICE = 'ledger'
@@ -278,3 +284,21 @@
         took_s = current_time() - began
     assert took_s <= LEASE_S + TAKE_OVER_S
     assert stack.group.lost == []
+
+
+@virtual
+async def test_a_dark_lead_is_replaced_within_the_aim() -> None:
+    async with running_wire_stack() as stack:
+        await write(stack, 'before')
+        old = lead_of(stack)
+        old.faults.silent = True
+        old.faults.cut_from_group = True
+        began = current_time()
+        async with open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(write, stack, f'meanwhile-{number}')
+            while lead_of(stack) is old:
+                await sleep(0.02)
+            took_s = current_time() - began
+    assert took_s <= min(AIM_S, SILENT_AFTER_S + STEPS_S)
+    assert stack.group.lost == []
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -40,6 +40,8 @@
 # How often a monitor whose turn has not come looks at the lease.
 LEASE_LOOK_EVERY_S = 0.5
 
+_Task = Callable[[str, int], Awaitable[None]]
+
 
 @dataclass(frozen=True, slots=True)
 class MonitorParts:
@@ -92,7 +94,9 @@
         """Start knowing of no lease."""
         self._parts = parts
         self._seen: dict[str, SeenLease] = {}
-        self._busy: set[str] = set()
+        self._probing: set[str] = set()
+        self._judging: set[str] = set()
+        self._replacing: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._since: dict[str, float] = {}
         self._opinions: dict[str, _Opinion] = {}
@@ -117,9 +121,23 @@
     def _start_watches(self, nursery: Nursery) -> None:
         for service in self._knowledge.book.services():
             rank = self._rank(service)
-            if rank < MONITORS and service not in self._busy:
-                self._busy.add(service)
-                nursery.start_soon(self._watch, service, rank)
+            if rank >= MONITORS:
+                continue
+            # A question that a dark lead does not answer holds up no judgement.
+            self._start(nursery, self._probe, self._probing, service, rank)
+            self._start(nursery, self._judge, self._judging, service, rank)
+
+    def _start(
+        self,
+        nursery: Nursery,
+        task: _Task,
+        running: set[str],
+        service: str,
+        rank: int,
+    ) -> None:
+        if service not in running:
+            running.add(service)
+            nursery.start_soon(self._watch, task, running, service, rank)
 
     def _rank(self, service: str) -> int:
         names = monitor_order(
@@ -130,20 +148,20 @@
         node = self._parts.succession.node
         return names.index(node) if node in names else len(names)
 
-    async def _watch(self, service: str, rank: int) -> None:
+    async def _watch(
+        self, task: _Task, running: set[str], service: str, rank: int
+    ) -> None:
         try:
-            await self._probe_and_judge(service, rank)
+            await task(service, rank)
         except Exception as exc:
             # Other services are still to be watched.
             self._parts.succession.log.report(exc)
         finally:
-            self._busy.discard(service)
-
-    async def _probe_and_judge(self, service: str, rank: int) -> None:
-        await self._probe(service, rank)
-        await self._judge(service, rank)
+            running.discard(service)
 
     async def _probe(self, service: str, rank: int) -> None:
+        if service in self._replacing:
+            return
         newest = self._knowledge.observations.newest(service)
         now = self._knowledge.clock()
         wanted = now - PROOF_WANTED_AFTER_S - rank * RANK_DELAY_S
@@ -206,7 +224,11 @@
             return
         if reason == Reason.SILENT and not await self._is_silent(service):
             return
-        await self._replace(service, reason)
+        self._replacing.add(service)
+        try:
+            await self._replace(service, reason)
+        finally:
+            self._replacing.discard(service)
 
     async def _ask_early(self, service: str) -> None:
         """Ask other nodes before the lead has been silent for long enough."""
