Log the era of the store, and the revisions known before a listing

Cause: each response of the store names its era, which rises when the store comes back from an older copy. Nothing read it, and listing_read did not say which revision a node had before, so that the log could not tell a listing of a restored store from any other.

Change: the HTTP client returns headers; StoreEra keeps the newest era and logs store_era_changed; listing_read and changes_received name era and previous revision. No decision reads the era yet.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,7 +18,11 @@
 from trefoilhitch._generated.messages import Refusal
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.errors import ConnectionLostError, DeadlineError
-from trefoilhitch.http_client import HttpClient, HttpConnection
+from trefoilhitch.http_client import (
+    HttpClient,
+    HttpConnection,
+    ResponseParser,
+)
 from trefoilhitch.http_message import HttpLimits, HttpRequest, HttpResponse
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
 
@@ -174,3 +178,9 @@
 async def _stop_soon(server: HttpServer) -> None:
     await sleep(1)
     server.stop()
+
+
+def test_client_returns_the_headers_of_a_response() -> None:
+    parser = ResponseParser()
+    parser.feed(b'HTTP/1.1 200 OK\r\nStore-Era: 7\r\ncontent-length: 0\r\n\r\n')
+    assert parser.response().headers['store-era'] == '7'
--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -43,6 +43,7 @@
         self.complete = False
         self._keep_alive = True
         self._body = bytearray()
+        self._headers: dict[str, str] = {}
         self._parser = HttpResponseParser(self)
 
     def feed(self, chunk: bytes) -> None:
@@ -65,9 +66,20 @@
         return HttpResponse(
             self._parser.get_status_code(),
             bytes(self._body),
+            self._headers,
             close=not self._keep_alive,
         )
 
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Record a header.
+
+        Args:
+            name: its name.
+            text: its value.
+
+        """
+        self._headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body.
 
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -19,12 +19,15 @@
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.platform._generated.platform import ObjectMeta
+from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
 
 CONFIG_KIND: Final = 'config'
 CONFIG_NAME: Final = 'main'
 ENDPOINT_KIND: Final = 'servers'
 NODE_KIND: Final = 'trefoilhitch_nodes'
 LEASE_KIND: Final = 'trefoilhitch_leases'
+# Names the era of the store in each of its responses.
+ERA_HEADER: Final = 'store-era'
 _OBJECTS_PATH = '/-/objects/'
 ReplyT = TypeVar('ReplyT')
 
@@ -79,12 +82,14 @@
     Args:
         changes: the objects or changes that could be decoded.
         revision: the store's revision.
+        era: era of the store.
         unreadable: number of objects that could not be decoded.
 
     """
 
     changes: tuple[ObjectChange, ...]
     revision: int
+    era: int
     unreadable: int = 0
 
 
@@ -93,11 +98,13 @@
 
     Args:
         address: `ADDRESS:PORT`.
+        era: is told the era that each response names.
 
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, era: StoreEra) -> None:
         """Initialise a client without connections."""
+        self._era = era
         self._client = HttpClient(address, max_idle=4)
 
     async def list_kind(
@@ -135,7 +142,9 @@
             unreadable += len(decoded) - len(readable)
             changes.extend(ObjectChange(each) for each in readable)
             if not (page.has_more and readable):
-                return ChangeList(tuple(changes), revision, unreadable)
+                return ChangeList(
+                    tuple(changes), revision, self._era.current, unreadable
+                )
             after = readable[-1].meta.name
 
     async def watch(
@@ -169,7 +178,9 @@
             if (stored := _decode_object(event.object)) is not None
         ]
         unreadable = len(events.events) - len(changes)
-        return ChangeList(tuple(changes), events.current_rev, unreadable)
+        return ChangeList(
+            tuple(changes), events.current_rev, self._era.current, unreadable
+        )
 
     async def get(
         self, kind: str, name: str, deadline: float
@@ -259,9 +270,11 @@
 
     async def _request(self, req: HttpRequest, deadline: float) -> HttpResponse:
         try:
-            return await self._client.request(req, deadline)
+            resp = await self._client.request(req, deadline)
         except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
             raise StoreUnavailableError(str(exc)) from exc
+        self._era.observe(_read_era(resp))
+        return resp
 
 
 def _list_path(kind: str, after: str, *, may_be_stale: bool) -> str:
@@ -272,6 +285,11 @@
     return f'{path}?{urlencode(query, quote_via=quote)}' if query else path
 
 
+def _read_era(resp: HttpResponse) -> int:
+    text = resp.headers.get(ERA_HEADER, '')
+    return int(text) if text.isdecimal() else NO_ERA
+
+
 def _decode_response(resp: HttpResponse, response_type: type[ReplyT]) -> ReplyT:
     if resp.status not in {HTTPStatus.OK, HTTPStatus.CREATED}:
         raise StoreUnavailableError(f'status {resp.status}')
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from collections.abc import Callable
 from http import HTTPStatus
 from pathlib import Path
 from random import Random, SystemRandom
@@ -44,6 +45,7 @@
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.settings import PoolerSettings
+from trefoilhitch.pooler.store_era import StoreEra
 from trefoilhitch.tcp import split_address
 
 SETTINGS_PATH_VARIABLE = 'TREFOILHITCH_CONFIG'
@@ -115,20 +117,23 @@
 
 
 def make_external_services(
-    cfg: PoolerSettings, log: DecisionLog
+    cfg: PoolerSettings, log: DecisionLog, clock: Callable[[], float]
 ) -> ExternalServices:
     """Create the adapters to the platform.
 
     Args:
         cfg: settings of the node.
-        log: log for entries that cannot be decoded.
+        log: log for entries that cannot be decoded, and for the store's era.
+        clock: returns seconds on a clock that includes suspended time.
 
     Returns:
         The adapters that a node uses.
 
     """
-    store = ObjectStoreClient(cfg.store_address)
+    era = StoreEra(clock=clock, log=log)
+    store = ObjectStoreClient(cfg.store_address, era)
     return ExternalServices(
+        era=era,
         make_connector=WireConnector,
         leases=PlatformLeaseStore(store),
         promoter=PromotionClient(cfg.promotion_address, cfg.node),
@@ -150,7 +155,9 @@
         clock=seconds_since_boot,
         incarnation=time_ns() // _NS_PER_MS,
     )
-    node = PoolerNode(cfg, make_external_services(cfg, log), runtime)
+    node = PoolerNode(
+        cfg, make_external_services(cfg, log, runtime.clock), runtime
+    )
     server = WireServer(node.sessions)
     log.event('started', data_centre=cfg.data_centre, seeds=list(cfg.seeds))
     async with open_nursery() as nursery:
--- a/trefoilhitch/platform/sources.py
+++ b/trefoilhitch/platform/sources.py
@@ -109,7 +109,7 @@
                 listing=self.kind,
                 number=listed.unreadable,
             )
-        return Changes(present, tuple(absent), listed.revision)
+        return Changes(present, tuple(absent), listed.revision, listed.era)
 
 
 class EndpointSource(_ObjectSource[EndpointRecord]):
--- a/trefoilhitch/pooler/node_environment.py
+++ b/trefoilhitch/pooler/node_environment.py
@@ -12,6 +12,7 @@
 from trefoilhitch.pooler.endpoint_registry import EndpointRecord
 from trefoilhitch.pooler.object_watcher import ChangeSource
 from trefoilhitch.pooler.ports import EndpointConnector, LeaseStore, Promoter
+from trefoilhitch.pooler.store_era import StoreEra
 
 
 class NodeRegistry(Protocol):
@@ -34,6 +35,7 @@
     """Access to systems outside a node's process.
 
     Args:
+        era: era of the store.
         make_connector: creates the connector for endpoints, given a lookup of
             their entries.
         leases: stores leases.
@@ -45,6 +47,7 @@
 
     """
 
+    era: StoreEra
     make_connector: Callable[
         [Callable[[str], EndpointRecord | None]], EndpointConnector
     ]
--- a/trefoilhitch/pooler/object_watcher.py
+++ b/trefoilhitch/pooler/object_watcher.py
@@ -9,6 +9,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import StoreHistoryGoneError, StoreUnavailableError
+from trefoilhitch.pooler.store_era import NO_ERA
 
 READ_TIMEOUT_S = 1.5
 # How long the store holds a watch request open. Keep-alive probes close a
@@ -31,12 +32,14 @@
         present: readable objects by name.
         absent: names of objects that were removed or cannot be read.
         revision: store revision up to which the changes are complete.
+        era: era of the store to which the revision belongs.
 
     """
 
     present: Mapping[str, ItemT]
     absent: tuple[str, ...]
     revision: int
+    era: int = NO_ERA
 
 
 class ChangeSource(Protocol[ItemT]):
@@ -101,6 +104,13 @@
             changes: all changes after `revision`.
 
         """
+        self._log.event(
+            'changes_received',
+            listing=self._kind,
+            revision=changes.revision,
+            era=changes.era,
+            previous=self.revision,
+        )
         if changes.revision > self.revision:
             self.revision = changes.revision
             self._apply(changes)
@@ -117,9 +127,9 @@
 
     async def _watch(self) -> None:
         listing = await self._source.read_all(current_time() + READ_TIMEOUT_S)
+        self._record_listing(listing)
         self.revision = listing.revision
         self._replace_all(listing)
-        self._record_listing(listing.revision)
         while True:
             await self._wait_until_needed()
             deadline = current_time() + WATCH_TIMEOUT_S + WATCH_MARGIN_S
@@ -134,11 +144,13 @@
         while not self._may_watch():
             await sleep(WATCHER_CHECK_INTERVAL_S)
 
-    def _record_listing(self, revision: int) -> None:
+    def _record_listing(self, listing: Changes[ItemT]) -> None:
         self._log.event(
             'listing_read',
             listing=self._kind,
-            revision=revision,
+            revision=listing.revision,
+            era=listing.era,
+            previous=self.revision,
             failures=self._failures,
         )
         self.listed = True
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -266,7 +266,8 @@
     ) -> WireNode:
         cut_endpoints: set[str] = set()
         external = _make_cuttable(
-            make_external_services(cfg, self._log), cut_endpoints
+            make_external_services(cfg, self._log, runtime.clock),
+            cut_endpoints,
         )
         node = PoolerNode(cfg, external, runtime)
         server = WireServer(node.sessions)
