Failing tests: a store that was restored from an older copy

The emulated store can be restored from a copy: it loses later writes, assigns their revisions again, cuts watches and names a new era. Four tests fail on the present code and stand in KNOWN-RED.txt; the test run expects exactly the listed ones to fail, and prints them.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,17 @@
-"""Hypothesis profiles: deterministic cases in CI, more cases for fuzzing."""
+"""Hypothesis profiles, and the tests that KNOWN-RED.txt lists.
 
+Profiles: deterministic cases in CI, more cases for fuzzing. A listed test must
+fail; it is reported at the end of the run.
+"""
+
+from pathlib import Path
+
+import pytest
 from hypothesis import HealthCheck, settings
 
+KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
+_TEST_PREFIX = 'Test: '
+
 settings.register_profile(
     'ci', derandomize=True, deadline=None, max_examples=60
 )
@@ -13,3 +23,29 @@
     print_blob=True,
 )
 settings.load_profile('ci')
+
+
+def known_red_tests() -> frozenset[str]:
+    """Return the ids of the tests that KNOWN-RED.txt lists."""
+    lines = [line.strip() for line in KNOWN_RED.read_text().splitlines()]
+    return frozenset(
+        line.removeprefix(_TEST_PREFIX)
+        for line in lines
+        if line.startswith(_TEST_PREFIX)
+    )
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Expect the listed tests to fail."""
+    listed = known_red_tests()
+    for test in items:
+        if test.nodeid in listed:
+            test.add_marker(pytest.mark.xfail(strict=True, reason='known red'))
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Print the listed tests that failed."""
+    for report in terminalreporter.getreports('xfailed'):
+        terminalreporter.write_line(f'KNOWN RED {report.nodeid}')
--- /dev/null
+++ b/tests/test_store_restored.py
@@ -0,0 +1,145 @@
+"""A store that comes back from an older copy, and assigns revisions again."""
+
+from collections.abc import Callable
+from typing import Any
+
+from trio import move_on_after, sleep
+
+from tests.support import with_virtual_clock
+from tests.test_wire_failover import KEY, primary_of, write, write_until_done
+from trefoilhitch._generated.peer import (
+    EndpointEntryReport,
+    EntriesReply,
+    EntriesRequest,
+)
+from trefoilhitch.decision_log import NullLog
+from trefoilhitch.platform.object_store import ENDPOINT_KIND, NODE_KIND
+from trefoilhitch.pooler.peer_client import PeerClient
+from trefoilhitch_lab.platform_store import StoreCopy
+from trefoilhitch_lab.wire_client import wire_client
+from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
+
+# Nodes of which two in each region watch the store.
+MANY_NODES = 15
+SPREAD_S = 3.0
+LEAVING = 'ledger-1'
+
+
+async def replace_primary(stack: WireStack, mark: str) -> None:
+    """Have a crashed primary replaced, and let it return."""
+    old = primary_of(stack)
+    old.crash()
+    old.is_primary = False
+    await write_until_done(stack, mark)
+    await sleep(1)
+    old.faults.down = False
+    stack.group.catch_up(old)
+
+
+async def entry_at(stack: WireStack, node: str) -> EndpointEntryReport | None:
+    """Return the leaving endpoint as a node knows it."""
+    reply = await PeerClient(NullLog()).request(
+        stack.nodes[node].cfg.peer_address,
+        'entries',
+        EntriesRequest(above=0),
+        EntriesReply,
+    )
+    assert reply is not None
+    return next(
+        (each for each in reply.entries if each.endpoint == LEAVING), None
+    )
+
+
+async def wait_for(condition: Callable[[], Any], within_s: float) -> None:
+    """Wait until a condition holds."""
+    with move_on_after(within_s):
+        while not condition():
+            await sleep(0.05)
+    assert condition()
+
+
+async def read_stock(stack: WireStack) -> None:
+    """Read at the node in the data centre of the leaving endpoint."""
+    async with wire_client(stack.nodes['node-1'].address) as client:
+        await client.start('stock', KEY)
+        assert not (await client.query('READ before')).code
+
+
+def write_often(stack: WireStack) -> StoreCopy:
+    """Return a copy of the store, and let it be far behind."""
+    copy = stack.store_state.copy()
+    for number in range(20):
+        entry = stack.endpoint_entry(LEAVING, sequence=number)
+        stack.store_state.put(ENDPOINT_KIND, LEAVING, entry)
+    return copy
+
+
+@with_virtual_clock
+async def test_fencing_token_of_a_lost_lease_is_given_again() -> None:
+    async with running_wire_stack() as stack:
+        copy = stack.store_state.copy()
+        await write(stack, 'before')
+        await replace_primary(stack, 'first')
+        stack.restore_store(copy)
+        await sleep(1)
+        await replace_primary(stack, 'second')
+    tokens = [order.token for order in stack.promotions.completed]
+    assert len(tokens) == 2
+    assert tokens[0] < tokens[1]
+    assert stack.group.lost_entries == []
+
+
+@with_virtual_clock
+async def test_change_of_a_restored_store_does_not_reach_all_nodes() -> None:
+    async with running_wire_stack(nodes=MANY_NODES) as stack:
+        await sleep(6)
+        copy = write_often(stack)
+        await sleep(SPREAD_S)
+        stack.restore_store(copy)
+        await sleep(SPREAD_S)
+        entry = stack.endpoint_entry(LEAVING, state='draining')
+        stack.store_state.put(ENDPOINT_KIND, LEAVING, entry)
+        await sleep(SPREAD_S)
+        for name in stack.nodes:
+            known = await entry_at(stack, name)
+            assert known is not None
+            assert known.leaving, name
+
+
+@with_virtual_clock
+async def test_entries_of_nodes_stay_lost_after_the_store_was_restored() -> (
+    None
+):
+    async with running_wire_stack() as stack:
+        state = stack.store_state
+        await sleep(1)
+        copy = state.copy()
+        copy.objects_by_kind[NODE_KIND].clear()
+        stack.restore_store(copy)
+        await wait_for(
+            lambda: (
+                state.objects_by_kind[NODE_KIND].keys() == stack.nodes.keys()
+            ),
+            SPREAD_S * 2,
+        )
+
+
+@with_virtual_clock
+async def test_restored_entry_lets_a_leaving_endpoint_return() -> None:
+    async with running_wire_stack() as stack:
+        copy = stack.store_state.copy()
+        await write(stack, 'before')
+        for _ in range(20):
+            await read_stock(stack)
+            await sleep(0.1)
+        assert LEAVING in {each.endpoint for each in stack.group.executed}
+        entry = stack.endpoint_entry(LEAVING, state='draining')
+        stack.store_state.put(ENDPOINT_KIND, LEAVING, entry)
+        await sleep(SPREAD_S)
+        stack.store_state.restore(copy)
+        await sleep(SPREAD_S)
+        executed_before = len(stack.group.executed)
+        for _ in range(20):
+            await read_stock(stack)
+        late = stack.group.executed[executed_before:]
+        assert LEAVING not in {statement.endpoint for statement in late}
--- a/trefoilhitch_lab/platform_store.py
+++ b/trefoilhitch_lab/platform_store.py
@@ -1,7 +1,7 @@
 """Emulated platform: the object store and the promotion API."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote
@@ -14,6 +14,7 @@
 
 PAGE_OBJECTS = 50
 _ROOT = '/-/objects/'
+_ERA_HEADER = 'store-era'
 _MS_PER_S = 1000
 
 
@@ -51,6 +52,20 @@
     removed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The store's objects at one moment.
+
+    Args:
+        objects_by_kind: objects by kind and name.
+        revision: revision of the store.
+
+    """
+
+    objects_by_kind: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 @dataclass(slots=True)
 class StoreState:
     """State of the store, shared by all `PlatformStore` instances.
@@ -61,6 +76,7 @@
         changes: history of changes, oldest first.
         discarded_revision: revision up to which the history is discarded.
         changed: set at the next change.
+        era: number of times that the store was started or restored.
 
     """
 
@@ -71,6 +87,7 @@
     changes: list[_Change] = field(default_factory=list)
     discarded_revision: int = 0
     changed: Event = field(default_factory=Event)
+    era: int = 1
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object without a revision check.
@@ -112,6 +129,34 @@
         self.changes.clear()
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore the store from."""
+        objects = {
+            kind: dict(of_kind)
+            for kind, of_kind in self.objects_by_kind.items()
+        }
+        return StoreCopy(objects, self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all writes since a copy was taken, and begin a new era.
+
+        Args:
+            copy: the copy.
+
+        """
+        self.objects_by_kind = {
+            kind: dict(of_kind)
+            for kind, of_kind in copy.objects_by_kind.items()
+        }
+        self.revision = copy.revision
+        self.changes = [
+            change
+            for change in self.changes
+            if change.revision <= copy.revision
+        ]
+        self.era += 1
+        self._notify_watches()
+
     def _append_change(self, change: _Change) -> None:
         self.changes.append(change)
         self._notify_watches()
@@ -145,6 +190,10 @@
             The complete response.
 
         """
+        resp = await self._respond(req)
+        return replace(resp, headers={_ERA_HEADER: str(self.state.era)})
+
+    async def _respond(self, req: HttpRequest) -> HttpResponse:
         self.request_counts[req.method] += 1
         await sleep(self.faults.delay_s)
         if self.faults.silent:
@@ -179,11 +228,18 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> HttpResponse:
         revision = int(query['watch'])
+        era = self.state.era
+        if revision > self.state.revision:
+            return _empty_response(HTTPStatus.GONE)
         with move_on_after(int(query['wait_ms']) / _MS_PER_S):
             while not self._changes_since(kind, revision):
                 if revision < self.state.discarded_revision:
                     return _empty_response(HTTPStatus.GONE)
                 await self.state.changed.wait()
+                if self.state.era != era:
+                    return HttpResponse(
+                        HTTPStatus.SERVICE_UNAVAILABLE, close=True
+                    )
         if revision < self.state.discarded_revision:
             return _empty_response(HTTPStatus.GONE)
         if self.faults.outage:
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -36,6 +36,7 @@
 from trefoilhitch_lab.platform_store import (
     PlatformStore,
     PromotionApi,
+    StoreCopy,
     StoreState,
 )
 from trefoilhitch_lab.stack import FailureCollector, loopback_address
@@ -188,6 +189,20 @@
             spec = self.endpoint_entry(endpoint.endpoint)
             self.store_state.put('servers', endpoint.endpoint, spec)
 
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Restore the store; operators and endpoints write again.
+
+        Args:
+            copy: copy of the store.
+
+        """
+        declared = self.store_state.objects_by_kind['config']['main']['spec']
+        listed = self.store_state.objects_by_kind['servers']
+        self.store_state.restore(copy)
+        self.store_state.put('config', 'main', declared)
+        for name, stored in listed.items():
+            self.store_state.put('servers', name, stored['spec'])
+
     def endpoint_entry(self, endpoint: str, **changes: Any) -> dict[str, Any]:
         """Return the registration entry of an endpoint.
 
