Revisions of the store are compared only within one era

Cause: a node that does not watch the store asks other nodes for what is above the revision that it knows, and watchers kept the highest revision that they ever had. A restored store assigns lower revisions again, so nothing passed between nodes until it had counted up to the old one. The class: a number of the store taken as one that only rises.

Change: listings, the log of entries, and the messages between nodes carry the era with the revision, and compare both. A node that learns of a later era, from the store or from another node, cancels its watches and lists again; so does a node that begins to watch. A listing whose pages are of two eras, and a response of an earlier era, are refused.

Nodes of an earlier version name no era; until they are replaced, newer nodes take no entries from them.

--- a/tests/test_entry_log.py
+++ b/tests/test_entry_log.py
@@ -13,6 +13,7 @@
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
 from trefoilhitch.pooler.monitor_order import rank_monitors
 from trefoilhitch.pooler.object_watcher import Changes
+from trefoilhitch.pooler.store_era import NO_ERA
 from trefoilhitch.pooler.store_watchers import (
     WATCHERS_PER_REGION,
     watches_store,
@@ -36,7 +37,7 @@
     log.replace_all(Changes({'i-1': FIRST, 'i-2': SECOND}, (), 10))
     leaving = replace(FIRST, leaving=True)
     log.apply(Changes({'i-1': leaving}, (), 12))
-    changes = read_changes(log.changes_since(10))
+    changes = read_changes(log.changes_since(10, NO_ERA))
     assert changes.present == {'i-1': leaving}
     assert changes.absent == ()
     assert changes.revision == 12
@@ -47,7 +48,7 @@
     log.replace_all(Changes({'i-1': FIRST, 'i-2': SECOND}, (), 10))
     # A later listing lacks an entry.
     log.replace_all(Changes({'i-1': FIRST}, (), 14))
-    changes = read_changes(log.changes_since(10))
+    changes = read_changes(log.changes_since(10, NO_ERA))
     assert changes.absent == ('i-2',)
     assert not changes.present
 
@@ -56,7 +57,7 @@
     log = EntryLog()
     log.replace_all(Changes({'i-1': FIRST}, (), 10))
     log.replace_all(Changes({'i-1': FIRST}, (), 20))
-    reply = log.changes_since(10)
+    reply = log.changes_since(10, NO_ERA)
     assert reply.revision == 20
     assert not reply.entries
 
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -301,6 +301,12 @@
             description="Revision of the store up to which the sender has the endpoints' entries."
         ),
     ] = 0
+    entries_era: Annotated[
+        int, Meta(description='Era of the store that assigned that revision.')
+    ] = 0
+    store_era: Annotated[
+        int, Meta(description='Newest era of the store that the sender knows.')
+    ] = 0
     proofs: list[LeadProof] = field(default_factory=list)
     commits: list[CommitReport] = field(default_factory=list)
 
@@ -553,6 +559,9 @@
     """
 
     above: int
+    era: Annotated[
+        int, Meta(description='Era of the store that assigned the revision.')
+    ] = 0
 
 
 class EndpointEntryReport(Message, frozen=True, kw_only=True):
@@ -577,6 +586,9 @@
     """
 
     revision: int
+    era: Annotated[
+        int, Meta(description='Era of the store that assigned the revision.')
+    ] = 0
     entries: list[EndpointEntryReport] = field(default_factory=list)
 
 
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -122,29 +122,29 @@
             The objects, and the revision to watch from.
 
         Raises:
-            StoreUnavailableError: no valid response.
+            StoreUnavailableError: no valid response, or the store was restored
+                between two pages.
 
         """
         changes: list[ObjectChange] = []
         unreadable = 0
         after = ''
         revision = 0
+        era = NO_ERA
         while True:
             path = _list_path(kind, after, may_be_stale=may_be_stale)
-            page = _decode_response(
-                await self._request(HttpRequest('GET', path), deadline), _Page
-            )
+            page = await self._read_page(path, deadline)
             # Keep the first page's revision, so that the watch returns all
             # changes made while the other pages were read.
+            era = era if revision else self._era.current
             revision = revision or page.current_rev
-            decoded = [_decode_object(raw) for raw in page.listed]
-            readable = [each for each in decoded if each is not None]
-            unreadable += len(decoded) - len(readable)
+            if era != self._era.current:
+                raise StoreUnavailableError('restored during the listing')
+            readable = _decode_objects(page)
+            unreadable += len(page.listed) - len(readable)
             changes.extend(ObjectChange(each) for each in readable)
             if not (page.has_more and readable):
-                return ChangeList(
-                    tuple(changes), revision, self._era.current, unreadable
-                )
+                return ChangeList(tuple(changes), revision, era, unreadable)
             after = readable[-1].meta.name
 
     async def watch(
@@ -268,14 +268,23 @@
         """Close idle connections."""
         self._client.close()
 
+    async def _read_page(self, path: str, deadline: float) -> _Page:
+        resp = await self._request(HttpRequest('GET', path), deadline)
+        return _decode_response(resp, _Page)
+
     async def _request(self, req: HttpRequest, deadline: float) -> HttpResponse:
         try:
             resp = await self._client.request(req, deadline)
         except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
             raise StoreUnavailableError(str(exc)) from exc
-        self._era.observe(_read_era(resp))
+        self._check_era(_read_era(resp))
         return resp
 
+    def _check_era(self, era: int) -> None:
+        self._era.observe(era, 'store')
+        if era and era != self._era.current:
+            raise StoreUnavailableError(f'response of the earlier era {era}')
+
 
 def _list_path(kind: str, after: str, *, may_be_stale: bool) -> str:
     query = {'after': after} if after else {}
@@ -299,6 +308,11 @@
         raise StoreUnavailableError(f'malformed response: {exc}') from exc
 
 
+def _decode_objects(page: _Page) -> list[StoredObject]:
+    decoded = [_decode_object(raw) for raw in page.listed]
+    return [each for each in decoded if each is not None]
+
+
 def _decode_object(raw: Raw) -> StoredObject | None:
     try:
         return decode(raw, type=StoredObject)
--- a/trefoilhitch/pooler/entry_log.py
+++ b/trefoilhitch/pooler/entry_log.py
@@ -5,6 +5,7 @@
 from trefoilhitch._generated.peer import EndpointEntryReport, EntriesReply
 from trefoilhitch.pooler.endpoint_registry import EndpointRecord
 from trefoilhitch.pooler.object_watcher import Changes
+from trefoilhitch.pooler.store_era import NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +28,8 @@
     def __init__(self) -> None:
         """Start without entries."""
         self.revision = 0
+        # Era of the store to which the revisions belong.
+        self.era = NO_ERA
         self._entries: dict[str, _Entry] = {}
 
     def replace_all(self, listing: Changes[EndpointRecord]) -> None:
@@ -37,6 +40,8 @@
 
         """
         gone = self._entries.keys() - listing.present.keys()
+        if listing.era != self.era:
+            self._begin_era(listing)
         self.apply(
             Changes(listing.present, tuple(sorted(gone)), listing.revision)
         )
@@ -54,18 +59,33 @@
             self._put(name, None, changes.revision)
         self.revision = max(self.revision, changes.revision)
 
-    def changes_since(self, revision: int) -> EntriesReply:
+    def is_behind(self, era: int, revision: int) -> bool:
+        """Return whether another node has later entries.
+
+        Args:
+            era: era of the store in which the other node read them.
+            revision: its revision.
+
+        """
+        return (era, revision) > (self.era, self.revision)
+
+    def changes_since(self, revision: int, era: int) -> EntriesReply:
         """Return the entries that changed after a revision.
 
         Args:
             revision: revision of the store.
+            era: era of the store that assigned it.
 
         Returns:
-            The message for another node.
+            The message for another node; all entries if its era is another
+            one.
 
         """
+        if era != self.era:
+            revision = 0
         return EntriesReply(
             revision=self.revision,
+            era=self.era,
             entries=[
                 _write_entry(name, entry.record)
                 for name, entry in sorted(self._entries.items())
@@ -73,6 +93,15 @@
             ],
         )
 
+    def _begin_era(self, listing: Changes[EndpointRecord]) -> None:
+        """Assign the first revision of a new era to all entries."""
+        self.era = listing.era
+        self.revision = listing.revision
+        self._entries = {
+            name: _Entry(entry.record, listing.revision)
+            for name, entry in self._entries.items()
+        }
+
     def _put(
         self, name: str, record: EndpointRecord | None, revision: int
     ) -> None:
@@ -99,7 +128,7 @@
     absent = tuple(
         report.endpoint for report in reply.entries if not report.present
     )
-    return Changes(present, absent, reply.revision)
+    return Changes(present, absent, reply.revision, reply.era)
 
 
 def _write_entry(
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -133,6 +133,7 @@
             control=self.control,
             seeds=cfg.seeds,
             entries=self.store_sync.entry_log,
+            store_era=self._external.era,
             random=self._runtime.random,
             log=self._runtime.log,
         )
@@ -181,6 +182,7 @@
                 control=self.control,
                 log=self._runtime.log,
                 random=self._runtime.random,
+                store_era=self._external.era,
                 may_watch=self._watches_store,
                 spread=self._spread,
             )
--- a/trefoilhitch/pooler/object_watcher.py
+++ b/trefoilhitch/pooler/object_watcher.py
@@ -9,7 +9,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import StoreHistoryGoneError, StoreUnavailableError
-from trefoilhitch.pooler.store_era import NO_ERA
+from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
 
 READ_TIMEOUT_S = 1.5
 # How long the store holds a watch request open. Keep-alive probes close a
@@ -64,6 +64,8 @@
         apply: applies changes.
         log: records listings and outages.
         random: adds jitter to retries.
+        store_era: era of the store; what was read in an earlier one has to be
+            listed again.
         may_watch: returns whether this node watches the store; others list the
             objects once and get changes from its peers.
 
@@ -78,11 +80,14 @@
         apply: Callable[[Changes[ItemT]], None],
         log: DecisionLog,
         random: Random,
+        store_era: StoreEra,
         may_watch: Callable[[], bool],
     ) -> None:
         """Start without a listing."""
         self.listed = False
         self.revision = 0
+        self.era = NO_ERA
+        self._store_era = store_era
         self._may_watch = may_watch
         self._kind = kind
         self._source = source
@@ -101,7 +106,8 @@
         """Apply changes that another node has read from the store.
 
         Args:
-            changes: all changes after `revision`.
+            changes: all changes after `revision`, or all objects if they are
+                of a later era.
 
         """
         self._log.event(
@@ -111,7 +117,9 @@
             era=changes.era,
             previous=self.revision,
         )
-        if changes.revision > self.revision:
+        if changes.era > self.era:
+            self._apply_listing(changes)
+        elif changes.era == self.era and changes.revision > self.revision:
             self.revision = changes.revision
             self._apply(changes)
 
@@ -128,19 +136,36 @@
     async def _watch(self) -> None:
         listing = await self._source.read_all(current_time() + READ_TIMEOUT_S)
         self._record_listing(listing)
+        self._apply_listing(listing)
+        while self._may_watch():
+            await self._apply_next_changes()
+        await self._wait_until_needed()
+
+    def _apply_listing(self, listing: Changes[ItemT]) -> None:
+        self.era = listing.era
         self.revision = listing.revision
         self._replace_all(listing)
-        while True:
-            await self._wait_until_needed()
-            deadline = current_time() + WATCH_TIMEOUT_S + WATCH_MARGIN_S
+
+    async def _apply_next_changes(self) -> None:
+        era = self.era
+        deadline = current_time() + WATCH_TIMEOUT_S + WATCH_MARGIN_S
+        changes = None
+        with self._store_era.cancel_when_over(era):
             changes = await self._source.wait(
                 self.revision, WATCH_TIMEOUT_S, deadline
             )
-            self._failures = 0
-            self.revision = max(self.revision, changes.revision)
-            self._apply(changes)
+        if changes is None or {changes.era, self.era} != {era}:
+            raise StoreHistoryGoneError(self._kind)
+        self._failures = 0
+        self.revision = max(self.revision, changes.revision)
+        self._apply(changes)
 
     async def _wait_until_needed(self) -> None:
+        """Wait until this node watches the store.
+
+        Until then it gets changes from others, whose era may be another one
+        than that of the store; so it lists the objects again afterwards.
+        """
         while not self._may_watch():
             await sleep(WATCHER_CHECK_INTERVAL_S)
 
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -13,6 +13,7 @@
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_messages import commit_reports, primary_proofs
+from trefoilhitch.pooler.store_era import StoreEra
 
 PEER_PREFIX = '/v1/pooler'
 
@@ -29,6 +30,7 @@
         control: requests the status of endpoints.
         seeds: peer addresses to contact first.
         entries: changes of endpoints' entries, for other nodes.
+        store_era: era of the store.
         random: chooses the order of nodes.
         log: records probes by peers.
 
@@ -41,6 +43,7 @@
     control: EndpointControl
     seeds: Sequence[str]
     entries: EntryLog
+    store_era: StoreEra
     random: Random
     log: DecisionLog
 
@@ -69,6 +72,8 @@
             *deps.membership.doubts_about(address),
         ],
         entries_revision=deps.entries.revision,
+        entries_era=deps.entries.era,
+        store_era=deps.store_era.current,
         proofs=primary_proofs(deps.cluster) if include_proofs else [],
         commits=commit_reports(deps.cluster),
     )
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -79,9 +79,8 @@
         return self._services.declarations.reply(request)
 
     async def _entries(self, req: HttpRequest) -> EntriesReply:
-        return self._deps.entries.changes_since(
-            read_message(req, EntriesRequest).above
-        )
+        request = read_message(req, EntriesRequest)
+        return self._deps.entries.changes_since(request.above, request.era)
 
     async def _members(self, req: HttpRequest) -> MembersReply:
         read_message(req, MembersRequest)
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -111,6 +111,7 @@
             exchange: message of the other node.
 
         """
+        self._deps.store_era.observe(exchange.store_era, 'peer')
         if self._nursery is None or not exchange.beats:
             return
         sender = exchange.beats[0]
@@ -123,8 +124,10 @@
                     near=self._deps.membership.is_near(sender),
                 )
             )
-        newer_entries = exchange.entries_revision > self._deps.entries.revision
-        if newer_entries and not self._fetching_entries:
+        is_behind = self._deps.entries.is_behind(
+            exchange.entries_era, exchange.entries_revision
+        )
+        if is_behind and not self._fetching_entries:
             self._nursery.start_soon(self._fetch_entries, sender.address)
 
     def start_publishing(self) -> None:
@@ -201,7 +204,10 @@
             reply = await self._client.request(
                 address,
                 'entries',
-                EntriesRequest(above=self._deps.entries.revision),
+                EntriesRequest(
+                    above=self._deps.entries.revision,
+                    era=self._deps.entries.era,
+                ),
                 EntriesReply,
             )
         finally:
--- a/trefoilhitch/pooler/store_era.py
+++ b/trefoilhitch/pooler/store_era.py
@@ -6,7 +6,10 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from trio import CancelScope
 
 from trefoilhitch.decision_log import DecisionLog
 
@@ -30,16 +33,46 @@
         self.seen_at = -math.inf
         self._clock = clock
         self._log = log
+        self._scopes: dict[CancelScope, int] = {}
 
-    def observe(self, era: int) -> None:
+    def observe(self, era: int, source: str) -> None:
         """Record an era that the store or another node named.
 
         Args:
             era: the era; an older one changes nothing.
+            source: who named it, for the log.
 
         """
         if era <= self.current:
             return
-        self._log.event('store_era_changed', previous=self.current, era=era)
+        self._log.event(
+            'store_era_changed',
+            previous=self.current,
+            era=era,
+            source=source,
+        )
         self.current = era
         self.seen_at = self._clock()
+        for scope, needed in self._scopes.items():
+            if needed < era:
+                scope.cancel()
+
+    @contextmanager
+    def cancel_when_over(self, era: int) -> Iterator[CancelScope]:
+        """Cancel a block when an era is over.
+
+        Args:
+            era: the era.
+
+        Yields:
+            The scope of the block.
+
+        """
+        with CancelScope() as scope:
+            self._scopes[scope] = era
+            if era < self.current:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._scopes.pop(scope)
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -22,6 +22,7 @@
     ChangeSource,
     ObjectWatcher,
 )
+from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,7 @@
         control: closes its connections when endpoints are gone.
         log: records changes of endpoints.
         random: adds jitter to retries.
+        store_era: era of the store.
         may_watch: returns whether this node watches the store.
         spread: tells other nodes that this one has something newer; the
             argument tells whether it comes from the store.
@@ -51,6 +53,7 @@
     control: EndpointControl
     log: DecisionLog
     random: Random
+    store_era: StoreEra
     may_watch: Callable[[], bool]
     spread: Callable[[bool], None]
 
@@ -75,6 +78,7 @@
             apply=self._apply_endpoint_changes,
             log=deps.log,
             random=deps.random,
+            store_era=deps.store_era,
             may_watch=deps.may_watch,
         )
         self._declarations = ObjectWatcher(
@@ -84,6 +88,7 @@
             apply=self._apply_declarations,
             log=deps.log,
             random=deps.random,
+            store_era=deps.store_era,
             may_watch=deps.may_watch,
         )
 
@@ -128,7 +133,10 @@
             deps.cluster.notify_change()
 
     def _replace_endpoints(self, listing: Changes[EndpointRecord]) -> None:
+        is_restored = self.entry_log.era not in {NO_ERA, listing.era}
         self.entry_log.replace_all(listing)
+        if is_restored:
+            self._spread_entries()
         for record in listing.present.values():
             self._apply_endpoint(record)
         endpoints = self._deps.cluster.endpoints
@@ -138,13 +146,16 @@
     def _apply_endpoint_changes(self, changes: Changes[EndpointRecord]) -> None:
         self.entry_log.apply(changes)
         if changes.present or changes.absent:
-            self._deps.spread(not self._is_applying_peer_entries)
+            self._spread_entries()
         for record in changes.present.values():
             self._apply_endpoint(record)
         for endpoint in changes.absent:
             self._deps.cluster.endpoints.mark_missing(endpoint, current_time())
         self._deps.cluster.notify_change()
 
+    def _spread_entries(self) -> None:
+        self._deps.spread(not self._is_applying_peer_entries)
+
     def _apply_endpoint(self, record: EndpointRecord) -> None:
         deps = self._deps
         known = deps.cluster.find(record.endpoint)
--- a/trefoilhitch_lab/platform_store.py
+++ b/trefoilhitch_lab/platform_store.py
@@ -52,7 +52,8 @@
     removed: bool
 
 
-_Kinds = dict[str, dict[str, dict[str, Any]]]
+_ByName = dict[str, dict[str, Any]]
+_Kinds = dict[str, _ByName]
 
 
 @dataclass(frozen=True, slots=True)
