Fencing tokens and leases belong to an era of the store

Cause: the next token was the stored one plus one, so a lease that went back gave a token again. And a lease that had been acknowledged was taken as kept: another node acquired the missing lease at once, while its holder went on for up to 3.3 s. The class: an acknowledged write taken as kept, a stored counter as one that only rises.

Change: tokens of a later era lie above all tokens of earlier ones. A lease holds the era in which it was read; its holder stops when the era is over, and a write that was begun in an earlier era counts as failed and is not repeated. A lease of an earlier era, or a missing one, may be acquired only when the duration of a lease has passed since the era was first seen. So a lease written in the present era rules out a holder from before. In the first era nothing changes.

A failover that is needed right after a restoration waits up to 4 s longer.

--- a/tests/test_entry_log.py
+++ b/tests/test_entry_log.py
@@ -11,9 +11,9 @@
     EndpointRegistry,
 )
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
+from trefoilhitch.pooler.era_numbers import NO_ERA
 from trefoilhitch.pooler.monitor_order import rank_monitors
 from trefoilhitch.pooler.object_watcher import Changes
-from trefoilhitch.pooler.store_era import NO_ERA
 from trefoilhitch.pooler.store_watchers import (
     WATCHERS_PER_REGION,
     watches_store,
--- a/tests/test_pooler_decisions.py
+++ b/tests/test_pooler_decisions.py
@@ -286,12 +286,11 @@
 
 def test_lease_is_acquired_when_released_or_expired() -> None:
     held = ObservedLease(LeaseRecord(1, 3, 'other', 'x', ''), 10)
-    assert not may_acquire(held, 'me', 10 + LEASE_DURATION_S - 0.1)
-    assert may_acquire(held, 'me', 10 + LEASE_DURATION_S)
-    assert may_acquire(held, 'other', 10)
-    assert may_acquire(
-        ObservedLease(LeaseRecord(1, 3, '', 'x', ''), 10), 'me', 10
-    )
+    released = ObservedLease(LeaseRecord(1, 3, '', 'x', ''), 10)
+    assert not may_acquire(held, 'me', 10 + LEASE_DURATION_S - 0.1, 0)
+    assert may_acquire(held, 'me', 10 + LEASE_DURATION_S, 0)
+    assert may_acquire(held, 'other', 10, 0)
+    assert may_acquire(released, 'me', 10, 0)
 
 
 def test_later_acknowledgement_clears_overdue_commits() -> None:
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -42,7 +42,7 @@
         """
         listed = await self._store.list_kind(LEASE_KIND, deadline)
         return {
-            change.stored.meta.name: _decode_lease(change.stored)
+            change.stored.meta.name: _decode_lease(change.stored, listed.era)
             for change in listed.changes
         }
 
@@ -61,12 +61,15 @@
 
         """
         stored = await self._store.get(LEASE_KIND, service, deadline)
-        return LeaseRecord() if stored is None else _decode_lease(stored)
+        era = self._store.era
+        if stored is None:
+            return LeaseRecord(era=era)
+        return _decode_lease(stored, era)
 
     async def write_lease(
         self, service: str, lease: LeaseRecord, deadline: float
     ) -> LeaseRecord | None:
-        """Write a lease if its revision is still the stored one.
+        """Write a lease if its revision and era are still the store's.
 
         Args:
             service: service that the lease is for.
@@ -74,13 +77,18 @@
             deadline: monotonic time in seconds.
 
         Returns:
-            The lease as stored, None if another revision is stored.
+            The lease as stored, None if another revision is stored or the
+            store was restored since the lease was read; it may then have
+            been written all the same.
 
         Raises:
             StoreUnavailableError: no valid response; the write may still take
                 effect.
 
         """
+        if lease.era != self._store.era:
+            # The revision may belong to another write by now.
+            return None
         entry = LeaseEntry(
             token=lease.token,
             holder=lease.holder,
@@ -95,7 +103,9 @@
             )
         except StoreConflictError:
             return None
-        return _decode_lease(stored)
+        if lease.era != self._store.era:
+            return None
+        return _decode_lease(stored, lease.era)
 
 
 class PlatformNodeRegistry:
@@ -177,7 +187,7 @@
         await self._store.delete(NODE_KIND, node, deadline)
 
 
-def _decode_lease(stored: StoredObject) -> LeaseRecord:
+def _decode_lease(stored: StoredObject, era: int) -> LeaseRecord:
     try:
         entry = decode(stored.spec, type=LeaseEntry)
     except (DecodeError, ValidationError) as exc:
@@ -190,6 +200,7 @@
         candidate=entry.candidate,
         primary=entry.primary,
         term=entry.term,
+        era=era,
     )
 
 
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -19,7 +19,8 @@
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.platform._generated.platform import ObjectMeta
-from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
+from trefoilhitch.pooler.era_numbers import NO_ERA
+from trefoilhitch.pooler.store_era import StoreEra
 
 CONFIG_KIND: Final = 'config'
 CONFIG_NAME: Final = 'main'
@@ -107,6 +108,11 @@
         self._era = era
         self._client = HttpClient(address, max_idle=4)
 
+    @property
+    def era(self) -> int:
+        """Era of the store, as its last response or a later one named it."""
+        return self._era.current
+
     async def list_kind(
         self, kind: str, deadline: float, *, may_be_stale: bool = False
     ) -> ChangeList:
--- a/trefoilhitch/pooler/entry_log.py
+++ b/trefoilhitch/pooler/entry_log.py
@@ -4,8 +4,8 @@
 
 from trefoilhitch._generated.peer import EndpointEntryReport, EntriesReply
 from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.era_numbers import NO_ERA
 from trefoilhitch.pooler.object_watcher import Changes
-from trefoilhitch.pooler.store_era import NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/trefoilhitch/pooler/era_numbers.py
@@ -0,0 +1,6 @@
+"""Numbers of the store's eras; one begins with each restoration."""
+
+# Era of a store that names none, and never loses a confirmed write.
+NO_ERA = 0
+# Era of a store that was never restored.
+FIRST_ERA = 1
--- a/trefoilhitch/pooler/failover_plan.py
+++ b/trefoilhitch/pooler/failover_plan.py
@@ -11,6 +11,7 @@
 from trefoilhitch.pooler.lease_client import LeaseClient
 from trefoilhitch.pooler.ports import Promoter
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.store_era import StoreEra
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,7 @@
         cluster: known endpoints and primaries.
         control: sends control statements to endpoints.
         leases: reads and writes leases.
+        store_era: era of the store that keeps them.
         promoter: commands promotions.
         sync_replicas: returns how many replicas of a service hold a commit
             before it is acknowledged.
@@ -34,6 +36,7 @@
     cluster: ClusterState
     control: EndpointControl
     leases: LeaseClient
+    store_era: StoreEra
     promoter: Promoter
     sync_replicas: Callable[[str], int]
     log: DecisionLog
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -52,6 +52,7 @@
             service=plan.service,
             node=deps.node,
             clock=deps.cluster.clock,
+            store_era=deps.store_era,
             log=deps.log,
         )
         self._promote_at = math.inf
--- a/trefoilhitch/pooler/held_lease.py
+++ b/trefoilhitch/pooler/held_lease.py
@@ -11,9 +11,11 @@
     LeaseRecord,
     ObservedLease,
     may_acquire,
+    next_token,
 )
 from trefoilhitch.pooler.lease_client import LeaseClient
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.store_era import StoreEra
 
 
 class FailoverStoppedError(TrefoilhitchError):
@@ -28,6 +30,7 @@
         service: name of the service.
         node: name of this node.
         clock: seconds, on a clock that counts suspended time.
+        store_era: era of the store.
         log: records each write of the lease.
 
     """
@@ -39,6 +42,7 @@
         service: str,
         node: str,
         clock: Callable[[], float],
+        store_era: StoreEra,
         log: DecisionLog,
     ) -> None:
         """Start without the lease."""
@@ -47,6 +51,7 @@
         self._service = service
         self._node = node
         self._clock = clock
+        self._store_era = store_era
         self._log = log
         self._expires_at = clock()
 
@@ -62,12 +67,14 @@
             StoreUnavailableError: the store did not answer.
 
         """
-        if not may_acquire(seen, self._node, self._clock()):
-            raise FailoverStoppedError(f'{seen.record.holder} holds the lease')
+        era_seen_at = self._store_era.seen_at
+        if not may_acquire(seen, self._node, self._clock(), era_seen_at):
+            holder = seen.record.holder or 'an unknown node'
+            raise FailoverStoppedError(f'{holder} may hold the lease')
         await self._write(
             replace(
                 seen.record,
-                token=seen.record.token + 1,
+                token=next_token(seen.record),
                 holder=self._node,
                 attempt=attempt,
             )
@@ -94,21 +101,24 @@
             StoreUnavailableError: the store did not answer.
 
         """
-        higher = self.record.token + 1
+        higher = next_token(self.record)
         await self._write(replace(self.record, token=higher))
 
     def ensure_valid(self) -> None:
-        """Check that the lease has not expired.
+        """Check that the lease is still held.
 
         Raises:
-            FailoverStoppedError: the lease has expired.
+            FailoverStoppedError: the lease has expired, or the store may have
+                lost it.
 
         """
         if not self.is_valid():
-            raise FailoverStoppedError('the lease expired')
+            raise FailoverStoppedError('the lease expired or was lost')
 
     def is_valid(self) -> bool:
-        """Return whether the lease is held and has not expired."""
+        """Return whether the lease has neither expired nor been lost."""
+        if self._store_era.current != self.record.era:
+            return False
         return self._clock() < self._expires_at
 
     def record_promotion(self, primary: Primary) -> None:
@@ -141,7 +151,7 @@
         sent_at = self._clock()
         stored = await self._client.write(self._service, lease)
         if stored is None:
-            raise FailoverStoppedError('another node changed the lease')
+            raise FailoverStoppedError('the lease was changed or lost')
         self.record = stored
         self._expires_at = sent_at + LEASE_DURATION_S - LEASE_MARGIN_S
         self._log.event(
@@ -150,4 +160,5 @@
             token=stored.token,
             candidate=stored.candidate,
             revision=stored.revision,
+            era=stored.era,
         )
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass, replace
 
+from trefoilhitch.pooler.era_numbers import FIRST_ERA, NO_ERA
+
 LEASE_DURATION_S = 4.0
 # The holder stops this long before other nodes may acquire the lease.
 LEASE_MARGIN_S = 0.7
+# Bits of a fencing token that count attempts; the bits above them hold the era.
+TOKEN_COUNTER_BITS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +26,7 @@
         primary: endpoint that the last confirmed promotion made primary,
             empty if there was none.
         term: its term.
+        era: era of the store in which it was read.
 
     """
 
@@ -32,6 +37,17 @@
     candidate: str = ''
     primary: str = ''
     term: int = 0
+    era: int = NO_ERA
+
+    @property
+    def belongs_to_era(self) -> bool:
+        """Whether it was written in the era of the store that it was read in.
+
+        A lease from an earlier era may lack what its holder wrote last.
+        """
+        if self.era <= FIRST_ERA:
+            return True
+        return self.token > lowest_token(self.era)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,21 +65,49 @@
     first_seen_at: float
 
 
-def may_acquire(observed: ObservedLease, node: str, now: float) -> bool:
+def lowest_token(era: int) -> int:
+    """Return the number above which the fencing tokens of an era lie.
+
+    Args:
+        era: era of the store.
+
+    """
+    return max(era - FIRST_ERA, 0) << TOKEN_COUNTER_BITS
+
+
+def next_token(lease: LeaseRecord) -> int:
+    """Return a fencing token above all earlier ones, lost ones included.
+
+    Args:
+        lease: the lease as it is stored.
+
+    """
+    return max(lease.token, lowest_token(lease.era)) + 1
+
+
+def may_acquire(
+    observed: ObservedLease, node: str, now: float, era_seen_at: float
+) -> bool:
     """Return whether a node may acquire a lease.
 
     Clocks of different nodes are not compared: a lease counts as held until
     this node has read the same revision for the whole duration of the lease.
+    A lease that the store has lost counts as held until that time has passed
+    since the store was restored, so that a lease written in the present era
+    rules out any holder from an earlier one.
 
     Args:
         observed: the lease.
         node: name of the node that wants to acquire it.
         now: time in seconds.
+        era_seen_at: when this node first knew the present era of the store.
 
     Returns:
         True if the lease is released, expired or held by the node itself.
 
     """
+    if not observed.record.belongs_to_era:
+        return now >= era_seen_at + LEASE_DURATION_S
     if observed.record.holder in {'', node}:
         return True
     return now >= observed.first_seen_at + LEASE_DURATION_S
@@ -81,3 +125,16 @@
 
     """
     return replace(first, revision=0) == replace(second, revision=0)
+
+
+def is_same_version(first: LeaseRecord, second: LeaseRecord) -> bool:
+    """Return whether two leases are the same version of the stored one.
+
+    A restored store assigns its revisions again.
+
+    Args:
+        first: one lease.
+        second: another lease.
+
+    """
+    return (first.era, first.revision) == (second.era, second.revision)
--- a/trefoilhitch/pooler/lease_client.py
+++ b/trefoilhitch/pooler/lease_client.py
@@ -1,15 +1,19 @@
 """Reads and writes leases, with retries when a response is lost.
 
 A lease is written on the condition that the store still has the revision that
-was read, and it names the attempt that wrote it. A write whose response was
-lost can therefore be looked up and retried: it takes effect at most once, and
-a late one fails its condition.
+was read, in the same era, and it names the attempt that wrote it. A write whose
+response was lost can therefore be looked up and retried: it takes effect at
+most once, and a late one fails its condition.
 """
 
 from trio import current_time, sleep
 
 from trefoilhitch.errors import StoreUnavailableError
-from trefoilhitch.pooler.lease import LeaseRecord, same_content
+from trefoilhitch.pooler.lease import (
+    LeaseRecord,
+    is_same_version,
+    same_content,
+)
 from trefoilhitch.pooler.ports import LeaseStore
 
 # Time for all attempts of one call.
@@ -50,14 +54,15 @@
     async def write(
         self, service: str, lease: LeaseRecord
     ) -> LeaseRecord | None:
-        """Write a lease if the store still has the revision it names.
+        """Write a lease if the store still has its revision and its era.
 
         Args:
             service: name of the service.
             lease: the lease; its revision is the one to replace.
 
         Returns:
-            The lease as stored, or None if another node changed it.
+            The lease as stored, or None if another node changed it or the
+            store was restored.
 
         Raises:
             StoreUnavailableError: no attempt was answered; the lease may still
@@ -72,7 +77,7 @@
             current = await self._read(service, deadline)
             if same_content(current, lease):
                 return current
-            if current.revision != lease.revision:
+            if not is_same_version(current, lease):
                 return None
 
     async def _attempt_write(
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -26,7 +26,7 @@
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.failover_runner import FailoverRunner
 from trefoilhitch.pooler.held_lease import FailoverStoppedError
-from trefoilhitch.pooler.lease import ObservedLease
+from trefoilhitch.pooler.lease import ObservedLease, is_same_version
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.monitor_order import rank_monitors
 from trefoilhitch.pooler.ports import EndpointStatus
@@ -309,7 +309,7 @@
     async def _read_lease(self, service: str) -> ObservedLease:
         record = await self._deps.failover.leases.read(service)
         known = self._seen_leases.get(service)
-        if known is None or known.record.revision != record.revision:
+        if known is None or not is_same_version(known.record, record):
             known = ObservedLease(record, self._cluster.clock())
             self._seen_leases[service] = known
         return known
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -222,6 +222,7 @@
             cluster=parts.state.cluster,
             control=parts.control,
             leases=LeaseClient(self._external.leases),
+            store_era=self._external.era,
             promoter=self._external.promoter,
             sync_replicas=parts.sync_replicas,
             log=self._runtime.log,
--- a/trefoilhitch/pooler/object_watcher.py
+++ b/trefoilhitch/pooler/object_watcher.py
@@ -9,7 +9,8 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import StoreHistoryGoneError, StoreUnavailableError
-from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
+from trefoilhitch.pooler.era_numbers import NO_ERA
+from trefoilhitch.pooler.store_era import StoreEra
 
 READ_TIMEOUT_S = 1.5
 # How long the store holds a watch request open. Keep-alive probes close a
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -191,10 +191,11 @@
     async def write_lease(
         self, service: str, lease: LeaseRecord, deadline: float
     ) -> LeaseRecord | None:
-        """Write a lease if its revision is still the stored one.
+        """Write a lease if its revision and era are still the store's.
 
         Returns:
-            The lease as stored, None if another revision is stored.
+            The lease as stored, None if another revision is stored or the
+            store was restored.
 
         """
 
--- a/trefoilhitch/pooler/store_era.py
+++ b/trefoilhitch/pooler/store_era.py
@@ -12,9 +12,7 @@
 from trio import CancelScope
 
 from trefoilhitch.decision_log import DecisionLog
-
-# Era of a store that names none, and never loses a confirmed write.
-NO_ERA = 0
+from trefoilhitch.pooler.era_numbers import NO_ERA
 
 
 class StoreEra:
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -17,12 +17,13 @@
 from trefoilhitch.pooler.endpoint_control import EndpointControl
 from trefoilhitch.pooler.endpoint_registry import EndpointRecord
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
+from trefoilhitch.pooler.era_numbers import NO_ERA
 from trefoilhitch.pooler.object_watcher import (
     Changes,
     ChangeSource,
     ObjectWatcher,
 )
-from trefoilhitch.pooler.store_era import NO_ERA, StoreEra
+from trefoilhitch.pooler.store_era import StoreEra
 
 
 @dataclass(frozen=True, slots=True)
