A lost lease does not permit the use of a primary

Callers would see: reads that lack acknowledged writes (STALE), at a primary that was replaced shortly before the store came back from an older copy and that goes on as primary.

Cause: a service without a lease counted as one that never had a failover. So once the store had lost the lease that names the new primary, a node that did not know of the failover used the old one unasked. The class: an acknowledged write taken as kept.

Change: a view of the leases permits something only by a lease that was written in the present era; views carry the era between nodes. Until then replicas confirm the primary. When the leases of earlier eras have expired, the monitors of a service confirm its primary once and write the lease again (lease_restorer).

Evidence: test_lost_lease_permits_the_use_of_a_replaced_primary: before, a read returned 0 where 29 was acknowledged; passes now.

What stays open: a promotion command whose holder died with its answer outstanding may act after the lease was written again.

--- a/tests/test_lease_view.py
+++ b/tests/test_lease_view.py
@@ -1,12 +1,19 @@
 """Permission to use a primary unasked, and the delay of promotions."""
 
+from dataclasses import replace
+
 import pytest
 from trio import current_time, open_nursery, sleep
 
 from tests.support import with_virtual_clock
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.errors import StoreUnavailableError
-from trefoilhitch.pooler.lease import LeaseRecord, ObservedLease
+from trefoilhitch.pooler.lease import (
+    LeaseListing,
+    LeaseRecord,
+    ObservedLease,
+    next_token,
+)
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.lease_view import (
     PERMISSION_MARGIN_S,
@@ -35,7 +42,21 @@
     lease: LeaseRecord | None, expected: bool
 ) -> None:
     leases = {} if lease is None else {SERVICE: lease}
-    assert LeaseView(10, leases).permits(SERVICE, PRIMARY, 10) is expected
+    assert (
+        LeaseView(10, LeaseListing(leases)).permits(SERVICE, PRIMARY, 10)
+        is expected
+    )
+
+
+def test_lease_that_a_restored_store_lost_permits_a_primary() -> None:
+    lost = LeaseListing(era=2)
+    assert not LeaseView(10, lost).permits(SERVICE, PRIMARY, 10)
+    outdated = LeaseRecord(token=3, primary=PRIMARY, era=2)
+    view = LeaseView(10, LeaseListing({SERVICE: outdated}, 2))
+    assert not view.permits(SERVICE, PRIMARY, 10)
+    written = replace(outdated, token=next_token(outdated))
+    view = LeaseView(10, LeaseListing({SERVICE: written}, 2))
+    assert view.permits(SERVICE, PRIMARY, 10)
 
 
 def test_permission_ends_before_a_promotion_may_be_commanded() -> None:
--- a/tests/test_primary_proof_model.py
+++ b/tests/test_primary_proof_model.py
@@ -13,7 +13,11 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.failover_decision import holds_every_commit
-from trefoilhitch.pooler.lease import LeaseRecord, ObservedLease
+from trefoilhitch.pooler.lease import (
+    LeaseListing,
+    LeaseRecord,
+    ObservedLease,
+)
 from trefoilhitch.pooler.lease_view import LeaseView, promotion_time
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmation import is_confirmed
@@ -137,7 +141,7 @@
     if state.viewed_at == NEVER:
         return False
     lease = LeaseRecord(holder='' if state.view == 'idle' else 'promoter')
-    view = LeaseView(state.viewed_at * STEP_S, {'ledger': lease})
+    view = LeaseView(state.viewed_at * STEP_S, LeaseListing({'ledger': lease}))
     return view.permits('ledger', OLD, state.now * STEP_S)
 
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from trio import move_on_after, sleep
+from trio import move_on_after, open_nursery, sleep
 
 from tests.support import with_virtual_clock
+from tests.test_replaced_primary import SPLIT_S, WriteHistory, split
 from tests.test_wire_failover import KEY, primary_of, write_until_done
 from trefoilhitch._generated.peer import (
     EndpointEntryReport,
@@ -13,11 +14,16 @@
     EntriesRequest,
 )
 from trefoilhitch.decision_log import NullLog
-from trefoilhitch.platform.object_store import ENDPOINT_KIND, NODE_KIND
+from trefoilhitch.platform.object_store import (
+    ENDPOINT_KIND,
+    LEASE_KIND,
+    NODE_KIND,
+)
+from trefoilhitch.pooler.lease import LEASE_DURATION_S
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch_lab.platform_store import StoreCopy
 from trefoilhitch_lab.wire_client import wire_client
-from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
+from trefoilhitch_lab.wire_stack import SERVICE, WireStack, running_wire_stack
 
 # Nodes of which two in each region watch the store.
 MANY_NODES = 15
@@ -106,6 +112,48 @@
             assert known.leaving, name
 
 
+@with_virtual_clock
+async def test_lost_lease_permits_the_use_of_a_replaced_primary() -> None:
+    history = WriteHistory()
+    async with running_wire_stack() as stack:
+        async with wire_client(stack.nodes['node-1'].address) as client:
+            await client.start('orders', KEY)
+            await client.query('WRITE a1 0')
+        await sleep(2)
+        copy = stack.store_state.copy()
+        split(stack)
+        cut_off = stack.nodes['node-0']
+        async with open_nursery() as nursery:
+            nursery.start_soon(history.write, stack, 'node-1')
+            await sleep(SPLIT_S / 2)
+            stack.restore_store(copy)
+            cut_off.store.faults.outage = False
+            nursery.start_soon(history.read, stack, 'orders', 0)
+        assert stack.group.term == 2
+    assert history.acknowledged
+
+
+@with_virtual_clock
+async def test_primary_of_a_lost_lease_has_to_be_confirmed_for_ever() -> None:
+    async with running_wire_stack() as stack:
+        state = stack.store_state
+        copy = state.copy()
+        await write_until_done(stack, 'before')
+        await replace_primary(stack, 'first')
+        primary = primary_of(stack).endpoint
+        stack.restore_store(copy)
+        await write_until_done(stack, 'after')
+        await wait_for(
+            lambda: LEASE_KIND in state.objects_by_kind,
+            LEASE_DURATION_S + SPREAD_S,
+        )
+        kept = state.objects_by_kind[LEASE_KIND][SERVICE]['spec']
+        assert not kept['holder']
+        assert kept['primary'] == primary
+        assert kept['term'] == stack.group.term
+        assert len(stack.promotions.completed) == 1
+
+
 @with_virtual_clock
 async def test_entries_of_nodes_stay_lost_after_the_store_was_restored() -> (
     None
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -458,6 +458,12 @@
     age_ms: Annotated[
         int, Meta(description='Age of the request that the store answered.')
     ] = 0
+    era: Annotated[
+        int,
+        Meta(
+            description='Era of the store; a service without a lease has lost it if this is not the first one.'
+        ),
+    ] = 0
     leases: list[LeaseReport] = field(default_factory=list)
 
 
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -12,7 +12,7 @@
     ObjectStoreClient,
     StoredObject,
 )
-from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 
 
 class PlatformLeaseStore:
@@ -27,24 +27,25 @@
         """Initialise with the store's client."""
         self._store = store
 
-    async def list_leases(self, deadline: float) -> dict[str, LeaseRecord]:
+    async def list_leases(self, deadline: float) -> LeaseListing:
         """Read the leases of all services that have one.
 
         Args:
             deadline: monotonic time in seconds.
 
         Returns:
-            Leases by service.
+            The leases.
 
         Raises:
             StoreUnavailableError: no valid response.
 
         """
         listed = await self._store.list_kind(LEASE_KIND, deadline)
-        return {
+        leases = {
             change.stored.meta.name: _decode_lease(change.stored, listed.era)
             for change in listed.changes
         }
+        return LeaseListing(leases, listed.era)
 
     async def read_lease(self, service: str, deadline: float) -> LeaseRecord:
         """Read a lease; one that does not exist has revision 0.
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -1,6 +1,7 @@
 """The lease that allows one node at a time to replace a service's primary."""
 
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 from trefoilhitch.pooler.era_numbers import FIRST_ERA, NO_ERA
 
@@ -50,6 +51,29 @@
         return self.token > lowest_token(self.era)
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseListing:
+    """All leases of the store.
+
+    Args:
+        leases: leases by service; a service without a lease is missing.
+        era: era of the store.
+
+    """
+
+    leases: Mapping[str, LeaseRecord] = field(default_factory=dict)
+    era: int = NO_ERA
+
+    def get(self, service: str) -> LeaseRecord:
+        """Return the lease of a service; a missing one has revision 0.
+
+        Args:
+            service: service name.
+
+        """
+        return self.leases.get(service) or LeaseRecord(era=self.era)
+
+
 @dataclass(frozen=True, slots=True)
 class ObservedLease:
     """A lease and the time at which this node first read its revision.
--- a/trefoilhitch/pooler/lease_view.py
+++ b/trefoilhitch/pooler/lease_view.py
@@ -5,12 +5,19 @@
 service, and waits for `PROMOTION_DELAY_S` before it commands the promotion.
 So a lease that was idle when it was read rules out a promotion until that
 time has passed since the read was requested.
+
+A restored store has lost leases that it held. So a lease permits something only
+if it was written in the present era of the store, when the leases of earlier
+eras had expired.
 """
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from trefoilhitch.pooler.lease import LeaseRecord, ObservedLease
+from trefoilhitch.pooler.lease import (
+    LeaseListing,
+    LeaseRecord,
+    ObservedLease,
+)
 
 # A shorter delay makes nodes read the leases more often, a longer one delays
 # every failover whose reason arises suddenly.
@@ -28,13 +35,12 @@
     Args:
         observed_at: when they were requested, in seconds on a clock that
             includes suspended time.
-        leases: leases by service; a service that was never failed over has
-            none.
+        listing: the leases.
 
     """
 
     observed_at: float = float('-inf')
-    leases: Mapping[str, LeaseRecord] = field(default_factory=dict)
+    listing: LeaseListing = field(default_factory=LeaseListing)
 
     def permits(self, service: str, endpoint: str, now: float) -> bool:
         """Return whether an endpoint had not been replaced a moment ago.
@@ -52,9 +58,7 @@
         expires_at = self.observed_at + PROMOTION_DELAY_S - PERMISSION_MARGIN_S
         if now >= expires_at:
             return False
-        lease = self.leases.get(service)
-        if lease is None:
-            return True
+        lease = self.listing.get(service)
         return is_idle(lease) and lease.primary in {'', endpoint}
 
     def needs_refresh(self, now: float) -> bool:
@@ -84,7 +88,7 @@
         lease: lease of the service.
 
     """
-    return not (lease.holder or lease.candidate)
+    return lease.belongs_to_era and not (lease.holder or lease.candidate)
 
 
 def promotion_time(seen: ObservedLease, acquired_at: float) -> float:
--- a/trefoilhitch/pooler/lease_view_reader.py
+++ b/trefoilhitch/pooler/lease_view_reader.py
@@ -12,7 +12,7 @@
     MemberBeat,
 )
 from trefoilhitch.pooler.gateway_placement import rank_by_name
-from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 from trefoilhitch.pooler.lease_observer import LeaseObserver, read_lease_view
 from trefoilhitch.pooler.lease_view import LeaseView, is_idle
 from trefoilhitch.pooler.membership_view import MembershipView
@@ -87,7 +87,10 @@
             return None
         return LeaseView(
             sent_at - reply.age_ms / _MS_PER_S,
-            {report.service: _read_report(report) for report in reply.leases},
+            LeaseListing(
+                {each.service: _read_report(each) for each in reply.leases},
+                reply.era,
+            ),
         )
 
     def _source(self) -> MemberBeat | None:
@@ -128,9 +131,9 @@
             primary=lease.primary,
             term=lease.term,
         )
-        for service, lease in view.leases.items()
+        for service, lease in view.listing.leases.items()
     ]
-    return LeaseViewReply(age_ms=age_ms, leases=reports)
+    return LeaseViewReply(age_ms=age_ms, era=view.listing.era, leases=reports)
 
 
 def _read_report(report: LeaseReport) -> LeaseRecord:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -28,7 +28,8 @@
 from trefoilhitch.pooler.held_lease import FailoverStoppedError
 from trefoilhitch.pooler.lease import ObservedLease, is_same_version
 from trefoilhitch.pooler.lease_observer import LeaseObserver
-from trefoilhitch.pooler.monitor_order import rank_monitors
+from trefoilhitch.pooler.lease_restorer import LeaseRestorer
+from trefoilhitch.pooler.monitor_order import RANK_DELAY_S, rank_monitors
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
 from trefoilhitch.pooler.primary_tracker import Primary
@@ -36,8 +37,6 @@
 CHECK_INTERVAL_S = 0.15
 # Number of nodes that monitor one service, including standbys.
 MONITORS_PER_SERVICE = 3
-# Each standby acts this much later than the monitor ranked before it.
-RANK_DELAY_S = 1.5
 RETRY_PAUSE_S = 0.7
 # How often a standby monitor reads the lease until its turn comes.
 LEASE_READ_INTERVAL_S = 0.5
@@ -53,6 +52,7 @@
         failover: dependencies of a failover.
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries have not been replaced.
+        restorer: writes leases again that the store has lost.
         live_nodes: returns the heartbeats of the nodes that may monitor.
         members_version: returns a number that changes with these nodes.
         confirm_silence: has other nodes probe a primary; returns False if
@@ -66,6 +66,7 @@
     failover: FailoverDependencies
     confirmer: PrimaryConfirmer
     leases: LeaseObserver
+    restorer: LeaseRestorer
     live_nodes: Callable[[], list[MemberBeat]]
     members_version: Callable[[], int]
     confirm_silence: Callable[[str, str], Awaitable[bool]]
@@ -87,6 +88,7 @@
         self._seen_leases: dict[str, ObservedLease] = {}
         self._probing: set[str] = set()
         self._evaluating: set[str] = set()
+        self._restoring: set[str] = set()
         self._failing_over: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._reason_since: dict[str, float] = {}
@@ -114,12 +116,19 @@
             rank = self._rank(service)
             if rank >= MONITORS_PER_SERVICE:
                 continue
-            # Two tasks, so that a probe without an answer does not delay the
-            # evaluation.
+            # Separate tasks, so that a probe without an answer does not delay
+            # the evaluation.
             self._start_task(nursery, self._probe, self._probing, service, rank)
             self._start_task(
                 nursery, self._evaluate, self._evaluating, service, rank
             )
+            self._start_task(
+                nursery,
+                self._deps.restorer.restore_if_due,
+                self._restoring,
+                service,
+                rank,
+            )
 
     def _start_task(
         self,
--- a/trefoilhitch/pooler/monitor_order.py
+++ b/trefoilhitch/pooler/monitor_order.py
@@ -6,6 +6,9 @@
 from trefoilhitch._generated.record import PlacementNode
 from trefoilhitch.placement import rank_nodes
 
+# Each standby acts this much later than the monitor ranked before it.
+RANK_DELAY_S = 1.5
+
 
 def rank_monitors(
     service: str, data_centre: str, nodes: Sequence[MemberBeat]
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -9,6 +9,10 @@
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.failover_plan import FailoverDependencies
 from trefoilhitch.pooler.lease_client import LeaseClient
+from trefoilhitch.pooler.lease_restorer import (
+    LeaseRestorer,
+    LeaseRestorerDependencies,
+)
 from trefoilhitch.pooler.lifecycle import DrainPlan, Readiness
 from trefoilhitch.pooler.monitor import Monitor, MonitorDependencies
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
@@ -233,6 +237,7 @@
                 failover=failover,
                 confirmer=parts.confirmer,
                 leases=parts.leases,
+                restorer=self._make_lease_restorer(failover),
                 live_nodes=self._membership.live,
                 members_version=lambda: self._membership.version,
                 confirm_silence=parts.peer_sync.confirm_silence,
@@ -240,3 +245,18 @@
                 report_store_lost=self._report_store_lost,
             )
         )
+
+    def _make_lease_restorer(
+        self, failover: FailoverDependencies
+    ) -> LeaseRestorer:
+        return LeaseRestorer(
+            LeaseRestorerDependencies(
+                node=failover.node,
+                cluster=failover.cluster,
+                control=failover.control,
+                confirmer=self._parts.confirmer,
+                leases=failover.leases,
+                store_era=failover.store_era,
+                log=failover.log,
+            )
+        )
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -6,7 +6,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.errors import TrefoilhitchError
-from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 from trefoilhitch.pooler.statement import PreparedStatement
@@ -182,7 +182,7 @@
 class LeaseStore(Protocol):
     """Stores leases with conditional writes."""
 
-    async def list_leases(self, deadline: float) -> dict[str, LeaseRecord]:
+    async def list_leases(self, deadline: float) -> LeaseListing:
         """Read the leases of all services that have one."""
 
     async def read_lease(self, service: str, deadline: float) -> LeaseRecord:
