A restored entry does not let a leaving endpoint return

An endpoint that had gone returned for the time until its entry expired again.

Cause: the newest entry read was taken for the newest written. A restored entry is older than what was known, and the endpoint writes its own again only up to two seconds later.

Change: an endpoint that was seen to be leaving stays so until it has restarted, whatever its entry says, and for five minutes after it has gone (leaving_endpoints). The times at which endpoints began to leave were kept for ever; they go with it.

--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, replace
 from typing import Literal
 
+from trefoilhitch.pooler.leaving_endpoints import LeavingEndpoints
+
 Role = Literal['primary', 'replica']
 # Entries that expired during an outage of the directory return in about two
 # seconds; until then, a missing entry does not mean that the endpoint is gone.
@@ -76,7 +78,7 @@
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
         self._lost: dict[str, ListedEndpoint] = {}
-        self._leaving_since: dict[str, float] = {}
+        self._leaving = LeavingEndpoints()
         # Computed on demand, for they are read far more often than changed.
         self._members_by_service: dict[str, list[EndpointRecord]] = {}
 
@@ -103,7 +105,7 @@
             now: monotonic time.
 
         """
-        self._leaving_since.setdefault(endpoint, now)
+        self._leaving.record_time(endpoint, now)
 
     def has_left(self, endpoint: str, now: float) -> bool:
         """Return whether an endpoint may be given no statements any more.
@@ -116,26 +118,33 @@
             True if it has been leaving for almost as long as it serves.
 
         """
-        since = self._leaving_since.get(endpoint)
+        since = self._leaving.since(endpoint)
         return since is not None and now >= since + self._drain_s
 
-    def put(self, record: EndpointRecord) -> None:
+    def put(self, entry: EndpointRecord) -> EndpointRecord:
         """Add or update one entry.
 
         An endpoint that restarts under another id at the same address still
         has its log, so its earlier entry is removed.
 
         Args:
-            record: the entry.
+            entry: the entry.
+
+        Returns:
+            The entry as it is kept: an endpoint that was seen to be leaving
+            does not return before it has restarted.
 
         """
-        if not record.leaving:
-            self._leaving_since.pop(record.endpoint, None)
+        leaving = self._leaving.observe(
+            entry.endpoint, entry.started_at_ms, leaving=entry.leaving
+        )
+        record = replace(entry, leaving=leaving)
         self._members_by_service.clear()
         self._listed[record.endpoint] = ListedEndpoint(record)
         self._listed = _without_predecessors(self._listed, record)
         self._lost = _without_predecessors(self._lost, record)
         self._lost.pop(record.endpoint, None)
+        return record
 
     def mark_missing(self, endpoint: str, now: float) -> None:
         """Mark an entry as missing from the directory.
@@ -169,6 +178,8 @@
         for gone_id in gone:
             self._members_by_service.clear()
             self._retain_lost(self._listed.pop(gone_id).record, now)
+            self._leaving.record_gone(gone_id, now)
+        self._leaving.forget_gone(now)
         self._lost = {
             name: lost
             for name, lost in self._lost.items()
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -157,10 +157,10 @@
     def _spread_entries(self) -> None:
         self._deps.spread(not self._is_applying_peer_entries)
 
-    def _apply_endpoint(self, record: EndpointRecord) -> None:
+    def _apply_endpoint(self, entry: EndpointRecord) -> None:
         deps = self._deps
-        known = deps.cluster.find(record.endpoint)
-        deps.cluster.endpoints.put(record)
+        known = deps.cluster.find(entry.endpoint)
+        record = deps.cluster.endpoints.put(entry)
         if record.leaving:
             deps.cluster.endpoints.record_leaving(
                 record.endpoint, current_time()
