Nodes register again when the store has lost their entries

Callers would see: a node that starts after the store came back from an older copy finds no other node in the store, and until a seed answers it counts itself as the only one for rates and connections. Seen in a test.

Cause: a node registers once in its life; an acknowledged write taken as kept.

Change: a node registers again in each later era of the store, spread over a second; one that stops does not. Registration is a module of its own (node_registration).

--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -172,6 +172,20 @@
         )
 
 
+@with_virtual_clock
+async def test_node_that_stopped_registers_again() -> None:
+    async with running_wire_stack() as stack:
+        state = stack.store_state
+        await sleep(SPREAD_S * 2)
+        stopping = stack.nodes['node-2'].node
+        stopping.begin_stop()
+        await stopping.finish_stop()
+        stack.restore_store(state.copy())
+        await sleep(SPREAD_S * 2)
+        registered = state.objects_by_kind[NODE_KIND].keys()
+        assert registered == {'node-0', 'node-1'}
+
+
 @with_virtual_clock
 async def test_restored_entry_lets_a_leaving_endpoint_return() -> None:
     async with running_wire_stack() as stack:
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -5,7 +5,6 @@
 from trio import Nursery, current_time, sleep
 
 from trefoilhitch._generated.peer import MemberBeat
-from trefoilhitch.errors import StoreError
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.failover_plan import FailoverDependencies
 from trefoilhitch.pooler.lease_client import LeaseClient
@@ -17,14 +16,11 @@
 from trefoilhitch.pooler.monitor import Monitor, MonitorDependencies
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.node_parts import NodeParts
+from trefoilhitch.pooler.node_registration import NodeRegistration
 from trefoilhitch.pooler.peer_request_handler import PeerRequestHandler
 from trefoilhitch.pooler.session_manager import SessionManager
 from trefoilhitch.pooler.settings import PoolerSettings
 
-REGISTER_TIMEOUT_S = 1.5
-REGISTER_RETRY_PAUSE_S = 0.7
-# When all nodes start at the same time, the first listing lacks most of them.
-SECOND_LISTING_PAUSE_S = 5.0
 HOUSEKEEPING_INTERVAL_S = 0.5
 # How long a node leaves failovers to others after one failed for want of the
 # store.
@@ -53,10 +49,17 @@
         self._cfg = cfg
         self._external = external
         self._runtime = runtime
-        self._registered = False
         self._store_lost_until = -math.inf
         self._parts = NodeParts(cfg, external, runtime)
         self._membership = self._parts.state.membership
+        self._registration = NodeRegistration(
+            registry=external.registry,
+            membership=self._membership,
+            rates=self._parts.state.rates,
+            store_era=external.era,
+            random=runtime.random,
+            log=runtime.log,
+        )
         self.sessions = SessionManager(
             self._parts.sessions,
             max_sessions=max(1, cfg.max_sockets - RESERVED_SOCKETS),
@@ -98,7 +101,7 @@
         parts = self._parts
         nursery.start_soon(parts.state.client.run)
         nursery.start_soon(parts.store_sync.run)
-        nursery.start_soon(self._register)
+        nursery.start_soon(self._registration.run)
         nursery.start_soon(parts.leases.run)
         nursery.start_soon(parts.peer_sync.run)
         nursery.start_soon(self._run_housekeeping)
@@ -132,11 +135,7 @@
 
     async def finish_stop(self) -> None:
         """Remove this node's registry entry."""
-        deadline = current_time() + REGISTER_RETRY_PAUSE_S
-        try:
-            await self._external.registry.deregister(self._cfg.node, deadline)
-        except StoreError as exc:
-            self._runtime.log.event('deregister_failed', detail=str(exc))
+        await self._registration.deregister()
 
     @property
     def _can_serve(self) -> bool:
@@ -145,47 +144,6 @@
             and self._parts.store_sync.endpoints_listed
         )
 
-    async def _register(self) -> None:
-        while not self._registered:
-            try:
-                await self._attempt_registration()
-            except StoreError as exc:
-                self._runtime.log.event('register_failed', detail=str(exc))
-                await sleep(REGISTER_RETRY_PAUSE_S)
-        await self._list_nodes_again()
-
-    async def _attempt_registration(self) -> None:
-        deadline = current_time() + REGISTER_TIMEOUT_S
-        registry = self._external.registry
-        self._merge_nodes(await registry.list_nodes(deadline))
-        await registry.register(self._membership.heartbeat, deadline)
-        self._registered = True
-
-    async def _list_nodes_again(self) -> None:
-        """Learn of the nodes that started at the same time."""
-        await sleep(SECOND_LISTING_PAUSE_S)
-        deadline = current_time() + REGISTER_TIMEOUT_S
-        try:
-            nodes = await self._external.registry.list_nodes(
-                deadline, may_be_stale=True
-            )
-        except StoreError as exc:
-            self._runtime.log.event('nodes_unread', detail=str(exc))
-            return
-        self._membership.merge(nodes)
-        self._parts.state.rates.refresh()
-
-    def _merge_nodes(self, nodes: list[MemberBeat]) -> None:
-        self._membership.merge(nodes)
-        for heartbeat in nodes:
-            if heartbeat.node == self._cfg.node:
-                own_incarnation = self._membership.heartbeat.incarnation
-                self._membership.set_incarnation(
-                    max(own_incarnation, heartbeat.incarnation + 1)
-                )
-        self._membership.nodes_listed = True
-        self._parts.state.rates.refresh()
-
     async def _run_housekeeping(self) -> None:
         parts = self._parts
         while True:
