A node that starts after a restoration asks others for the declaration

Callers would see: a withdrawn key accepted by a node that starts after the store came back from an older copy, for 1.5 s. Seen in a test.

Cause: a node that watches the store fetches a newer declaration from another node only after 1.5 s, since it soon gets it from the store; a restored store does not have it before the operators have written it again.

Change: no such wait for five seconds after a new era was first known.

Evidence: test_node_that_starts_after_a_restoration_uses_a_withdrawn_key: the session started before, and is refused now, 0.5 s after the node is ready.

A node is ready before it has asked another one; that time is not closed.

--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -15,6 +15,8 @@
 )
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.platform.object_store import (
+    CONFIG_KIND,
+    CONFIG_NAME,
     ENDPOINT_KIND,
     LEASE_KIND,
     NODE_KIND,
@@ -23,12 +25,19 @@
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch_lab.platform_store import StoreCopy
 from trefoilhitch_lab.wire_client import wire_client
-from trefoilhitch_lab.wire_stack import SERVICE, WireStack, running_wire_stack
+from trefoilhitch_lab.wire_stack import (
+    SERVICE,
+    WireStack,
+    make_declaration,
+    running_wire_stack,
+)
 
 # Nodes of which two in each region watch the store.
 MANY_NODES = 15
 SPREAD_S = 3.0
 LEAVING = 'ledger-1'
+# Time in which a node compares its state with another one.
+EXCHANGE_S = 0.5
 
 
 async def replace_primary(stack: WireStack, mark: str) -> None:
@@ -186,6 +195,26 @@
         assert registered == {'node-0', 'node-1'}
 
 
+@with_virtual_clock
+async def test_node_that_starts_after_a_restoration_uses_a_withdrawn_key() -> (
+    None
+):
+    async with running_wire_stack() as stack:
+        state = stack.store_state
+        copy = state.copy()
+        withdrawn = make_declaration(2)
+        withdrawn['tenants'][0]['api_keys'] = []
+        state.put(CONFIG_KIND, CONFIG_NAME, withdrawn)
+        await sleep(1)
+        # The operators have not written it again yet.
+        state.restore(copy)
+        await stack.start_node('node-3')
+        await stack.wait_until_ready()
+        await sleep(EXCHANGE_S)
+        async with wire_client(stack.nodes['node-3'].address) as client:
+            assert (await client.start('orders', KEY)).startswith('ERROR')
+
+
 @with_virtual_clock
 async def test_restored_entry_lets_a_leaving_endpoint_return() -> None:
     async with running_wire_stack() as stack:
--- a/trefoilhitch/pooler/declaration_sync.py
+++ b/trefoilhitch/pooler/declaration_sync.py
@@ -30,7 +30,8 @@
         declaration: declaration in force.
         client: sends requests to other nodes.
         read_declaration: parses a declaration's text.
-        watches_store: returns whether this node gets changes from the store.
+        watches_store: returns whether this node soon gets from the store what
+            others have.
         relay: tells other nodes that this one has something newer.
         log: records declarations that cannot be read.
 
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -73,7 +73,7 @@
             declaration=self.state.declaration,
             client=self.state.client,
             read_declaration=external.read_declaration,
-            watches_store=self._watches_store,
+            watches_store=self._gets_newest_from_store,
             relay=self._relay,
             log=runtime.log,
         )
@@ -114,6 +114,9 @@
         membership = self.state.membership
         return watches_store(membership.heartbeat, membership.live())
 
+    def _gets_newest_from_store(self) -> bool:
+        return self._watches_store() and not self._external.era.lacks_writes
+
     def _relay(self) -> None:
         self.peer_sync.start_spreading(from_store=False)
 
--- a/trefoilhitch/pooler/store_era.py
+++ b/trefoilhitch/pooler/store_era.py
@@ -12,7 +12,11 @@
 from trio import CancelScope
 
 from trefoilhitch.decision_log import DecisionLog
-from trefoilhitch.pooler.era_numbers import NO_ERA
+from trefoilhitch.pooler.era_numbers import FIRST_ERA, NO_ERA
+
+# How long operators and endpoints may take to write again what a restored store
+# has lost.
+REWRITE_TIME_S = 5.0
 
 
 class StoreEra:
@@ -33,6 +37,13 @@
         self._log = log
         self._scopes: dict[CancelScope, int] = {}
 
+    @property
+    def lacks_writes(self) -> bool:
+        """Whether the store may lack confirmed writes of others."""
+        if self.current <= FIRST_ERA:
+            return False
+        return self._clock() < self.seen_at + REWRITE_TIME_S
+
     def observe(self, era: int, source: str) -> None:
         """Record an era that the store or another node named.
 
