Entries of nodes of an earlier version are compared by revision alone

Callers would see: during an upgrade node by node, in regions with more than four nodes, statements at an endpoint that has left: a new node took no entries from watchers of the earlier version, which name no era.

Cause: a missing era was compared as the lowest one.

Change: a message without an era is compared within the receiver's own.

Evidence: test_entries_of_a_node_of_an_earlier_version_are_ignored and test_entries_of_a_later_era_are_compared_by_revision_alone, both of this commit.

--- a/tests/test_entry_log.py
+++ b/tests/test_entry_log.py
@@ -62,6 +62,22 @@
     assert not reply.entries
 
 
+def test_entries_of_a_later_era_are_compared_by_revision_alone() -> None:
+    log = EntryLog()
+    log.replace_all(Changes({'i-1': FIRST, 'i-2': SECOND}, (), 10, 1))
+    assert log.is_behind(2, 4)
+    assert not log.is_behind(1, 10)
+    assert log.is_behind(NO_ERA, 11)
+    log.replace_all(Changes({'i-1': FIRST}, (), 4, 2))
+    assert not log.is_behind(1, 11)
+    # A node that knows the first era needs all entries, also the removed one.
+    changes = read_changes(log.changes_since(10, 1))
+    assert changes.present == {'i-1': FIRST}
+    assert changes.absent == ('i-2',)
+    assert (changes.era, changes.revision) == (2, 4)
+    assert not log.changes_since(4, 2).entries
+
+
 def test_endpoint_that_has_left_gets_no_statements() -> None:
     registry = EndpointRegistry(10)
     registry.put(replace(FIRST, leaving=True))
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -43,6 +43,7 @@
         self.source = Source()
         self.watches = watches
         self.listed: list[int] = []
+        self.changed: list[int] = []
         self.era = StoreEra(clock=current_time, log=NullLog())
         self.era.observe(1, 'store')
         self.watcher = ObjectWatcher[int](
@@ -51,7 +52,7 @@
             replace_all=lambda listing: self.listed.extend(
                 listing.present.values()
             ),
-            apply=lambda changes: None,
+            apply=lambda changes: self.changed.extend(changes.present.values()),
             log=NullLog(),
             random=Random(1),
             store_era=self.era,
@@ -114,3 +115,12 @@
     watched.watcher.apply_from_peer(Changes({'main': 7}, (), 50, 1))
     assert watched.listed == [5, 6]
     assert watched.watcher.revision == 20
+
+
+@with_virtual_clock
+async def test_entries_of_a_node_of_an_earlier_version_are_ignored() -> None:
+    watched = Watched()
+    watched.watcher.apply_from_peer(Changes({'main': 5}, (), 20, 2))
+    watched.watcher.apply_from_peer(Changes({'main': 6}, (), 21))
+    assert watched.changed == [6]
+    assert watched.watcher.era == 2
--- a/trefoilhitch/pooler/entry_log.py
+++ b/trefoilhitch/pooler/entry_log.py
@@ -63,11 +63,12 @@
         """Return whether another node has later entries.
 
         Args:
-            era: era of the store in which the other node read them.
+            era: era of the store in which the other node read them; a node of
+                an earlier version names none.
             revision: its revision.
 
         """
-        return (era, revision) > (self.era, self.revision)
+        return (era or self.era, revision) > (self.era, self.revision)
 
     def changes_since(self, revision: int, era: int) -> EntriesReply:
         """Return the entries that changed after a revision.
@@ -81,7 +82,7 @@
             one.
 
         """
-        if era != self.era:
+        if era not in {NO_ERA, self.era}:
             revision = 0
         return EntriesReply(
             revision=self.revision,
--- a/trefoilhitch/pooler/object_watcher.py
+++ b/trefoilhitch/pooler/object_watcher.py
@@ -118,9 +118,11 @@
             era=changes.era,
             previous=self.revision,
         )
-        if changes.era > self.era:
+        # A node of an earlier version names no era.
+        era = changes.era or self.era
+        if era > self.era:
             self._apply_listing(changes)
-        elif changes.era == self.era and changes.revision > self.revision:
+        elif era == self.era and changes.revision > self.revision:
             self.revision = changes.revision
             self._apply(changes)
 
