The head of a restored object API is repaired

Callers would see, on the HTTP interface: a change that `apply` confirmed and that is never in force, after the object API came back from an older copy (CONFIG in the users' terms); and a confirmed change that the next `apply` undoes, as it is based on the older head. Seen in tests.

A node ignores a head whose revision is not above its own, and a revision is the number of the head it replaces plus one: after a restoration it is given again. And a watch went on from a version that exists again.

Change: a node that watches compares revision and bundle. If the store has lost the configuration in force, it writes it again; if another change has its revision, it gives that change the next one. Both are conditional on the version that was read. After a failure the head is read.

A change that got a lower revision than the nodes have cannot be told from an old one, and is replaced.

--- a/trefoilhitch/config_sync.py
+++ b/trefoilhitch/config_sync.py
@@ -11,14 +11,24 @@
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.config import BundleError, Config, ConfigHolder
 from trefoilhitch.decision_log import DecisionLog
-from trefoilhitch.errors import RefusalError, StoreError
+from trefoilhitch.errors import (
+    RefusalError,
+    StoreConflictError,
+    StoreError,
+)
+from trefoilhitch.head_repair import (
+    BUNDLE_OBJECT_NAME,
+    HEAD_OBJECT_NAME,
+    HeadState,
+    compare_head,
+    raise_head,
+    write_lost_head,
+)
 from trefoilhitch.membership import Membership
 from trefoilhitch.peer_client import PeerClients
 from trefoilhitch.retry import MAX_DELAY_S, backoff_s
 from trefoilhitch.store import ObjectStore
 
-HEAD_OBJECT_NAME = 'config/head'
-BUNDLE_OBJECT_NAME = 'config/bundles/{digest}'
 READ_TIMEOUT_MS = 2000
 WATCH_TIMEOUT_MS = 25000
 PEER_TIMEOUT_MS = 2000
@@ -74,6 +84,9 @@
                 await self._watch_head()
             except (StoreError, BundleError, RefusalError) as exc:
                 failures = min(failures + 1, MAX_BACKOFF_ATTEMPT)
+                # A store that was away may have been restored, and may assign
+                # the known version to another head.
+                self._head_version = 0
                 self._log.event('store_unavailable', detail=str(exc))
                 await sleep(backoff_s(failures, random.random()) + MAX_DELAY_S)
             else:
@@ -100,13 +113,36 @@
             deadline_after_ms(WATCH_TIMEOUT_MS),
         )
         head = read_head(stored)
-        if head.revision > self._holder.current.revision:
+        state = compare_head(head, self._holder.current)
+        if state == HeadState.NEWER:
             bundle = await self._store.get(
                 BUNDLE_OBJECT_NAME.format(digest=head.bundle),
                 deadline_after_ms(READ_TIMEOUT_MS),
             )
             self._apply(Config.from_body(head.revision, bundle.body), 'store')
         self._head_version = stored.version
+        if state in {HeadState.LOST, HeadState.REPLACED}:
+            await self._repair_head(head, state)
+
+    async def _repair_head(self, head: Head, state: HeadState) -> None:
+        """Write the head of a restored store; the next watch reads it."""
+        current = self._holder.current
+        self._log.event(
+            'head_repaired',
+            state=state.value,
+            stored=head.revision,
+            in_force=current.revision,
+            operator=head.operator,
+        )
+        version = self._head_version
+        try:
+            if state == HeadState.LOST:
+                await write_lost_head(self._store, current, version)
+            else:
+                await raise_head(self._store, head, version)
+        except StoreConflictError as exc:
+            # Another node was first.
+            self._log.event('head_changed', version=exc.version)
 
     async def _fetch_from_peer(self, address: str) -> None:
         query = ConfigQuery(revision=self._holder.current.revision)
--- a/trefoilhitch/publisher.py
+++ b/trefoilhitch/publisher.py
@@ -1,22 +1,22 @@
 """Publishes configurations: content-addressed bundles and one head object."""
 
 from dataclasses import dataclass
-from hashlib import sha256
 
 from msgspec.json import decode, encode
 
 from trefoilhitch._generated.store import Bundle, Head
 from trefoilhitch.clock import deadline_after_ms
-from trefoilhitch.config_sync import (
-    BUNDLE_OBJECT_NAME,
-    HEAD_OBJECT_NAME,
-    read_head,
-)
+from trefoilhitch.config_sync import read_head
 from trefoilhitch.errors import (
     StoreConflictError,
     StoreUnavailableError,
     TrefoilhitchError,
 )
+from trefoilhitch.head_repair import (
+    BUNDLE_OBJECT_NAME,
+    HEAD_OBJECT_NAME,
+    bundle_digest,
+)
 from trefoilhitch.store import ObjectStore
 
 STORE_TIMEOUT_MS = 5000
@@ -115,8 +115,9 @@
 
         """
         body = encode(bundle).decode()
-        digest = sha256(body.encode()).hexdigest()
-        head = Head(revision=base + 1, bundle=digest, operator=operator)
+        head = Head(
+            revision=base + 1, bundle=bundle_digest(body), operator=operator
+        )
         for _ in range(APPLY_ATTEMPTS):
             try:
                 return await self._attempt_apply(head, body)
--- a/trefoilhitch_lab/object_api.py
+++ b/trefoilhitch_lab/object_api.py
@@ -96,6 +96,24 @@
         """
         return self._find_record(name).stored
 
+    def copy(self) -> dict[str, StoredObject]:
+        """Return a copy of all objects to restore the store from."""
+        return {name: each.stored for name, each in self._records.items()}
+
+    def restore(self, copy: Mapping[str, StoredObject]) -> None:
+        """Lose all writes since a copy was taken; end all watches.
+
+        Args:
+            copy: the copy.
+
+        """
+        lost = self._records
+        self._records = {
+            name: _ObjectRecord(stored) for name, stored in copy.items()
+        }
+        for record in lost.values():
+            record.changed.set()
+
     def _write_object(self, name: str, body: bytes) -> HttpResponse:
         try:
             write_request = decode(body, type=PutRequest)
