--- /dev/null
+++ b/tests/test_object_store_eras.py
@@ -0,0 +1,90 @@
+"""Responses of a store that is restored while it is read."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from msgspec.json import encode
+from trio import current_time, open_nursery
+
+from tests.support import with_virtual_clock
+from trefoilhitch.decision_log import NullLog
+from trefoilhitch.errors import StoreUnavailableError
+from trefoilhitch.http_message import HttpRequest, HttpResponse
+from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
+from trefoilhitch.platform.object_store import (
+    ERA_HEADER,
+    ChangeList,
+    ObjectStoreClient,
+)
+from trefoilhitch.pooler.store_era import StoreEra
+
+TIMEOUT_S = 1.0
+
+
+def page(name: str, era: int, *, has_more: bool) -> HttpResponse:
+    """Return a page of a listing with one object."""
+    stored = {'meta': {'name': name, 'revision': 3}, 'spec': {}}
+    body = {'items': [stored], 'has_more': has_more, 'current_rev': 9}
+    return HttpResponse(200, encode(body), {ERA_HEADER: str(era)})
+
+
+class PlannedStore:
+    """Store that answers with planned responses."""
+
+    def __init__(self, *responses: HttpResponse) -> None:
+        """Set the responses."""
+        self._planned = list(responses)
+
+    async def respond(self, req: HttpRequest) -> HttpResponse:
+        """Return the next response."""
+        return self._planned.pop(0)
+
+
+@asynccontextmanager
+async def client_of(
+    *responses: HttpResponse,
+) -> AsyncIterator[ObjectStoreClient]:
+    """Yield a client of a store with planned responses."""
+    handlers = SharedHandlerFactory(PlannedStore(*responses))
+    async with open_nursery() as nursery:
+        server = HttpServer(factory=handlers, reporter=NullLog())
+        port = await server.listen(nursery, '127.0.0.1', 0)
+        era = StoreEra(clock=current_time, log=NullLog())
+        yield ObjectStoreClient(f'127.0.0.1:{port}', era)
+        nursery.cancel_scope.cancel()
+
+
+def names_of(listed: ChangeList) -> list[str]:
+    """Return the names of the listed objects."""
+    return [change.stored.meta.name for change in listed.changes]
+
+
+@with_virtual_clock
+async def test_pages_of_two_eras_are_one_listing() -> None:
+    first = page('a', 1, has_more=True)
+    async with client_of(first, page('b', 2, has_more=False)) as store:
+        with pytest.raises(StoreUnavailableError):
+            await store.list_kind('servers', current_time() + TIMEOUT_S)
+
+
+@with_virtual_clock
+async def test_response_of_an_earlier_era_is_used_after_a_later_one() -> None:
+    first = page('a', 2, has_more=False)
+    async with client_of(first, page('b', 1, has_more=False)) as store:
+        listed = await store.list_kind('servers', current_time() + TIMEOUT_S)
+        assert (listed.era, listed.revision) == (2, 9)
+        with pytest.raises(StoreUnavailableError):
+            await store.list_kind('servers', current_time() + TIMEOUT_S)
+
+
+@with_virtual_clock
+async def test_pages_of_one_era_are_refused() -> None:
+    for era in (0, 2):
+        first = page('a', era, has_more=True)
+        async with client_of(first, page('b', era, has_more=False)) as store:
+            listed = await store.list_kind(
+                'servers', current_time() + TIMEOUT_S
+            )
+        assert names_of(listed) == ['a', 'b']
+        assert listed.era == era
--- a/trefoilhitch/config_sync.py
+++ b/trefoilhitch/config_sync.py
@@ -127,13 +127,6 @@
     async def _repair_head(self, head: Head, state: HeadState) -> None:
         """Write the head of a restored store; the next watch reads it."""
         current = self._holder.current
-        self._log.event(
-            'head_repaired',
-            state=state.value,
-            stored=head.revision,
-            in_force=current.revision,
-            operator=head.operator,
-        )
         version = self._head_version
         try:
             if state == HeadState.LOST:
@@ -143,6 +136,14 @@
         except StoreConflictError as exc:
             # Another node was first.
             self._log.event('head_changed', version=exc.version)
+            return
+        self._log.event(
+            'head_repaired',
+            state=state.value,
+            stored=head.revision,
+            in_force=current.revision,
+            operator=head.operator,
+        )
 
     async def _fetch_from_peer(self, address: str) -> None:
         query = ConfigQuery(revision=self._holder.current.revision)
--- a/trefoilhitch/head_repair.py
+++ b/trefoilhitch/head_repair.py
@@ -62,7 +62,7 @@
 
 async def write_lost_head(
     store: ObjectStore, current: Config, version: int
-) -> int:
+) -> None:
     """Write the configuration in force again.
 
     Args:
@@ -70,9 +70,6 @@
         current: configuration in force on this node.
         version: version of the head that is replaced.
 
-    Returns:
-        The version of the new head.
-
     Raises:
         StoreConflictError: another writer changed the head first.
         StoreUnavailableError: the store did not respond.
@@ -83,10 +80,10 @@
     name = BUNDLE_OBJECT_NAME.format(digest=digest)
     await store.put(name, current.body, None, deadline)
     head = Head(revision=current.revision, bundle=digest)
-    return await _write_head(store, head, version, deadline)
+    await _write_head(store, head, version, deadline)
 
 
-async def raise_head(store: ObjectStore, head: Head, version: int) -> int:
+async def raise_head(store: ObjectStore, head: Head, version: int) -> None:
     """Give the next revision to a change whose revision was used before.
 
     Args:
@@ -94,9 +91,6 @@
         head: head as the store has it.
         version: its version.
 
-    Returns:
-        The version of the new head.
-
     Raises:
         StoreConflictError: another writer changed the head first.
         StoreUnavailableError: the store did not respond.
@@ -106,13 +100,11 @@
         revision=head.revision + 1, bundle=head.bundle, operator=head.operator
     )
     deadline = deadline_after_ms(WRITE_TIMEOUT_MS)
-    return await _write_head(store, raised, version, deadline)
+    await _write_head(store, raised, version, deadline)
 
 
 async def _write_head(
     store: ObjectStore, head: Head, version: int, deadline: float
-) -> int:
-    stored = await store.put(
-        HEAD_OBJECT_NAME, encode(head).decode(), version, deadline
-    )
-    return stored.version
+) -> None:
+    body = encode(head).decode()
+    await store.put(HEAD_OBJECT_NAME, body, version, deadline)
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -139,13 +139,11 @@
         era = NO_ERA
         while True:
             path = _list_path(kind, after, may_be_stale=may_be_stale)
-            page = await self._read_page(path, deadline)
+            page = await self._read_page(path, deadline, era)
+            era = self._era.current
             # Keep the first page's revision, so that the watch returns all
             # changes made while the other pages were read.
-            era = era if revision else self._era.current
             revision = revision or page.current_rev
-            if era != self._era.current:
-                raise StoreUnavailableError('restored during the listing')
             readable = _decode_objects(page)
             unreadable += len(page.listed) - len(readable)
             changes.extend(ObjectChange(each) for each in readable)
@@ -274,8 +272,11 @@
         """Close idle connections."""
         self._client.close()
 
-    async def _read_page(self, path: str, deadline: float) -> _Page:
+    async def _read_page(self, path: str, deadline: float, era: int) -> _Page:
+        """Read a page, which has to be of the same era as the one before."""
         resp = await self._request(HttpRequest('GET', path), deadline)
+        if era not in {NO_ERA, self._era.current}:
+            raise StoreUnavailableError('restored during the listing')
         return _decode_response(resp, _Page)
 
     async def _request(self, req: HttpRequest, deadline: float) -> HttpResponse:
--- a/trefoilhitch/pooler/leaving_endpoints.py
+++ b/trefoilhitch/pooler/leaving_endpoints.py
@@ -41,7 +41,7 @@
 
         """
         known = self._leaving.get(endpoint)
-        if known is not None and started_at_ms <= known.started_at_ms:
+        if known is not None and started_at_ms == known.started_at_ms:
             known.forget_at = None
             return True
         if leaving:
