A lease write first makes sure of the era of the store

Callers would see: one fencing token for two promotions (ONE), if a holder that is cut off from the nodes and from the store for four seconds then writes its lease, and the restored store has another holder's lease with the same revision.

Cause: the store compares revisions, not eras. The late write replaced the lease of the new era by one with an earlier token, and the next holder was given the same token as the replaced one. The same class: a revision taken as the identity of an object.

Change: if the store has not named its era for 2 s, it is asked before a lease is written. No lease is written in the first 4 s of an era, so a write within 2 s of the store's word cannot meet one of a later era.

--- a/tests/test_object_store_eras.py
+++ b/tests/test_object_store_eras.py
@@ -2,21 +2,24 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 
 import pytest
 from msgspec.json import encode
-from trio import current_time, open_nursery
+from trio import current_time, open_nursery, sleep
 
 from tests.support import with_virtual_clock
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
+from trefoilhitch.platform.lease_store import PlatformLeaseStore
 from trefoilhitch.platform.object_store import (
     ERA_HEADER,
     ChangeList,
     ObjectStoreClient,
 )
+from trefoilhitch.pooler.lease import ERA_MAX_AGE_S, LEASE_DURATION_S
 from trefoilhitch.pooler.store_era import StoreEra
 
 TIMEOUT_S = 1.0
@@ -78,6 +81,23 @@
             await store.list_kind('servers', current_time() + TIMEOUT_S)
 
 
+@with_virtual_clock
+async def test_lease_of_a_later_era_with_the_same_revision_is_replaced() -> (
+    None
+):
+    missing = [
+        HttpResponse(HTTPStatus.NOT_FOUND, b'', {ERA_HEADER: str(era)})
+        for era in (1, 2)
+    ]
+    async with client_of(*missing) as store:
+        leases = PlatformLeaseStore(store)
+        deadline = current_time() + LEASE_DURATION_S
+        lease = await leases.read_lease('ledger', deadline)
+        await sleep(ERA_MAX_AGE_S)
+        # The store is asked for its era, and gets no write.
+        assert await leases.write_lease('ledger', lease, deadline) is None
+
+
 @with_virtual_clock
 async def test_pages_of_one_era_are_refused() -> None:
     for era in (0, 2):
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -12,7 +12,11 @@
     ObjectStoreClient,
     StoredObject,
 )
-from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
+from trefoilhitch.pooler.lease import (
+    ERA_MAX_AGE_S,
+    LeaseListing,
+    LeaseRecord,
+)
 
 
 class PlatformLeaseStore:
@@ -87,6 +91,8 @@
                 effect.
 
         """
+        if not self._store.is_era_confirmed(ERA_MAX_AGE_S):
+            await self._store.get(LEASE_KIND, service, deadline)
         if lease.era != self._store.era:
             # The revision may belong to another write by now.
             return None
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -113,6 +113,15 @@
         """Era of the store, as its last response or a later one named it."""
         return self._era.current
 
+    def is_era_confirmed(self, max_age_s: float) -> bool:
+        """Return whether the store has named its era lately.
+
+        Args:
+            max_age_s: age of the request that it answered, in seconds.
+
+        """
+        return self._era.is_confirmed(max_age_s)
+
     async def list_kind(
         self, kind: str, deadline: float, *, may_be_stale: bool = False
     ) -> ChangeList:
@@ -280,17 +289,19 @@
         return _decode_response(resp, _Page)
 
     async def _request(self, req: HttpRequest, deadline: float) -> HttpResponse:
+        sent_at = self._era.now()
         try:
             resp = await self._client.request(req, deadline)
         except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
             raise StoreUnavailableError(str(exc)) from exc
-        self._check_era(_read_era(resp))
+        self._check_era(_read_era(resp), sent_at)
         return resp
 
-    def _check_era(self, era: int) -> None:
+    def _check_era(self, era: int, sent_at: float) -> None:
         self._era.observe(era, 'store')
         if era and era != self._era.current:
             raise StoreUnavailableError(f'response of the earlier era {era}')
+        self._era.confirm(sent_at)
 
 
 def _list_path(kind: str, after: str, *, may_be_stale: bool) -> str:
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -8,6 +8,10 @@
 LEASE_DURATION_S = 4.0
 # The holder stops this long before other nodes may acquire the lease.
 LEASE_MARGIN_S = 0.7
+# A lease is written only if the store named its era at most this long ago. No
+# lease is written in the first LEASE_DURATION_S of an era, so the write cannot
+# replace one of a later era that has the same revision.
+ERA_MAX_AGE_S = 2.0
 # Bits of a fencing token that count attempts; the bits above them hold the era.
 TOKEN_COUNTER_BITS = 32
 
--- a/trefoilhitch/pooler/store_era.py
+++ b/trefoilhitch/pooler/store_era.py
@@ -33,10 +33,16 @@
         self.current = NO_ERA
         # When this node first knew the era.
         self.seen_at = -math.inf
+        # When the last request was sent to which the store named the era.
+        self._confirmed_at = -math.inf
         self._clock = clock
         self._log = log
         self._scopes: dict[CancelScope, int] = {}
 
+    def now(self) -> float:
+        """Return the time on the clock of this class."""
+        return self._clock()
+
     @property
     def lacks_writes(self) -> bool:
         """Whether the store may lack confirmed writes of others."""
@@ -62,10 +68,29 @@
         )
         self.current = era
         self.seen_at = self._clock()
+        self._confirmed_at = -math.inf
         for scope, needed in self._scopes.items():
             if needed < era:
                 scope.cancel()
 
+    def confirm(self, sent_at: float) -> None:
+        """Record that the store named the present era.
+
+        Args:
+            sent_at: when that was requested, on the clock of this class.
+
+        """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+
+    def is_confirmed(self, max_age_s: float) -> bool:
+        """Return whether the store has named the present era lately.
+
+        Args:
+            max_age_s: age of the request that it answered, in seconds.
+
+        """
+        return self._clock() < self._confirmed_at + max_age_s
+
     @contextmanager
     def cancel_when_over(self, era: int) -> Iterator[CancelScope]:
         """Cancel a block when an era is over.
