A restarted node sends nothing to an endpoint that may have left

The node that sent it is killed 2.6 s after the endpoint began to leave and reads its entry a second later; it counts the time for which it may use the endpoint from then. The service had no other primary, since that one was cut off.

Change: an endpoint that a node never saw ready counts as having left.

Evidence: test_restarted_node_uses_an_endpoint_that_has_left failed before and passes. That an endpoint which begins to leave is still used is tested beside it.

Conclusion: a node that starts while a primary leaves serves its service when the successor is there.

--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -1,5 +1,6 @@
 """Applies the store's endpoints and declaration to this node's state."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -162,9 +163,9 @@
         known = deps.cluster.find(entry.endpoint)
         record = deps.cluster.endpoints.put(entry)
         if record.leaving:
-            deps.cluster.endpoints.record_leaving(
-                record.endpoint, current_time()
-            )
+            # One that this node never saw ready may have begun long ago.
+            since = current_time() if known else -math.inf
+            deps.cluster.endpoints.record_leaving(record.endpoint, since)
         if known == record:
             return
         deps.log.event(
