A group whose primary is not known is served with one endpoint missing

Callers: after a restart of all nodes, with the primary gone and both replicas back, a service stayed without a primary until the third endpoint came back: a node that never saw a primary refused to promote unless every endpoint was fenced.

Cause: holds_every_commit took an unknown primary for a reason to fence all endpoints. But a commit is held by its primary and sync_replicas replicas, so if at most sync_replicas endpoints are missing, one of the fenced ones holds it, whichever leads; and a primary among the missing ones has too few replicas left to acknowledge another.

Evidence: an exhaustive check of all groups of 2 to 5 endpoints, numbers of replicas, holders and fences: no accepted fence is without a holder or lets a primary go on; it detects a rule that counts one too few and one that forgets the missing members. test_fenced_endpoints_must_hold_every_commit asserted that two fenced of three are too few while the primary is unknown.

--- a/trefoilhitch/pooler/failover_decision.py
+++ b/trefoilhitch/pooler/failover_decision.py
@@ -151,8 +151,12 @@
         return False
     if primary is not None and primary in fenced_members:
         return True
-    replicas = set(members) - {primary}
-    return len(replicas - fenced_members) < max(1, sync_replicas)
+    missing = set(members) - fenced_members
+    if primary is None:
+        # Whichever of them leads, it and its replicas that hold a commit are
+        # more than the missing ones.
+        return len(missing) <= sync_replicas
+    return len(missing - {primary}) < max(1, sync_replicas)
 
 
 def choose_candidate(
