Restarted nodes learn the members of a group from its record

The store was away, the entries of the endpoints lapsed, nodes restarted, one replica's entry was back first; a restarted node promoted it while the old primary, alive and connected, went on acknowledging orders.

Cause: which endpoints hold a group's log was in the memory of a process only. A node that starts knew what its first listing held; with one entry in it, one fenced endpoint was "all members". The two nodes beside it that knew all three were never asked for them.

Change: the members are recorded in the store, an object a group (trefoilhitch_groups), written only when they change, by the nodes that monitor the group. A node that starts reads the record; the members that it names and the directory doesn't list count as missing, as they do for a node that has seen them: 2.5 s later as lost, 30 s after that as gone, replaced by a listed successor at their address. A failover reads the record under its lease before it asks any endpoint. Without a record (a new group), a node replaces nothing before its first listing is MISSING_GRACE_S old. A record is written only by a node that has read the one before, so it never forgets a member that is not gone. The record, not the lease, holds the members: a write of members can't make a failover lose its lease, and the leases are read twice a second.

Two tests of test_wire_failover (leaving primary, silent primary within the target) crashed the primary in the first second of a new installation.

Also: EndpointRecord and the endpoints that are lost have modules of their own; reads of the store with retries are written once.

--- a/tests/test_entry_log.py
+++ b/tests/test_entry_log.py
@@ -5,9 +5,9 @@
 import pytest
 
 from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
     DRAIN_FRACTION,
-    EndpointRecord,
     EndpointRegistry,
 )
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
--- a/tests/test_hostile_endpoint_answers.py
+++ b/tests/test_hostile_endpoint_answers.py
@@ -20,7 +20,7 @@
 from trefoilhitch.platform.endpoint_entry import decode_entry
 from trefoilhitch.platform.object_store import CONFIG_KIND, CONFIG_NAME
 from trefoilhitch.pooler.endpoint_control import EndpointControl, request_all
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_session import EndpointSession
--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -26,7 +26,7 @@
 )
 from trefoilhitch.platform.endpoint_connection import WireConnector
 from trefoilhitch.platform.line_buffer import LineBuffer, WireError
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.ports import (
     Command,
     EndpointConnectionError,
--- a/tests/test_lease_client.py
+++ b/tests/test_lease_client.py
@@ -9,12 +9,9 @@
 from tests.support import with_virtual_clock
 from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.pooler.lease import LeaseRecord
-from trefoilhitch.pooler.lease_client import (
-    ATTEMPT_TIMEOUT_S,
-    CALL_TIMEOUT_S,
-    LeaseClient,
-)
+from trefoilhitch.pooler.lease_client import CALL_TIMEOUT_S, LeaseClient
 from trefoilhitch.pooler.ports import LeaseStore
+from trefoilhitch.pooler.store_retry import ATTEMPT_TIMEOUT_S
 
 SERVICE = 'orders'
 MINE = LeaseRecord(revision=3, token=8, holder='node-1', attempt='a/1')
--- a/tests/test_leaving_endpoints.py
+++ b/tests/test_leaving_endpoints.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
     MISSING_GRACE_S,
-    EndpointRecord,
     EndpointRegistry,
 )
 from trefoilhitch.pooler.leaving_endpoints import (
--- a/tests/test_odd_endpoints.py
+++ b/tests/test_odd_endpoints.py
@@ -18,8 +18,8 @@
     ENDPOINT_KIND,
     LEASE_KIND,
 )
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
-    EndpointRecord,
     EndpointRegistry,
 )
 from trefoilhitch_lab.wire_stack import (
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,7 +13,7 @@
     UnreadableEntryError,
     decode_entry,
 )
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
 from trefoilhitch.pooler.object_watcher import Changes
 
--- a/tests/test_pooler_decisions.py
+++ b/tests/test_pooler_decisions.py
@@ -9,10 +9,9 @@
     CurrentDeclaration,
     Declaration,
 )
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
-    LOST_RETENTION_S,
     MISSING_GRACE_S,
-    EndpointRecord,
     EndpointRegistry,
 )
 from trefoilhitch.pooler.endpoint_selection import (
@@ -32,6 +31,7 @@
     holds_every_commit,
     next_term,
 )
+from trefoilhitch.pooler.former_endpoints import LOST_RETENTION_S
 from trefoilhitch.pooler.lease import (
     LEASE_DURATION_S,
     LeaseRecord,
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -11,7 +11,7 @@
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch.pooler.object_watcher import Changes
 from trefoilhitch.pooler.store_era import StoreEra
--- a/tests/test_suspicion.py
+++ b/tests/test_suspicion.py
@@ -4,7 +4,7 @@
 
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch.pooler.failover_decision import (
     PREPARE_SILENCE_S,
--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -4,6 +4,7 @@
 
 from tests.support import with_virtual_clock
 from trefoilhitch.platform.object_store import LEASE_KIND
+from trefoilhitch.pooler.endpoint_registry import MISSING_GRACE_S
 from trefoilhitch.pooler.failover_decision import SILENCE_TIMEOUT_S
 from trefoilhitch.pooler.lease import LEASE_DURATION_S
 from trefoilhitch_lab.wire_client import wire_client
@@ -21,6 +22,8 @@
 # Duration of a failover once its lease is available.
 TAKE_OVER_S = 1.5
 SERVICE = 'ledger'
+# Time from the first start until the members of the group are recorded.
+RECORDED_S = MISSING_GRACE_S + 1.5
 
 
 def primary_of(stack: WireStack) -> WireEndpoint:
@@ -131,6 +134,7 @@
 @with_virtual_clock
 async def test_leaving_primary_is_replaced_while_it_runs() -> None:
     async with running_wire_stack() as stack:
+        await sleep(RECORDED_S)
         await write(stack, 'before')
         old = primary_of(stack)
         entry = stack.endpoint_entry(old.endpoint, state='draining')
@@ -289,6 +293,7 @@
 @with_virtual_clock
 async def test_silent_primary_is_replaced_within_the_target() -> None:
     async with running_wire_stack() as stack:
+        await sleep(RECORDED_S)
         await write(stack, 'before')
         old = primary_of(stack)
         old.faults.silent = True
--- a/trefoilhitch/platform/_generated/platform.py
+++ b/trefoilhitch/platform/_generated/platform.py
@@ -258,6 +258,26 @@
     ] = 0
 
 
+class GroupMemberEntry(Message, frozen=True, kw_only=True):
+    """
+    A member of a database group, as stored.
+    """
+
+    endpoint: str
+    address: str
+    data_centre: str
+    started_at_ms: Annotated[int, Meta(ge=0, le=4611686018427387903)]
+    leaving: bool
+
+
+class GroupEntry(Message, frozen=True, kw_only=True):
+    """
+    The members of a database group, as stored.
+    """
+
+    members: list[GroupMemberEntry]
+
+
 class FailoverOrder(Message, frozen=True, kw_only=True):
     """
     Command to make an endpoint the primary.
--- a/trefoilhitch/platform/endpoint_connection.py
+++ b/trefoilhitch/platform/endpoint_connection.py
@@ -19,7 +19,7 @@
     LineBuffer,
     WireError,
 )
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import (
     Command,
--- a/trefoilhitch/platform/endpoint_entry.py
+++ b/trefoilhitch/platform/endpoint_entry.py
@@ -10,7 +10,7 @@
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
 from trefoilhitch.platform._generated.platform import ServerEntry
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 
 MAX_NAME_CHARS: Final = 255
 MAX_PORT: Final = 65535
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -37,6 +37,7 @@
 ENDPOINT_KIND: Final = 'servers'
 NODE_KIND: Final = 'trefoilhitch_nodes'
 LEASE_KIND: Final = 'trefoilhitch_leases'
+GROUP_KIND: Final = 'trefoilhitch_groups'
 # Names the era of the store in each of its responses.
 ERA_HEADER: Final = 'store-era'
 _OBJECTS_PATH = '/-/objects/'
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -28,6 +28,7 @@
 from trefoilhitch.log_writer import FLUSH_INTERVAL_S, LogWriter
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.platform.endpoint_connection import WireConnector
+from trefoilhitch.platform.group_store import PlatformGroupStore
 from trefoilhitch.platform.lease_store import (
     PlatformLeaseStore,
     PlatformNodeRegistry,
@@ -137,6 +138,7 @@
         era=era,
         make_connector=WireConnector,
         leases=PlatformLeaseStore(store, unreadable),
+        groups=PlatformGroupStore(store, unreadable),
         promoter=PromotionClient(cfg.promotion_address, cfg.node),
         registry=PlatformNodeRegistry(store, unreadable),
         declarations=DeclarationSource(store, unreadable),
--- a/trefoilhitch/platform/sources.py
+++ b/trefoilhitch/platform/sources.py
@@ -19,7 +19,7 @@
 from trefoilhitch.platform.stored_objects import ChangeList, StoredObject
 from trefoilhitch.platform.unreadable_reporter import UnreadableReporter
 from trefoilhitch.pooler.current_declaration import Declaration
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.object_watcher import Changes
 
 _MS_PER_S = 1000
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -8,9 +8,9 @@
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.circuit_breakers import CircuitBreakers
 from trefoilhitch.pooler.commit_tracker import CommitTracker
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
     DEFAULT_DRAIN_TIMEOUT_S,
-    EndpointRecord,
     EndpointRegistry,
 )
 from trefoilhitch.pooler.endpoint_selection import (
--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -1,12 +1,13 @@
 """Registry of known endpoints, fed by a directory that lags and has outages."""
 
+import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
-from typing import Literal
 
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
+from trefoilhitch.pooler.former_endpoints import FormerEndpoints
 from trefoilhitch.pooler.leaving_endpoints import LeavingEndpoints
 
-Role = Literal['primary', 'replica']
 # Entries that expired during an outage of the directory return in about two
 # seconds; until then, a missing entry does not mean that the endpoint is gone.
 MISSING_GRACE_S = 2.5
@@ -15,36 +16,6 @@
 # Fraction of that time in which it is given new statements: this node may have
 # learnt late that it leaves, and statements take time to arrive.
 DRAIN_FRACTION = 0.75
-# An endpoint that disappeared without a planned shutdown may hold commits that
-# others lack; it is remembered for this long.
-LOST_RETENTION_S = 30.0
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointRecord:
-    """An endpoint as the directory lists it.
-
-    Args:
-        endpoint: endpoint id.
-        service: database group that it belongs to.
-        address: `ADDRESS:PORT`.
-        data_centre: data centre in which it runs.
-        started_at_ms: Unix time of its start in ms; it differs after a
-            restart.
-        leaving: whether it is shutting down.
-        role: role that it reports.
-        slots: number of statements that it runs concurrently.
-
-    """
-
-    endpoint: str
-    service: str
-    address: str
-    data_centre: str
-    started_at_ms: int
-    leaving: bool
-    role: Role
-    slots: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +48,10 @@
         """Create an empty registry."""
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
-        self._lost: dict[str, ListedEndpoint] = {}
+        self._former = FormerEndpoints()
+        # Endpoints that only the record of their group has named so far.
+        self._remembered: set[str] = set()
+        self._settles_at = math.inf
         self._leaving = LeavingEndpoints()
         self._declared_services: frozenset[str] = frozenset()
         # Endpoints whose entry names another service, which isn't declared.
@@ -95,11 +69,65 @@
             now: monotonic time.
 
         """
+        if math.isinf(self._settles_at):
+            self._settles_at = now + MISSING_GRACE_S
         for endpoint in self._listed.keys() - records.keys():
             self.mark_missing(endpoint, now)
         for record in records.values():
             self.put(record)
 
+    def has_settled(self, now: float) -> bool:
+        """Return whether entries that had expired are listed again by now.
+
+        Args:
+            now: monotonic time.
+
+        Returns:
+            False until the first listing is old enough: the directory may
+            have been away before it.
+
+        """
+        return now >= self._settles_at
+
+    def remember(self, record: EndpointRecord, now: float) -> bool:
+        """Add an endpoint that the record of its group names.
+
+        It counts as missing until the directory lists it.
+
+        Args:
+            record: its entry.
+            now: monotonic time.
+
+        Returns:
+            Whether it was not known.
+
+        """
+        missing = ListedEndpoint(record, now + MISSING_GRACE_S)
+        if self.get(record.endpoint) or self._former.is_gone(record):
+            return False
+        if _is_replaced(missing, self._listed):
+            return False
+        self._members_by_service.clear()
+        self._listed[record.endpoint] = missing
+        self._remembered.add(record.endpoint)
+        if record.leaving:
+            self._leaving.observe(
+                record.endpoint, record.started_at_ms, leaving=True
+            )
+            self._leaving.record_time(record.endpoint, -math.inf)
+        return True
+
+    def was_listed(self, endpoint: str) -> bool:
+        """Return whether the directory has listed an endpoint.
+
+        Args:
+            endpoint: endpoint id.
+
+        """
+        return (
+            self.get(endpoint) is not None and endpoint not in self._remembered
+        )
+
     def record_leaving(self, endpoint: str, now: float) -> None:
         """Record when an endpoint was first seen to be leaving.
 
@@ -142,7 +170,8 @@
 
         """
         known = self.get(entry.endpoint)
-        if known is not None and self._is_misplaced(known, entry):
+        declared = self._declared_services
+        if known is not None and _is_misplaced(known, entry, declared):
             # A lost endpoint stays lost, and a holder of its log.
             if entry.endpoint in self._listed:
                 self._misplaced.add(entry.endpoint)
@@ -153,10 +182,13 @@
         )
         record = replace(entry, leaving=leaving)
         self._members_by_service.clear()
+        self._remembered.discard(record.endpoint)
         self._listed[record.endpoint] = ListedEndpoint(record)
         self._listed = _without_predecessors(self._listed, record)
-        self._lost = _without_predecessors(self._lost, record)
-        self._lost.pop(record.endpoint, None)
+        self._former.discard(record.endpoint)
+        for lost in self._former.lost():
+            if _replaces(ListedEndpoint(record), ListedEndpoint(lost, 0)):
+                self._former.discard(lost.endpoint)
         return record
 
     def mark_missing(self, endpoint: str, now: float) -> None:
@@ -172,7 +204,7 @@
             return
         missing = replace(listed, expires_at=now + MISSING_GRACE_S)
         self._listed[endpoint] = missing
-        if any(_replaces(each, missing) for each in self._listed.values()):
+        if _is_replaced(missing, self._listed):
             self._members_by_service.clear()
             self._listed.pop(endpoint)
 
@@ -196,14 +228,11 @@
         ]
         for gone_id in gone:
             self._members_by_service.clear()
-            self._retain_lost(self._listed.pop(gone_id).record, now)
+            self._remembered.discard(gone_id)
+            self._former.add(self._listed.pop(gone_id).record, now)
             self._leaving.record_gone(gone_id, now)
         self._leaving.forget_gone(now)
-        self._lost = {
-            name: lost
-            for name, lost in self._lost.items()
-            if lost.expires_at is not None and lost.expires_at > now
-        }
+        self._former.expire(now)
         return gone
 
     def get(self, endpoint: str) -> EndpointRecord | None:
@@ -217,8 +246,8 @@
             endpoint is still returned for a while.
 
         """
-        listed = self._listed.get(endpoint) or self._lost.get(endpoint)
-        return listed.record if listed else None
+        listed = self._listed.get(endpoint)
+        return listed.record if listed else self._former.get(endpoint)
 
     def members(self, service: str) -> list[EndpointRecord]:
         """Return all endpoints of a service, including leaving ones.
@@ -262,9 +291,9 @@
 
         """
         lost = [
-            listed.record
-            for listed in self._lost.values()
-            if listed.record.service == service
+            record
+            for record in self._former.lost()
+            if record.service == service
         ]
         return [*self.members(service), *lost]
 
@@ -325,7 +354,7 @@
             shutdown.
 
         """
-        return endpoint in self._lost
+        return self._former.get(endpoint) is not None
 
     def is_missing(self, endpoint: str) -> bool:
         """Return whether an endpoint's entry is missing at the moment.
@@ -340,12 +369,6 @@
         listed = self._listed.get(endpoint)
         return listed is None or listed.expires_at is not None
 
-    def _is_misplaced(
-        self, known: EndpointRecord, entry: EndpointRecord
-    ) -> bool:
-        declared = self._declared_services
-        return known.service in declared and entry.service not in declared
-
     def _group_by_service(self) -> None:
         if self._members_by_service:
             return
@@ -355,11 +378,17 @@
             members = self._members_by_service.setdefault(record.service, [])
             members.append(record)
 
-    def _retain_lost(self, record: EndpointRecord, now: float) -> None:
-        if not record.leaving:
-            self._lost[record.endpoint] = ListedEndpoint(
-                record, now + LOST_RETENTION_S
-            )
+
+def _is_misplaced(
+    known: EndpointRecord, entry: EndpointRecord, declared: Collection[str]
+) -> bool:
+    return known.service in declared and entry.service not in declared
+
+
+def _is_replaced(
+    missing: ListedEndpoint, listed: Mapping[str, ListedEndpoint]
+) -> bool:
+    return any(_replaces(each, missing) for each in listed.values())
 
 
 def _without_predecessors(
--- a/trefoilhitch/pooler/endpoint_selection.py
+++ b/trefoilhitch/pooler/endpoint_selection.py
@@ -5,7 +5,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.catalogue import Freshness, Route
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.observations import (
     AGE_MARGIN_S,
     ObservationHistory,
--- a/trefoilhitch/pooler/entry_log.py
+++ b/trefoilhitch/pooler/entry_log.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from trefoilhitch._generated.peer import EndpointEntryReport, EntriesReply
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.era_numbers import NO_ERA
 from trefoilhitch.pooler.object_watcher import Changes
 
--- a/trefoilhitch/pooler/failover_decision.py
+++ b/trefoilhitch/pooler/failover_decision.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.position import at_least
 
--- a/trefoilhitch/pooler/failover_plan.py
+++ b/trefoilhitch/pooler/failover_plan.py
@@ -8,6 +8,7 @@
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_control import EndpointControl
 from trefoilhitch.pooler.failover_decision import FailoverReason
+from trefoilhitch.pooler.group_recorder import GroupRecorder
 from trefoilhitch.pooler.lease_client import LeaseClient
 from trefoilhitch.pooler.ports import Promoter
 from trefoilhitch.pooler.primary_tracker import Primary
@@ -23,6 +24,7 @@
         cluster: known endpoints and primaries.
         control: sends control statements to endpoints.
         leases: reads and writes leases.
+        groups: tells the members of groups.
         store_era: era of the store that keeps them.
         promoter: commands promotions.
         sync_replicas: returns how many replicas of a service hold a commit
@@ -36,6 +38,7 @@
     cluster: ClusterState
     control: EndpointControl
     leases: LeaseClient
+    groups: GroupRecorder
     store_era: StoreEra
     promoter: Promoter
     sync_replicas: Callable[[str], int]
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -93,6 +93,8 @@
 
     async def _run_steps(self) -> None:
         self._ensure_no_newer_primary()
+        if not await self._deps.groups.learn(self._service):
+            raise FailoverStoppedError('some members may not be known yet')
         await self._wait_until(self._promote_at - DECISION_TIME_S)
         cluster = self._deps.cluster
         ids = [
--- a/trefoilhitch/pooler/lease_client.py
+++ b/trefoilhitch/pooler/lease_client.py
@@ -6,7 +6,9 @@
 most once, and a late one fails its condition.
 """
 
-from trio import current_time, sleep
+from functools import partial
+
+from trio import current_time
 
 from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.pooler.lease import (
@@ -15,13 +17,14 @@
     same_content,
 )
 from trefoilhitch.pooler.ports import LeaseStore
+from trefoilhitch.pooler.store_retry import (
+    attempt_deadline,
+    pause,
+    read_with_retries,
+)
 
 # Time for all attempts of one call.
 CALL_TIMEOUT_S = 1.5
-# Time for one attempt. A slow store answers within it.
-ATTEMPT_TIMEOUT_S = 0.45
-# Least time between the starts of two attempts, also if one fails at once.
-ATTEMPT_INTERVAL_S = 0.2
 
 
 class LeaseClient:
@@ -87,32 +90,15 @@
         started_at = current_time()
         try:
             return await self._store.write_lease(
-                service, lease, _attempt_deadline(deadline)
+                service, lease, attempt_deadline(deadline)
             )
         except StoreUnavailableError:
-            await _pause(started_at, deadline)
+            await pause(started_at, deadline)
             if current_time() >= deadline:
                 raise
         return None
 
     async def _read(self, service: str, deadline: float) -> LeaseRecord:
-        while True:
-            started_at = current_time()
-            try:
-                return await self._store.read_lease(
-                    service, _attempt_deadline(deadline)
-                )
-            except StoreUnavailableError:
-                await _pause(started_at, deadline)
-                if current_time() >= deadline:
-                    raise
-
-
-def _attempt_deadline(deadline: float) -> float:
-    return min(deadline, current_time() + ATTEMPT_TIMEOUT_S)
-
-
-async def _pause(started_at: float, deadline: float) -> None:
-    pause_s = min(started_at + ATTEMPT_INTERVAL_S, deadline) - current_time()
-    if pause_s > 0:
-        await sleep(pause_s)
+        return await read_with_retries(
+            partial(self._store.read_lease, service), deadline
+        )
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -89,6 +89,7 @@
         self._probing: set[str] = set()
         self._evaluating: set[str] = set()
         self._restoring: set[str] = set()
+        self._recording: set[str] = set()
         self._failing_over: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._reason_since: dict[str, float] = {}
@@ -129,6 +130,13 @@
                 service,
                 rank,
             )
+            self._start_task(
+                nursery,
+                self._deps.failover.groups.record_if_due,
+                self._recording,
+                service,
+                rank,
+            )
 
     def _start_task(
         self,
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -7,6 +7,7 @@
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.failover_plan import FailoverDependencies
+from trefoilhitch.pooler.group_recorder import GroupRecorder
 from trefoilhitch.pooler.lease_client import LeaseClient
 from trefoilhitch.pooler.lease_restorer import (
     LeaseRestorer,
@@ -194,6 +195,12 @@
             cluster=parts.state.cluster,
             control=parts.control,
             leases=LeaseClient(self._external.leases),
+            groups=GroupRecorder(
+                store=self._external.groups,
+                endpoints=parts.state.cluster.endpoints,
+                store_era=self._external.era,
+                log=self._runtime.log,
+            ),
             store_era=self._external.era,
             promoter=self._external.promoter,
             sync_replicas=parts.sync_replicas,
--- a/trefoilhitch/pooler/node_environment.py
+++ b/trefoilhitch/pooler/node_environment.py
@@ -9,9 +9,14 @@
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.current_declaration import Declaration
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.object_watcher import ChangeSource
-from trefoilhitch.pooler.ports import EndpointConnector, LeaseStore, Promoter
+from trefoilhitch.pooler.ports import (
+    EndpointConnector,
+    GroupStore,
+    LeaseStore,
+    Promoter,
+)
 from trefoilhitch.pooler.store_era import StoreEra
 
 
@@ -39,6 +44,7 @@
         make_connector: creates the connector for endpoints, given a lookup of
             their entries.
         leases: stores leases.
+        groups: stores records of groups.
         promoter: commands promotions.
         registry: stores the nodes' entries.
         declarations: source of the operators' declaration.
@@ -52,6 +58,7 @@
         [Callable[[str], EndpointRecord | None]], EndpointConnector
     ]
     leases: LeaseStore
+    groups: GroupStore
     promoter: Promoter
     registry: NodeRegistry
     declarations: ChangeSource[Declaration]
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -8,6 +8,7 @@
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 from trefoilhitch.pooler.outcome import ResponseLoss
+from trefoilhitch.pooler.recorded_group import RecordedGroup
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 from trefoilhitch.pooler.statement import PreparedStatement
 
@@ -200,6 +201,23 @@
         """
 
 
+class GroupStore(Protocol):
+    """Stores records of groups with conditional writes."""
+
+    async def read_group(self, service: str, deadline: float) -> RecordedGroup:
+        """Read a group's record; a missing one names no members."""
+
+    async def write_group(
+        self, service: str, group: RecordedGroup, deadline: float
+    ) -> bool:
+        """Write a record if its revision and era are still the store's.
+
+        Returns:
+            False if another revision is stored or the store was restored.
+
+        """
+
+
 class Promoter(Protocol):
     """Promotes endpoints to primary."""
 
--- a/trefoilhitch/pooler/primary_tracker.py
+++ b/trefoilhitch/pooler/primary_tracker.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -16,7 +16,7 @@
     Declaration,
 )
 from trefoilhitch.pooler.endpoint_control import EndpointControl
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
 from trefoilhitch.pooler.era_numbers import NO_ERA
 from trefoilhitch.pooler.object_watcher import (
@@ -163,10 +163,11 @@
     def _apply_endpoint(self, entry: EndpointRecord) -> None:
         deps = self._deps
         known = deps.cluster.find(entry.endpoint)
+        was_listed = deps.cluster.endpoints.was_listed(entry.endpoint)
         record = deps.cluster.endpoints.put(entry)
         if record.leaving:
             # One that this node never saw ready may have begun long ago.
-            since = current_time() if known else -math.inf
+            since = current_time() if was_listed else -math.inf
             deps.cluster.endpoints.record_leaving(record.endpoint, since)
         if known == record:
             return
