An open transaction's route no longer answers who its caller is

Cause: authorise() looked up the route first; with the route gone it returned UNKNOWN_DATABASE before it looked at the key, and the session took this one refusal for the permission of an open transaction to keep its route. So a version that dropped route and key together let the key go on.

Change: a pure module asks two questions. The route is the one that the open transaction began with, else the declared one; the organisation is what the key stands for now, always. Whether a key is needed is asked of the same route, so a transaction on a public route ends as it began as well.

--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -6,7 +6,8 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.pooler.catalogue import Catalogue, Route
+from trefoilhitch.pooler.authorisation import Access, Caller, authorise
+from trefoilhitch.pooler.catalogue import Route
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.response import (
@@ -22,7 +23,6 @@
 from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
-PUBLIC_ORGANISATION = 'public'
 _MS_PER_S = 1000
 _LOCAL_VERBS = frozenset((Verb.SET, Verb.PREPARE, Verb.DEALLOCATE))
 _END_VERBS = frozenset((Verb.COMMIT, Verb.ROLLBACK))
@@ -50,31 +50,6 @@
     metrics: Metrics
 
 
-def authorise(
-    catalogue: Catalogue, database: str, key: str
-) -> Refusal | tuple[Route, str]:
-    """Find the route of a database and the organisation of a key.
-
-    Args:
-        catalogue: the declared catalogue.
-        database: database name that the client connects to.
-        key: the client's key, empty if it sent none.
-
-    Returns:
-        The route and the organisation, or the reason for refusal.
-
-    """
-    route = catalogue.routes.get(database)
-    if route is None:
-        return Refusal.UNKNOWN_DATABASE
-    organisation = catalogue.keys.get(key)
-    if organisation is not None:
-        return route, organisation
-    if route.public:
-        return route, PUBLIC_ORGANISATION
-    return Refusal.UNAUTHORISED
-
-
 class ClientSession:
     """Runs the statements of one client, one after the other.
 
@@ -106,11 +81,12 @@
         catalogue = deps.declaration.catalogue
         if catalogue is None:
             return Refusal.BUSY
-        found = authorise(catalogue, start.database, start.key)
+        found = authorise(catalogue, Caller(start.database, start.key))
         if isinstance(found, Refusal):
             return found
-        _, organisation = found
-        return cls(deps, SessionData(start.database, organisation, start.key))
+        return cls(
+            deps, SessionData(start.database, found.organisation, start.key)
+        )
 
     @property
     def in_transaction(self) -> bool:
@@ -160,7 +136,7 @@
             return self._run_local(statement)
         if self.in_transaction:
             return await self._run_in_transaction(statement)
-        return await self._run_operation(statement, found)
+        return await self._run_operation(statement, found.route)
 
     async def _run_operation(
         self, statement: Statement, route: Route
@@ -187,22 +163,22 @@
             )
         return await self._deps.transactions.run(session, statement)
 
-    def _authorise(self) -> Route | Refusal:
+    def _authorise(self) -> Access | Refusal:
         catalogue = self._deps.declaration.catalogue
         if catalogue is None:
             return Refusal.BUSY
         session = self._session
         transaction = session.transaction
-        found = authorise(catalogue, session.database, session.key)
-        if found == Refusal.UNKNOWN_DATABASE and transaction is not None:
-            # An open transaction keeps the route that it began with.
-            return transaction.route
+        found = authorise(
+            catalogue,
+            Caller(session.database, session.key),
+            transaction.route if transaction else None,
+        )
         if isinstance(found, Refusal):
             return found
-        route, organisation = found
-        if organisation != session.organisation:
+        if found.organisation != session.organisation:
             return Refusal.UNAUTHORISED
-        return route
+        return found
 
     def _refuse_access(
         self, statement: Statement, refusal: Refusal
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -25,7 +25,7 @@
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.platform.program import make_external_services
 from trefoilhitch.platform.wire_server import WireServer
-from trefoilhitch.pooler.endpoint_registry import EndpointRecord
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.ports import EndpointConnector
