--- a/tests/odd_objects.py
+++ b/tests/odd_objects.py
@@ -5,6 +5,7 @@
 from trefoilhitch.platform.object_store import (
     CONFIG_KIND,
     ENDPOINT_KIND,
+    GROUP_KIND,
     LEASE_KIND,
     NODE_KIND,
 )
@@ -14,7 +15,7 @@
 DEEP = Raw(b'[' * LEVELS + b']' * LEVELS)
 DIGITS = 5000
 HUGE_NUMBER = Raw(b'9' * DIGITS)
-KINDS = (CONFIG_KIND, ENDPOINT_KIND, NODE_KIND, LEASE_KIND)
+KINDS = (CONFIG_KIND, ENDPOINT_KIND, NODE_KIND, LEASE_KIND, GROUP_KIND)
 # Whole contents of an object, and fields that replace those of an entry of an
 # endpoint.
 SPECS = {
