An endpoint that joins during a failover is fenced too

Cause: the endpoints to fence were listed once, when the lease was won; a second passes until the promotion.

Change: the endpoints are listed again after the fence, and those that joined are fenced and counted as members; no promotion is commanded while one that joined later is not fenced; those that join until the new primary reports its role are fenced as well.

Also: a change of a group's record is written at once if the last write succeeded, and only the first monitor removes members: nodes take a lost endpoint for gone at different times and undid each other's removals.

--- a/tests/test_recorded_group.py
+++ b/tests/test_recorded_group.py
@@ -24,6 +24,8 @@
 from trefoilhitch_lab.wire_stack import running_wire_stack
 
 NOW = 100.0
+# With what stood before, what one removal writes.
+MAX_WRITES = 3
 MEMBER = EndpointRecord(
     endpoint='a',
     service=SERVICE,
@@ -134,3 +136,25 @@
         await sleep(1)
         assert await failover.write(stack, 'before-its-entry-is-back') == ''
         assert not stack.promotions.received
+
+
+@with_virtual_clock
+async def test_lost_endpoint_is_removed_from_the_record_once() -> None:
+    """Guards against monitors that undo each other's removals."""
+    async with running_wire_stack() as stack:
+        await sleep(RECORDED_S)
+        remove_entries(stack, 'ledger-2')
+        stack.group.endpoints['ledger-2'].crash()
+        # These learn the endpoint later than the others.
+        for name in ('node-1', 'node-2'):
+            stack.kill_node(name)
+        for name in ('node-1', 'node-2'):
+            await stack.start_node(name)
+        revisions = set()
+        for _ in range(int(2 * LOST_RETENTION_S)):
+            await sleep(1)
+            kept = stack.store_state.objects_by_kind[GROUP_KIND][SERVICE]
+            revisions.add(kept['meta']['revision'])
+        names = [each['endpoint'] for each in kept['spec']['members']]
+        assert names == ['ledger-0', 'ledger-1']
+        assert len(revisions) <= MAX_WRITES
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -96,12 +96,8 @@
         if not await self._deps.groups.learn(self._service):
             raise FailoverStoppedError('some members may not be known yet')
         await self._wait_until(self._promote_at - DECISION_TIME_S)
-        cluster = self._deps.cluster
-        ids = [
-            record.endpoint
-            for record in cluster.endpoints.log_holders(self._service)
-        ]
-        sent_at = cluster.clock()
+        ids = self._holders()
+        sent_at = self._deps.cluster.clock()
         statuses = await self._request_statuses(ids)
         primary = self._current_primary(statuses)
         if self._keep_reported_primary(statuses, primary, sent_at):
@@ -120,7 +116,7 @@
     ) -> None:
         fenced = await self._fence_all(ids, primary, statuses)
         holders = self._deps.cluster.endpoints.one_per_address(
-            ids, {each.endpoint for each in fenced}, primary
+            self._holders(), {each.endpoint for each in fenced}, primary
         )
         chosen = choose_promotion(
             fenced,
@@ -134,9 +130,28 @@
             raise FailoverStoppedError('too few endpoints could be fenced')
         await self._lease.record_candidate(chosen.endpoint)
         await self._wait_until(self._promote_at)
-        await self._command.send(chosen.endpoint, self._ensure_no_newer_primary)
+        await self._command.send(chosen.endpoint, self._ensure_unchanged)
         await self._confirm(chosen.endpoint)
 
+    def _holders(self) -> list[str]:
+        """Return the endpoints that may hold commits which others lack."""
+        endpoints = self._deps.cluster.endpoints
+        return [
+            record.endpoint for record in endpoints.log_holders(self._service)
+        ]
+
+    def _ensure_unchanged(self) -> None:
+        """Check that what the choice relied on still holds.
+
+        Raises:
+            FailoverStoppedError: another primary became known, or an endpoint
+                joined that could receive commits.
+
+        """
+        self._ensure_no_newer_primary()
+        if self._fence and not self._fence.covers(self._holders()):
+            raise FailoverStoppedError('an endpoint has joined')
+
     def _unusable(self) -> set[str]:
         """Return the endpoints that should not be promoted."""
         endpoints = self._deps.cluster.endpoints
@@ -244,6 +259,9 @@
         term = self._next_term(statuses)
         self._fence = GroupFence(self._deps.control, term=term)
         fenced = await self._fence.apply(ids, statuses, primary)
+        # Of those that joined since the statuses were requested, none may
+        # receive commits of a primary that goes on.
+        fenced += await self._fence.extend(self._holders())
         if primary in {each.endpoint for each in fenced}:
             self._deps.cluster.record_not_primary(
                 self._service, primary or '', 'succession'
@@ -254,7 +272,7 @@
             reason=self._plan.reason.value,
             term=term,
             lead=primary,
-            members=ids,
+            members=self._holders(),
             endpoints={each.endpoint: each.position for each in fenced},
             statuses=dict(statuses),
         )
@@ -286,6 +304,8 @@
         deps = self._deps
         deadline = current_time() + CONFIRM_TIMEOUT_S
         while current_time() < deadline:
+            if self._fence is not None:
+                await self._fence.extend(self._holders())
             sent_at = deps.cluster.clock()
             status = await deps.control.status(endpoint)
             if status is not None and status.is_primary:
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -32,6 +32,16 @@
         self._control = control
         self._term = term
         self._sent_to: set[str] = set()
+        self._members: set[str] = set()
+
+    def covers(self, endpoints: Collection[str]) -> bool:
+        """Return whether no endpoint has joined since the fence was set.
+
+        Args:
+            endpoints: ids of all endpoints of the service.
+
+        """
+        return self._members.issuperset(endpoints)
 
     async def apply(
         self,
@@ -59,6 +69,7 @@
             name for name in endpoints if name in statuses or name != primary
         ]
         self._sent_to.update(targets)
+        self._members.update(endpoints)
         replies = await request_all(targets, self._fence)
         return [
             FencedEndpoint(
@@ -69,6 +80,26 @@
             or (name == primary and name in demoted)
         ]
 
+    async def extend(self, endpoints: Collection[str]) -> list[FencedEndpoint]:
+        """Fence the endpoints that have joined since the fence was set.
+
+        Args:
+            endpoints: ids of all endpoints of the service.
+
+        Returns:
+            Those of them that receive no more commits.
+
+        """
+        joined = [name for name in endpoints if name not in self._members]
+        self._members.update(joined)
+        self._sent_to.update(joined)
+        replies = await request_all(joined, self._fence)
+        return [
+            FencedEndpoint(name, status.term, status.position)
+            for name, status in replies.items()
+            if status.fenced_term >= self._term
+        ]
+
     async def lift(self) -> None:
         """Let the endpoints receive commits again."""
         await request_all(sorted(self._sent_to), self._control.unfence)
--- a/trefoilhitch/pooler/group_recorder.py
+++ b/trefoilhitch/pooler/group_recorder.py
@@ -109,6 +109,7 @@
         deadline = current_time() + ATTEMPT_TIMEOUT_S
         if await self._store.write_group(service, changed, deadline):
             self._recorded[service] = (group.era, members)
+            self._retry_at.pop(service)
             self._log.event(
                 'group_recorded',
                 service=service,
@@ -134,16 +135,32 @@
     def _is_due(self, service: str, rank: int) -> bool:
         now = current_time()
         recorded = self._recorded.get(service)
-        if recorded == (self._store_era.current, self._members(service)):
-            self._changed_at.pop(service, None)
-            return False
         retry_at = self._retry_at.get(service, -math.inf)
         if recorded is None:
             return now >= retry_at
+        if not self._differs(service, recorded, rank):
+            self._changed_at.pop(service, None)
+            return False
         if not self._endpoints.has_settled(now):
             return False
         changed_at = self._changed_at.setdefault(service, now)
         return now >= max(changed_at + rank * RECORD_DELAY_S, retry_at)
 
+    def _differs(
+        self, service: str, recorded: tuple[int, _Members], rank: int
+    ) -> bool:
+        """Return whether a record lacks a change that this node writes.
+
+        Nodes take a lost endpoint for gone at different times, so only the
+        first one removes it.
+        """
+        if recorded[0] != self._store_era.current:
+            return True
+        if not rank:
+            return recorded[1] != self._members(service)
+        names = {each.endpoint for each in recorded[1]}
+        listed = self._endpoints.usable(service)
+        return any(each.endpoint not in names for each in listed)
+
     def _members(self, service: str) -> _Members:
         return record_members(self._endpoints.log_holders(service))
