--- a/tests/test_recorded_group.py
+++ b/tests/test_recorded_group.py
@@ -145,7 +145,8 @@
         await sleep(RECORDED_S)
         remove_entries(stack, 'ledger-2')
         stack.group.endpoints['ledger-2'].crash()
-        # These learn the endpoint later than the others.
+        await sleep(LOST_RETENTION_S / 3)
+        # These learn the endpoint later than the first monitor.
         for name in ('node-1', 'node-2'):
             stack.kill_node(name)
         for name in ('node-1', 'node-2'):
