Any monitor removes members from the record again

The rule that only the first monitor removes them left a gone endpoint in the record when another monitor had written it last. It was made against monitors that undo each other's removals, which does not happen: a monitor writes only when its own members change. The test of one removal passes with and without the rule, also with two monitors that learn the endpoint ten seconds later.

--- a/trefoilhitch/pooler/group_recorder.py
+++ b/trefoilhitch/pooler/group_recorder.py
@@ -138,7 +138,7 @@
         retry_at = self._retry_at.get(service, -math.inf)
         if recorded is None:
             return now >= retry_at
-        if not self._differs(service, recorded, rank):
+        if recorded == (self._store_era.current, self._members(service)):
             self._changed_at.pop(service, None)
             return False
         if not self._endpoints.has_settled(now):
@@ -146,21 +146,5 @@
         changed_at = self._changed_at.setdefault(service, now)
         return now >= max(changed_at + rank * RECORD_DELAY_S, retry_at)
 
-    def _differs(
-        self, service: str, recorded: tuple[int, _Members], rank: int
-    ) -> bool:
-        """Return whether a record lacks a change that this node writes.
-
-        Nodes take a lost endpoint for gone at different times, so only the
-        first one removes it.
-        """
-        if recorded[0] != self._store_era.current:
-            return True
-        if not rank:
-            return recorded[1] != self._members(service)
-        names = {each.endpoint for each in recorded[1]}
-        listed = self._endpoints.usable(service)
-        return any(each.endpoint not in names for each in listed)
-
     def _members(self, service: str) -> _Members:
         return record_members(self._endpoints.log_holders(service))
