Ports of the lab are handed out, and its address is claimed

Cause (from reading; the failure was not played again): a node's ports were probed, closed, and bound some moments later. Between the two, the kernel may give such a port to another server of the process that lets it choose, for they came from the same range. The address was derived from the process id and shared by any two processes whose ids differ by a multiple of 65,536.

Change: a process claims its address by a socket that stays bound, and takes the next address if another one holds it; ports of nodes are counted up below the kernel's ephemeral range (32768 to 60999 here), so neither a server nor a connection is given one.

--- a/tests/test_odd_peer_fields.py
+++ b/tests/test_odd_peer_fields.py
@@ -44,7 +44,8 @@
 from trefoilhitch.pooler.ports import EndpointConnectionError
 from trefoilhitch.pooler.rate_share import RateShare
 from trefoilhitch.pooler.token_requester import TokenRequester
-from trefoilhitch_lab.stack import FailureCollector, loopback_address
+from trefoilhitch_lab.loopback import loopback_address
+from trefoilhitch_lab.stack import FailureCollector
 from trefoilhitch_lab.wire_stack import SERVICE, running_wire_stack
 
 
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -23,7 +23,8 @@
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.peer_sync import PeerSync
-from trefoilhitch_lab.stack import FailureCollector, loopback_address
+from trefoilhitch_lab.loopback import loopback_address
+from trefoilhitch_lab.stack import FailureCollector
 from trefoilhitch_lab.wire_stack import SERVICE, WireStack, running_wire_stack
 
 NODES = 2
--- a/trefoilhitch_lab/baseline_stack.py
+++ b/trefoilhitch_lab/baseline_stack.py
@@ -23,7 +23,8 @@
 )
 from trefoilhitch_lab.deployment import Deployment
 from trefoilhitch_lab.fault_injection import FaultyEndpointConnector
-from trefoilhitch_lab.stack import Stack, loopback_address
+from trefoilhitch_lab.loopback import loopback_address
+from trefoilhitch_lab.stack import Stack
 
 POLL_INTERVAL_S = 0.05
 CLAIMANT = 'platform'
--- a/trefoilhitch_lab/stack.py
+++ b/trefoilhitch_lab/stack.py
@@ -3,10 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
-from functools import cache
-from os import getpid
 from random import Random
-from socket import AF_INET, SOCK_STREAM, socket
 
 from trio import CancelScope, Event, Nursery, current_time, open_nursery, sleep
 
@@ -45,12 +42,11 @@
 )
 from trefoilhitch_lab.fault_injection import FaultyPeerClients, faulty_platform
 from trefoilhitch_lab.limits import PLATFORM_LIMITS
+from trefoilhitch_lab.loopback import loopback_address, next_port
 from trefoilhitch_lab.network import Network
 from trefoilhitch_lab.object_api import ObjectApi
 from trefoilhitch_lab.vm_list import VmListApi
 
-LOOPBACK_ADDRESS_FORMAT = '127.{0}.{1}.1'
-_OCTET_SIZE = 256
 FLEET_SECRET = 'lab-fleet-secret-0123456789'
 READY_TIMEOUT_S = 15
 READY_POLL_INTERVAL_S = 0.02
@@ -382,8 +378,8 @@
                 region=self.deployment.regions[data_centre],
                 data_centre=data_centre,
                 address=loopback_address(),
-                port=free_port(),
-                peer_port=free_port(),
+                port=next_port(),
+                peer_port=next_port(),
             ),
             platform=PlatformSettings(
                 store=self._store_address,
@@ -448,27 +444,3 @@
         await stack.start()
         yield stack
         nursery.cancel_scope.cancel()
-
-
-@cache
-def loopback_address() -> str:
-    """Return a loopback address derived from the process id.
-
-    Returns:
-        IPv4 address that concurrent lab processes are unlikely to share.
-
-    """
-    high, low = divmod(getpid(), _OCTET_SIZE)
-    return LOOPBACK_ADDRESS_FORMAT.format(high % _OCTET_SIZE, low)
-
-
-def free_port() -> int:
-    """Return a free TCP port of the loopback address.
-
-    Returns:
-        Port number.
-
-    """
-    with socket(AF_INET, SOCK_STREAM) as sock:
-        sock.bind((loopback_address(), 0))
-        return int(sock.getsockname()[1])
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -4,7 +4,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from functools import partial
-from itertools import count
 from random import Random
 from types import MappingProxyType
 from typing import Any
@@ -33,13 +32,14 @@
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch_lab.cut_connector import CutConnector
 from trefoilhitch_lab.limits import PLATFORM_LIMITS
+from trefoilhitch_lab.loopback import loopback_address, next_port
 from trefoilhitch_lab.platform_store import (
     PlatformStore,
     PromotionApi,
     StoreCopy,
     StoreState,
 )
-from trefoilhitch_lab.stack import FailureCollector, loopback_address
+from trefoilhitch_lab.stack import FailureCollector
 from trefoilhitch_lab.wire_group import WireGroup
 
 # Operations that a rate window may admit beyond an organisation's limit.
@@ -59,10 +59,6 @@
 DRAIN_TIMEOUT_S = 7
 POLL_INTERVAL_S = 0.1
 DEFAULT_RATE = 1000
-# Nodes listen on a loopback address that no other process uses. Their ports
-# are below the kernel's ephemeral port range.
-FIRST_PORT = 20001
-_PORTS = count(FIRST_PORT)
 
 
 @dataclass(slots=True)
@@ -315,7 +311,7 @@
         return f'{address}:{port}'
 
     def _settings(self, name: str, store_address: str) -> PoolerSettings:
-        ports = self._ports.setdefault(name, (next(_PORTS), next(_PORTS)))
+        ports = self._ports.setdefault(name, (next_port(), next_port()))
         number = int(name.rpartition('-')[2])
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         address = loopback_address()
