--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 ARGS ?=
+# Processes that run the tests.
+WORKERS ?= 4
 
 .PHONY: demo test lint bench cost fuzz generate lock
 
@@ -15,7 +17,7 @@
 	@$(BIN)/trefoilhitch-lab demo $(ARGS)
 
 test: lint
-	$(BIN)/python -m pytest $(ARGS)
+	$(BIN)/python -m pytest -n $(WORKERS) $(ARGS)
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
