Leases and records of groups are written by one conditional write

The check of the store's era before and after a write stood in both adapters, line by line. ObjectStoreClient.put_in_era does it; is_era_confirmed, which only they used, goes.

--- a/trefoilhitch/platform/group_store.py
+++ b/trefoilhitch/platform/group_store.py
@@ -1,6 +1,5 @@
 """Records of database groups in the platform's store."""
 
-from trefoilhitch.errors import StoreConflictError
 from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
 from trefoilhitch.platform._generated.platform import (
     GroupEntry,
@@ -8,7 +7,6 @@
 )
 from trefoilhitch.platform.object_store import GROUP_KIND, ObjectStoreClient
 from trefoilhitch.platform.unreadable_reporter import UnreadableReporter
-from trefoilhitch.pooler.lease import ERA_MAX_AGE_S
 from trefoilhitch.pooler.recorded_group import RecordedGroup, RecordedMember
 
 
@@ -72,20 +70,18 @@
                 effect.
 
         """
-        if not self._store.is_era_confirmed(ERA_MAX_AGE_S):
-            await self._store.get(GROUP_KIND, service, deadline)
-        if group.era != self._store.era:
-            return False
         entry = GroupEntry(
             members=[_write_member(each) for each in group.members]
         )
-        try:
-            await self._store.put(
-                GROUP_KIND, service, entry, group.revision, deadline
-            )
-        except StoreConflictError:
-            return False
-        return group.era == self._store.era
+        stored = await self._store.put_in_era(
+            GROUP_KIND,
+            service,
+            entry,
+            revision=group.revision,
+            era=group.era,
+            deadline=deadline,
+        )
+        return stored is not None
 
 
 def _read_member(entry: GroupMemberEntry) -> RecordedMember:
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -11,11 +11,7 @@
 )
 from trefoilhitch.platform.stored_objects import StoredObject
 from trefoilhitch.platform.unreadable_reporter import UnreadableReporter
-from trefoilhitch.pooler.lease import (
-    ERA_MAX_AGE_S,
-    LeaseListing,
-    LeaseRecord,
-)
+from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 
 # Holder of a lease that cannot be read: whether a failover is under way is
 # unknown, so that the lease permits nothing.
@@ -104,11 +100,6 @@
                 effect.
 
         """
-        if not self._store.is_era_confirmed(ERA_MAX_AGE_S):
-            await self._store.get(LEASE_KIND, service, deadline)
-        if lease.era != self._store.era:
-            # The revision may belong to another write by now.
-            return None
         entry = LeaseEntry(
             token=lease.token,
             holder=lease.holder,
@@ -117,15 +108,15 @@
             primary=lease.primary,
             term=lease.term,
         )
-        try:
-            stored = await self._store.put(
-                LEASE_KIND, service, entry, lease.revision, deadline
-            )
-        except StoreConflictError:
-            return None
-        if lease.era != self._store.era:
-            return None
-        return _decode_lease(stored, lease.era)
+        stored = await self._store.put_in_era(
+            LEASE_KIND,
+            service,
+            entry,
+            revision=lease.revision,
+            era=lease.era,
+            deadline=deadline,
+        )
+        return _decode_lease(stored, lease.era) if stored else None
 
     def _read_listed(self, stored: StoredObject, era: int) -> LeaseRecord:
         try:
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -30,6 +30,7 @@
     decode_page,
 )
 from trefoilhitch.pooler.era_numbers import MAX_ERA, NO_ERA
+from trefoilhitch.pooler.lease import ERA_MAX_AGE_S
 from trefoilhitch.pooler.store_era import StoreEra
 
 CONFIG_KIND: Final = 'config'
@@ -63,15 +64,6 @@
         """Era of the store, as its last response or a later one named it."""
         return self._era.current
 
-    def is_era_confirmed(self, max_age_s: float) -> bool:
-        """Return whether the store has named its era lately.
-
-        Args:
-            max_age_s: age of the request that it answered, in seconds.
-
-        """
-        return self._era.is_confirmed(max_age_s)
-
     async def list_kind(
         self, kind: str, deadline: float, *, may_be_stale: bool = False
     ) -> ChangeList:
@@ -202,6 +194,47 @@
             raise StoreConflictError(_stored_revision(resp))
         return _decode_response(resp, decode_object)
 
+    async def put_in_era(
+        self,
+        kind: str,
+        name: str,
+        spec: Struct,
+        *,
+        revision: int,
+        era: int,
+        deadline: float,
+    ) -> StoredObject | None:
+        """Write an object if its revision and era are still the store's.
+
+        Args:
+            kind: kind of the object.
+            name: name of the object.
+            spec: content of the object.
+            revision: revision to replace, 0 to create the object.
+            era: era of the store in which that revision was read.
+            deadline: monotonic time in seconds.
+
+        Returns:
+            The object as stored, None if another revision is stored or the
+            store was restored since that one was read; it may then have been
+            written all the same.
+
+        Raises:
+            StoreUnavailableError: no valid response; the write may still take
+                effect.
+
+        """
+        if not self._era.is_confirmed(ERA_MAX_AGE_S):
+            await self.get(kind, name, deadline)
+        if era != self.era:
+            # The revision may belong to another write by now.
+            return None
+        try:
+            stored = await self.put(kind, name, spec, revision, deadline)
+        except StoreConflictError:
+            return None
+        return stored if era == self.era else None
+
     async def delete(self, kind: str, name: str, deadline: float) -> None:
         """Remove an object regardless of its revision.
 
