Authorisation takes the session's first message; small twins of the registry and the recorder

Caller repeated SessionStart field by field. One function tells whether a record and the directory name all members of a group, and one whether an endpoint succeeds another, in place of an entry made up for the comparison. Behaviour is the same.

--- a/tests/test_open_transactions.py
+++ b/tests/test_open_transactions.py
@@ -9,17 +9,17 @@
 import pytest
 from trio import open_nursery, sleep
 
+from tests.support import run_virtual
 from tests.test_gateways import MAX_CONNECTIONS, NODES
-from tests.test_unreadable_objects import run_virtual
 from tests.test_wire_failover import primary_of
 from trefoilhitch.pooler.authorisation import (
     PUBLIC_ORGANISATION,
     Access,
-    Caller,
     authorise,
 )
 from trefoilhitch.pooler.catalogue import Catalogue, Freshness, Route
 from trefoilhitch.pooler.response import Refusal
+from trefoilhitch.pooler.statement import SessionStart
 from trefoilhitch_lab.wire_client import WireClient, WireResponse, wire_client
 from trefoilhitch_lab.wire_stack import (
     SERVICE,
@@ -236,7 +236,7 @@
     begun: Route, declared: Route | None
 ) -> None:
     routes = {DATABASE: declared} if declared else {}
-    caller = Caller(DATABASE, KEY)
+    caller = SessionStart(DATABASE, KEY)
     known = Catalogue(1, routes=routes, keys={KEY: 'himal'})
     assert authorise(known, caller, begun) == Access(begun, 'himal')
     unknown = Catalogue(1, routes=routes)
@@ -246,7 +246,7 @@
 def test_public_route_needs_no_key_until_the_transaction_ends() -> None:
     begun = route(public=True)
     declared = Catalogue(1, routes={DATABASE: route()})
-    caller = Caller(DATABASE, '')
+    caller = SessionStart(DATABASE, '')
     permitted = authorise(declared, caller, begun)
     assert permitted == Access(begun, PUBLIC_ORGANISATION)
     assert authorise(declared, caller) == Refusal.UNAUTHORISED
--- a/trefoilhitch/pooler/authorisation.py
+++ b/trefoilhitch/pooler/authorisation.py
@@ -9,24 +9,11 @@
 
 from trefoilhitch.pooler.catalogue import Catalogue, Route
 from trefoilhitch.pooler.response import Refusal
+from trefoilhitch.pooler.statement import SessionStart
 
 PUBLIC_ORGANISATION = 'public'
 
 
-@dataclass(frozen=True, slots=True)
-class Caller:
-    """What a session tells of its client.
-
-    Args:
-        database: database name that the client connected to.
-        key: the client's key, empty if it sent none.
-
-    """
-
-    database: str
-    key: str
-
-
 @dataclass(frozen=True, slots=True)
 class Access:
     """Permission to run a statement.
@@ -42,13 +29,13 @@
 
 
 def authorise(
-    catalogue: Catalogue, caller: Caller, begun: Route | None = None
+    catalogue: Catalogue, start: SessionStart, begun: Route | None = None
 ) -> Access | Refusal:
-    """Decide whether a caller may run a statement.
+    """Decide whether the client of a session may run a statement.
 
     Args:
         catalogue: the declared catalogue.
-        caller: the caller.
+        start: first message of the session.
         begun: route that its open transaction began with, None if none is
             open.
 
@@ -56,28 +43,12 @@
         The route and the organisation, or the reason for refusal.
 
     """
-    route = begun or catalogue.routes.get(caller.database)
+    route = begun or catalogue.routes.get(start.database)
     if route is None:
         return Refusal.UNKNOWN_DATABASE
-    organisation = identify(catalogue, caller.key, public=route.public)
-    if organisation is None:
-        return Refusal.UNAUTHORISED
-    return Access(route, organisation)
-
-
-def identify(catalogue: Catalogue, key: str, *, public: bool) -> str | None:
-    """Return the organisation that a key stands for.
-
-    Args:
-        catalogue: the declared catalogue.
-        key: the key, empty for none.
-        public: whether the route needs no key.
-
-    Returns:
-        The organisation, None if the key is unknown and needed.
-
-    """
-    organisation = catalogue.keys.get(key)
-    if organisation is None and public:
-        return PUBLIC_ORGANISATION
-    return organisation
+    organisation = catalogue.keys.get(start.key)
+    if organisation is not None:
+        return Access(route, organisation)
+    if route.public:
+        return Access(route, PUBLIC_ORGANISATION)
+    return Refusal.UNAUTHORISED
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -6,7 +6,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.pooler.authorisation import Access, Caller, authorise
+from trefoilhitch.pooler.authorisation import Access, authorise
 from trefoilhitch.pooler.catalogue import Route
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
@@ -81,7 +81,7 @@
         catalogue = deps.declaration.catalogue
         if catalogue is None:
             return Refusal.BUSY
-        found = authorise(catalogue, Caller(start.database, start.key))
+        found = authorise(catalogue, start)
         if isinstance(found, Refusal):
             return found
         return cls(
@@ -171,7 +171,7 @@
         transaction = session.transaction
         found = authorise(
             catalogue,
-            Caller(session.database, session.key),
+            SessionStart(session.database, session.key),
             transaction.route if transaction else None,
         )
         if isinstance(found, Refusal):
--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -187,7 +187,7 @@
         self._listed = _without_predecessors(self._listed, record)
         self._former.discard(record.endpoint)
         for lost in self._former.lost():
-            if _replaces(ListedEndpoint(record), ListedEndpoint(lost, 0)):
+            if _succeeds(record, lost):
                 self._former.discard(lost.endpoint)
         return record
 
@@ -406,7 +406,11 @@
     """Return whether a listed endpoint has replaced one that is missing."""
     if successor.expires_at is not None or missing.expires_at is None:
         return False
-    new, old = successor.record, missing.record
+    return _succeeds(successor.record, missing.record)
+
+
+def _succeeds(new: EndpointRecord, old: EndpointRecord) -> bool:
+    """Return whether an endpoint was started later at the same address."""
     if (new.service, new.address) != (old.service, old.address):
         return False
     return new.started_at_ms >= old.started_at_ms
--- a/trefoilhitch/pooler/group_recorder.py
+++ b/trefoilhitch/pooler/group_recorder.py
@@ -77,9 +77,7 @@
 
         """
         group = await self._read(service)
-        return bool(group.members) or self._endpoints.has_settled(
-            current_time()
-        )
+        return self._names_all(group)
 
     async def record_if_due(self, service: str, rank: int) -> None:
         """Record the members of a group if they have changed.
@@ -102,8 +100,7 @@
     async def _record(self, service: str) -> None:
         group = await self._read(service)
         members = self._members(service)
-        is_known = group.members or self._endpoints.has_settled(current_time())
-        if members == group.members or not is_known:
+        if members == group.members or not self._names_all(group):
             return
         changed = RecordedGroup(members, group.revision, group.era)
         deadline = current_time() + ATTEMPT_TIMEOUT_S
@@ -117,6 +114,12 @@
                 previous=[each.endpoint for each in group.members],
             )
 
+    def _names_all(self, group: RecordedGroup) -> bool:
+        """Return whether a record and the directory name all members."""
+        if group.members:
+            return True
+        return self._endpoints.has_settled(current_time())
+
     async def _read(self, service: str) -> RecordedGroup:
         group = await read_with_retries(
             partial(self._store.read_group, service),
