--- a/tests/hostile_bytes.py
+++ b/tests/hostile_bytes.py
@@ -1,10 +1,7 @@
 """Strategies for chunks of messages and noise, and the virtual clock."""
 
-from collections.abc import Awaitable, Callable
-
 from hypothesis import strategies as st
-from trio import BrokenResourceError, SocketStream, run
-from trio.testing import MockClock
+from trio import BrokenResourceError, SocketStream
 
 COMMON_PARTS = (
     b'\r\n',
@@ -31,11 +28,6 @@
     )
 
 
-def run_virtual(play: Callable[[], Awaitable[None]]) -> None:
-    """Run an asynchronous function on a virtual clock."""
-    run(play, clock=MockClock(autojump_threshold=0))
-
-
 async def send_chunks(stream: SocketStream, chunks: list[bytes]) -> None:
     """Send chunks and the end of the stream; stop if it was closed."""
     try:
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from functools import wraps
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 from trio import run
 from trio.testing import MockClock
@@ -12,12 +12,18 @@
 from trefoilhitch_lab.session_client import SessionClient
 from trefoilhitch_lab.stack import Stack
 
+ResultT = TypeVar('ResultT')
 SERVICE = 'orders'
 CREATE = 'CREATE TABLE orders (mark TEXT, session TEXT)'
 INSERT = 'INSERT INTO orders VALUES (?, ?)'
 COUNT = 'SELECT count(*) FROM orders WHERE mark = ?'
 
 
+def run_virtual(play: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    """Run an asynchronous function on a virtual clock, without real delays."""
+    return run(play, clock=MockClock(autojump_threshold=0))
+
+
 def with_virtual_clock(
     test: Callable[[], Awaitable[None]],
 ) -> Callable[[], None]:
@@ -25,7 +31,7 @@
 
     @wraps(test)
     def wrapper() -> None:
-        run(test, clock=MockClock(autojump_threshold=0))
+        run_virtual(test)
 
     return wrapper
 
--- a/tests/test_arbitrary_peer_messages.py
+++ b/tests/test_arbitrary_peer_messages.py
@@ -9,6 +9,7 @@
 from msgspec.json import encode
 from trio import sleep
 
+from tests.support import run_virtual
 from tests.test_odd_peer_messages import (
     BEAT,
     CALLS,
@@ -19,7 +20,7 @@
     odd_node_beside,
     post,
 )
-from tests.test_unreadable_objects import expect_service, run_virtual
+from tests.test_unreadable_objects import expect_service
 from trefoilhitch._generated import peer
 from trefoilhitch_lab.wire_stack import running_wire_stack
 
--- a/tests/test_entries_of_another_writer.py
+++ b/tests/test_entries_of_another_writer.py
@@ -4,32 +4,24 @@
 
 import pytest
 from msgspec import Raw
-from trio import run, sleep
-from trio.testing import MockClock
+from trio import sleep
 
-from trefoilhitch_lab.wire_client import wire_client
+from tests import test_wire_failover as failover
+from tests.support import run_virtual
+from tests.test_unreadable_objects import restart_all
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
 
-KEY = 'key-himal'
 WRITER = 'another-writer'
-# Three ends by themselves on a tenth of the nodes are a fault; a node that ends
-# is started again at once.
-SEEN_S = 3
-# Half a surrogate pair: valid JSON, but no text.
+# Time in which the nodes read the entry, and end if they can't.
+READ_S = 3
+# Valid JSON, but no text.
 HALF_A_PAIR = Raw(r'"\ud800"'.encode())
 
 
-async def write(stack: WireStack, name: str, mark: str) -> str:
-    """Write at a node in a new session; return the code of the answer."""
-    async with wire_client(stack.nodes[name].address) as client:
-        assert await client.start('orders', KEY) == 'READY I -'
-        return (await client.query(f'WRITE {mark} {mark}')).code
-
-
 async def expect_writes(stack: WireStack, mark: str) -> None:
     """Write at each node."""
     for name in stack.nodes:
-        assert await write(stack, name, f'{mark}-{name}') == ''
+        assert await failover.write(stack, f'{mark}-{name}', name) == ''
 
 
 async def play(changes: dict[str, object], *, restarts: bool) -> None:
@@ -38,35 +30,24 @@
         await expect_writes(stack, 'before')
         entry = stack.endpoint_entry('ledger-2', **changes)
         stack.store_state.put('servers', WRITER, entry)
-        await sleep(SEEN_S)
+        await sleep(READ_S)
         if restarts:
-            names = list(stack.nodes)
-            for name in names:
-                stack.kill_node(name)
-            for name in names:
-                await stack.start_node(name)
-            await stack.wait_until_ready()
-            await sleep(SEEN_S)
+            await restart_all(stack)
+            await sleep(READ_S)
         await expect_writes(stack, 'after')
 
 
-def play_virtual(changes: dict[str, object], *, restarts: bool) -> None:
-    """Play it on a virtual clock."""
-    run(
-        partial(play, changes, restarts=restarts),
-        clock=MockClock(autojump_threshold=0),
-    )
-
-
 @pytest.mark.parametrize('restarts', [False, True])
 def test_address_with_a_superscript_digit_ends_all_nodes(
     restarts: bool,
 ) -> None:
-    """Guards against FAULT: nodes that end again and again (review/3)."""
-    play_virtual({'address': '127.0.0.1:8\u00b240'}, restarts=restarts)
+    """Guards against nodes that end again and again (review, case 3)."""
+    changes = {'address': '127.0.0.1:8\u00b240'}
+    run_virtual(partial(play, changes, restarts=restarts))
 
 
 @pytest.mark.parametrize('restarts', [False, True])
 def test_half_a_surrogate_pair_hides_all_endpoints(restarts: bool) -> None:
-    """Guards against RECOVER: restarted nodes without endpoints (review/4)."""
-    play_virtual({'service': HALF_A_PAIR}, restarts=restarts)
+    """Guards against restarted nodes without endpoints (review, case 4)."""
+    changes = {'service': HALF_A_PAIR}
+    run_virtual(partial(play, changes, restarts=restarts))
--- a/tests/test_failed_tasks.py
+++ b/tests/test_failed_tasks.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 import pytest
-from trio import run, sleep
-from trio.testing import MockClock
+from trio import sleep
 
+from tests.support import run_virtual
 from tests.test_unreadable_objects import expect_service, restart_all
 from trefoilhitch.platform.lease_store import (
     PlatformLeaseStore,
@@ -88,4 +88,4 @@
         return await failing.call(*args, **options)
 
     monkeypatch.setattr(owner, method, call)
-    run(partial(play, failing), clock=MockClock(autojump_threshold=0))
+    run_virtual(partial(play, failing))
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -63,7 +63,7 @@
 
 
 def test_no_restart_or_outage_loses_a_commit() -> None:
-    """Guards against LOST by nodes that have restarted."""
+    """Guards against lost commits: nodes that have restarted forget members."""
     _check(CORRECT_RULES, EXAMPLES)
 
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -4,7 +4,8 @@
 from hypothesis import strategies as st
 from trio import open_tcp_stream
 
-from tests.hostile_bytes import receive_all, run_virtual, send_chunks
+from tests.hostile_bytes import receive_all, send_chunks
+from tests.support import run_virtual
 from tests.test_hostile_endpoint_answers import FailureLog
 from tests.test_wire_failover import KEY
 from trefoilhitch.platform.client_codec import decode_query, decode_start
--- a/tests/test_hostile_endpoint_answers.py
+++ b/tests/test_hostile_endpoint_answers.py
@@ -9,7 +9,7 @@
 from trio import sleep
 
 from tests import test_wire_failover as failover
-from tests.hostile_bytes import run_virtual
+from tests.support import run_virtual
 from tests.test_hostile_endpoints import ODD_READY, ODD_STATUSES
 from tests.test_unreadable_objects import restart_all
 from tests.test_wire_failover import KEY, primary_of
--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -12,7 +12,8 @@
     serve_listeners,
 )
 
-from tests.hostile_bytes import receive_all, run_virtual, send_chunks
+from tests.hostile_bytes import receive_all, send_chunks
+from tests.support import run_virtual
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.platform.client_codec import encode_error, encode_response
 from trefoilhitch.platform.codes import decode_position
--- a/tests/test_hostile_requests.py
+++ b/tests/test_hostile_requests.py
@@ -8,13 +8,8 @@
 from hypothesis import given
 from trio import SocketListener, SocketStream, open_nursery, open_tcp_stream
 
-from tests.hostile_bytes import (
-    chunks_of,
-    receive_all,
-    run_virtual,
-    send_chunks,
-)
-from tests.support import with_virtual_clock
+from tests.hostile_bytes import chunks_of, receive_all, send_chunks
+from tests.support import run_virtual, with_virtual_clock
 from trefoilhitch.errors import ConnectionLostError, RefusalError
 from trefoilhitch.http_client import HttpClient, HttpConnection
 from trefoilhitch.http_message import (
--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -10,12 +10,8 @@
     sleep,
 )
 
-from tests.hostile_bytes import (
-    chunks_of,
-    receive_all,
-    run_virtual,
-    send_chunks,
-)
+from tests.hostile_bytes import chunks_of, receive_all, send_chunks
+from tests.support import run_virtual
 from trefoilhitch.errors import ConnectionLostError, DeadlineError
 from trefoilhitch.http_client import MAX_HEAD_BYTES, HttpClient, ResponseParser
 from trefoilhitch.http_message import HttpRequest
--- a/tests/test_joining_endpoint.py
+++ b/tests/test_joining_endpoint.py
@@ -14,7 +14,7 @@
 )
 
 from tests import test_wire_failover as failover
-from tests.test_unreadable_objects import run_virtual
+from tests.support import run_virtual
 from tests.test_wire_failover import (
     RECORDED_S,
     SERVICE,
--- a/tests/test_misplaced_endpoint.py
+++ b/tests/test_misplaced_endpoint.py
@@ -5,12 +5,8 @@
 
 from tests import test_unreadable_objects as unreadable
 from tests import test_wire_failover as failover
-from tests.test_overwritten_entries import (
-    PRIMARY,
-    REPLICA,
-    overwrite,
-    run_virtual,
-)
+from tests.support import run_virtual
+from tests.test_overwritten_entries import PRIMARY, REPLICA, overwrite
 from tests.test_wire_failover import GAP_BOUND_S, primary_of
 from trefoilhitch_lab.wire_group import WireGroup
 from trefoilhitch_lab.wire_stack import running_wire_stack
--- a/tests/test_odd_endpoints.py
+++ b/tests/test_odd_endpoints.py
@@ -1,16 +1,15 @@
 """Entries that can be read, but name endpoints that are not there."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from functools import partial
 from typing import Any
 
 import pytest
-from trio import run, sleep
-from trio.testing import MockClock
+from trio import sleep
 
 from tests import test_unreadable_objects as unreadable
 from tests import test_wire_failover as failover
+from tests.support import run_virtual
 from tests.test_wire_failover import primary_of
 from trefoilhitch.platform.object_store import (
     CONFIG_KIND,
@@ -43,11 +42,6 @@
 }
 
 
-def run_virtual(play: Callable[[], Awaitable[None]]) -> None:
-    """Run an asynchronous function on a virtual clock."""
-    run(play, clock=MockClock(autojump_threshold=0))
-
-
 REAL = EndpointRecord(
     endpoint='i-1',
     service=SERVICE,
--- a/tests/test_odd_era.py
+++ b/tests/test_odd_era.py
@@ -6,8 +6,9 @@
 from msgspec.json import encode
 from trio import sleep
 
+from tests.support import run_virtual
 from tests.test_odd_peer_messages import BEAT, EXCHANGES_S, NODES, post
-from tests.test_unreadable_objects import expect_service, run_virtual
+from tests.test_unreadable_objects import expect_service
 from trefoilhitch_lab.wire_stack import running_wire_stack
 
 # Far above any that the store has begun.
--- a/tests/test_odd_object_soak.py
+++ b/tests/test_odd_object_soak.py
@@ -13,13 +13,12 @@
     BrokenResourceError,
     current_time,
     open_nursery,
-    run,
     sleep,
 )
-from trio.testing import MockClock
 
 from tests.odd_objects import FIELDS, KINDS, SPECS
 from tests.schedule import seeded_schedule
+from tests.support import run_virtual
 from tests.test_unreadable_objects import (
     add_key,
     expect_service,
@@ -229,13 +228,11 @@
 def _soak(request: pytest.FixtureRequest) -> SoakResult:
     """Play each seed once for all checks."""
     with seeded_schedule():
-        return run(
-            partial(play, request.param), clock=MockClock(autojump_threshold=0)
-        )
+        return run_virtual(partial(play, request.param))
 
 
 def test_soak_acknowledges_writes_and_loses_none(soak: SoakResult) -> None:
-    """Guards against LOST."""
+    """Guards against acknowledged writes that a new primary lacks."""
     assert soak.acknowledged > 0
     assert not soak.lost
 
--- a/tests/test_odd_peer_fields.py
+++ b/tests/test_odd_peer_fields.py
@@ -9,7 +9,7 @@
 from msgspec.json import encode
 from trio import current_time, open_nursery, sleep
 
-from tests.support import with_virtual_clock
+from tests.support import run_virtual, with_virtual_clock
 from tests.test_declaration_sync import Peer, pack, sync_with
 from tests.test_odd_peer_messages import (
     BEAT,
@@ -19,7 +19,7 @@
     OddNode,
     post,
 )
-from tests.test_unreadable_objects import expect_service, run_virtual
+from tests.test_unreadable_objects import expect_service
 from trefoilhitch._generated.peer import (
     EntriesReply,
     Exchange,
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -10,7 +10,8 @@
 from msgspec.structs import asdict
 from trio import current_time, open_nursery, sleep
 
-from tests.test_unreadable_objects import expect_service, run_virtual
+from tests.support import run_virtual
+from tests.test_unreadable_objects import expect_service
 from trefoilhitch._generated.peer import (
     MemberBeat,
     MembersReply,
--- a/tests/test_overwritten_entries.py
+++ b/tests/test_overwritten_entries.py
@@ -1,16 +1,15 @@
 """Another writer overwrites an endpoint's entry; the endpoint repairs it."""
 
-from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
 import pytest
 from msgspec import Raw
-from trio import current_time, run, sleep
-from trio.testing import MockClock
+from trio import current_time, sleep
 
 from tests import test_unreadable_objects as unreadable
 from tests import test_wire_failover as failover
+from tests.support import run_virtual
 from tests.test_wire_failover import KEY, primary_of
 from trefoilhitch.platform.object_store import ENDPOINT_KIND
 from trefoilhitch.pooler.endpoint_registry import MISSING_GRACE_S
@@ -43,11 +42,6 @@
 }
 
 
-def run_virtual(play: Callable[[], Awaitable[None]]) -> None:
-    """Run an asynchronous function on a virtual clock."""
-    run(play, clock=MockClock(autojump_threshold=0))
-
-
 def overwrite(stack: WireStack, endpoint: str, changes: Any) -> None:
     """Write an endpoint's entry as another writer would."""
     spec = changes
--- a/tests/test_recorded_group.py
+++ b/tests/test_recorded_group.py
@@ -7,11 +7,11 @@
 
 from tests import test_wire_failover as failover
 from tests.support import with_virtual_clock
+from tests.test_leaving_endpoints import READY
 from tests.test_restarted_nodes import remove_entries
 from tests.test_unreadable_objects import restart_all
 from tests.test_wire_failover import RECORDED_S, SERVICE, primary_of
 from trefoilhitch.platform.object_store import GROUP_KIND
-from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import (
     MISSING_GRACE_S,
     EndpointRegistry,
@@ -24,18 +24,10 @@
 from trefoilhitch_lab.wire_stack import running_wire_stack
 
 NOW = 100.0
-# With what stood before, what one removal writes.
-MAX_WRITES = 3
-MEMBER = EndpointRecord(
-    endpoint='a',
-    service=SERVICE,
-    address='10.0.0.1:1',
-    data_centre='patan',
-    started_at_ms=1,
-    leaving=False,
-    role='replica',
-    slots=1,
-)
+# Versions of the record: before a removal, after it, and one that another
+# monitor writes meanwhile.
+MAX_VERSIONS = 3
+MEMBER = replace(READY, endpoint='a', started_at_ms=1, slots=1)
 LEAVING = replace(MEMBER, leaving=True)
 SUCCESSOR = replace(MEMBER, endpoint='b', started_at_ms=2)
 
@@ -158,4 +150,4 @@
             revisions.add(kept['meta']['revision'])
         names = [each['endpoint'] for each in kept['spec']['members']]
         assert names == ['ledger-0', 'ledger-1']
-        assert len(revisions) <= MAX_WRITES
+        assert len(revisions) <= MAX_VERSIONS
--- a/tests/test_restarted_nodes.py
+++ b/tests/test_restarted_nodes.py
@@ -7,7 +7,8 @@
 from trio import Nursery, current_time, open_nursery, sleep
 
 from tests import test_wire_failover as failover
-from tests.test_unreadable_objects import restart_all, run_virtual
+from tests.support import run_virtual
+from tests.test_unreadable_objects import restart_all
 from tests.test_wire_failover import GAP_BOUND_S, RECORDED_S, primary_of
 from trefoilhitch.platform.object_store import ENDPOINT_KIND
 from trefoilhitch.pooler.endpoint_registry import (
--- a/tests/test_unreadable_objects.py
+++ b/tests/test_unreadable_objects.py
@@ -1,15 +1,14 @@
 """One object that cannot be read costs neither a node nor the other objects."""
 
-from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
 import pytest
-from trio import run, sleep
-from trio.testing import MockClock
+from trio import sleep
 
 from tests import test_wire_failover as failover
 from tests.odd_objects import FIELDS, KINDS, SPECS
+from tests.support import run_virtual
 from tests.test_wire_failover import KEY, primary_of
 from trefoilhitch.platform.object_store import (
     CONFIG_KIND,
@@ -27,11 +26,6 @@
 APPLY_S = 1.5
 
 
-def run_virtual(play: Callable[[], Awaitable[None]]) -> None:
-    """Run an asynchronous function on a virtual clock."""
-    run(play, clock=MockClock(autojump_threshold=0))
-
-
 async def restart_all(stack: WireStack) -> None:
     """Kill all nodes at once and start them again."""
     names = list(stack.nodes)
