Tests: one server that answers with odd bytes

Two property tests, of HTTP answers and of endpoints, each started the same server; hostile_bytes has it now. Cases and assertions are the same.

--- a/tests/hostile_bytes.py
+++ b/tests/hostile_bytes.py
@@ -1,7 +1,16 @@
-"""Strategies for chunks of messages and noise, and the virtual clock."""
+"""Strategies for chunks of messages and noise, and a server that sends them."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from hypothesis import strategies as st
-from trio import BrokenResourceError, SocketStream
+from trio import (
+    BrokenResourceError,
+    SocketStream,
+    open_nursery,
+    open_tcp_listeners,
+    serve_listeners,
+)
 
 COMMON_PARTS = (
     b'\r\n',
@@ -47,3 +56,21 @@
     except BrokenResourceError:
         return b''.join(received)
     return b''.join(received)
+
+
+@asynccontextmanager
+async def answering_server(chunks: list[bytes]) -> AsyncIterator[str]:
+    """Answer the first bytes of each connection; yield the address."""
+
+    async def answer(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive_some()
+            await send_chunks(stream, chunks)
+            await receive_all(stream)
+
+    async with open_nursery() as nursery:
+        listeners = await open_tcp_listeners(0, host='127.0.0.1')
+        nursery.start_soon(serve_listeners, answer, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        yield f'127.0.0.1:{port}'
+        nursery.cancel_scope.cancel()
--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -5,14 +5,10 @@
 from hypothesis import strategies as st
 from msgspec.json import encode
 from trio import (
-    SocketStream,
     current_time,
-    open_nursery,
-    open_tcp_listeners,
-    serve_listeners,
 )
 
-from tests.hostile_bytes import receive_all, send_chunks
+from tests.hostile_bytes import answering_server
 from tests.support import run_virtual
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.platform.client_codec import encode_error, encode_response
@@ -236,19 +232,9 @@
 def test_odd_bytes_of_an_endpoint_have_a_documented_failure(
     chunks: list[bytes],
 ) -> None:
-    async def answer(stream: SocketStream) -> None:
-        async with stream:
-            await stream.receive_some()
-            await send_chunks(stream, chunks)
-            await receive_all(stream)
-
     async def play() -> None:
-        async with open_nursery() as nursery:
-            listeners = await open_tcp_listeners(0, host='127.0.0.1')
-            nursery.start_soon(serve_listeners, answer, listeners)
-            port = listeners[0].socket.getsockname()[1]
-            await _ask(f'127.0.0.1:{port}')
-            nursery.cancel_scope.cancel()
+        async with answering_server(chunks) as address:
+            await _ask(address)
 
     run_virtual(play)
 
--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -10,7 +10,11 @@
     sleep,
 )
 
-from tests.hostile_bytes import chunks_of, receive_all, send_chunks
+from tests.hostile_bytes import (
+    answering_server,
+    chunks_of,
+    receive_all,
+)
 from tests.support import run_virtual
 from trefoilhitch.errors import ConnectionLostError, DeadlineError
 from trefoilhitch.http_client import MAX_HEAD_BYTES, HttpClient, ResponseParser
@@ -48,24 +52,14 @@
 def test_odd_answer_of_a_server_has_a_documented_failure(
     chunks: list[bytes],
 ) -> None:
-    async def answer(stream: SocketStream) -> None:
-        async with stream:
-            await stream.receive_some()
-            await send_chunks(stream, chunks)
-            await receive_all(stream)
-
     async def play() -> None:
-        async with open_nursery() as nursery:
-            listeners = await open_tcp_listeners(0, host='127.0.0.1')
-            nursery.start_soon(serve_listeners, answer, listeners)
-            port = listeners[0].socket.getsockname()[1]
-            client = HttpClient(f'127.0.0.1:{port}')
+        async with answering_server(chunks) as address:
+            client = HttpClient(address)
             try:
                 await client.request(HttpRequest('GET', '/'), 9)
             except (ConnectionLostError, DeadlineError):
                 await sleep(0)
             client.close()
-            nursery.cancel_scope.cancel()
 
     run_virtual(play)
 
