--- a/tools/generate.py
+++ b/tools/generate.py
@@ -25,7 +25,7 @@
     '--disable-timestamp',
     '--formatters=builtin',
 )
-STRICT_SCHEMAS = frozenset(('messages', 'settings'))
+STRICT_SCHEMAS = frozenset(('messages', 'options', 'settings'))
 
 
 def _base_class(stem: str) -> str:
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -185,6 +185,12 @@
         bool, Meta(description='Whether the store does not answer the node.')
     ] = False
     revision: Number = 0
+    capacity: Annotated[
+        Number,
+        Meta(
+            description='What the VM can carry, in thousandths of a core; 0 if it is unknown.'
+        ),
+    ] = 0
 
 
 class GroupChange(Message, frozen=True, kw_only=True):
@@ -355,6 +361,50 @@
     ) = None
 
 
+class EndpointLoad(Message, frozen=True, kw_only=True):
+    """
+    Load of an endpoint as a node observed it on its own statements.
+    """
+
+    endpoint: Line
+    wait_ms: Annotated[
+        Duration,
+        Meta(description='Average wait of a statement before it was sent.'),
+    ] = 0
+    response_ms: Annotated[
+        Duration,
+        Meta(
+            description='Average time from sending a statement to its response.'
+        ),
+    ] = 0
+    in_flight: Annotated[
+        Number,
+        Meta(
+            description='Statements that wait for a response or for a connection.'
+        ),
+    ] = 0
+    age_ms: Annotated[
+        Duration, Meta(description='Age of the newest observation.')
+    ] = 0
+
+
+class EvacuationReport(Message, frozen=True, kw_only=True):
+    """
+    The data centres that operators have evacuated.
+    """
+
+    revision: Annotated[
+        Number,
+        Meta(
+            description='Revision of the store up to which the report is complete.'
+        ),
+    ] = 0
+    era: Annotated[
+        Number, Meta(description='Era of the store that assigned the revision.')
+    ] = 0
+    data_centres: list[str] = field(default_factory=list)
+
+
 class Exchange(Message, frozen=True, kw_only=True):
     """
     State that a node sends to another; the response has the same form.
@@ -379,6 +429,8 @@
     ] = 0
     proofs: list[LeadProof] = field(default_factory=list)
     commits: list[CommitReport] = field(default_factory=list)
+    loads: list[EndpointLoad] = field(default_factory=list)
+    evacuations: EvacuationReport | None = None
 
 
 class DeclarationRequest(Message, frozen=True, kw_only=True):
@@ -482,6 +534,12 @@
     """
 
     endpoint: str
+    relay: Annotated[
+        bool,
+        Meta(
+            description='Whether the receiver requests the status on behalf of the nodes of its data centre.'
+        ),
+    ] = False
 
 
 class StatusReport(Message, frozen=True, kw_only=True):
@@ -583,6 +641,12 @@
             description='Transaction that the statement belongs to, empty for the first statement of an operation.'
         ),
     ] = ''
+    priority: Annotated[
+        Number,
+        Meta(
+            description="Priority of the statement's route, of which 0 is the highest."
+        ),
+    ] = 0
 
 
 class RunReply(Message, frozen=True, kw_only=True):
@@ -616,6 +680,7 @@
         ),
     ] = ''
     admitted: bool = False
+    load: EndpointLoad | None = None
 
 
 class AbandonRequest(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -8,7 +8,7 @@
 from typing import Annotated, Any
 
 import cappa
-from msgspec import Struct
+from msgspec import Struct, structs
 from msgspec import to_builtins as as_builtins
 from msgspec.json import encode
 from msgspec.json import format as format_json
@@ -34,6 +34,7 @@
 from trefoilhitch.peer_client import PeerClient
 from trefoilhitch.platform.settings import SettingsFileError
 from trefoilhitch.platform.settings import load_settings as load_node_settings
+from trefoilhitch.pooler.options import OptionsFileError, load_options
 from trefoilhitch.publisher import (
     OutcomeUnknownError,
     PublishedConfig,
@@ -58,12 +59,18 @@
 @cappa.command(name='check')
 @dataclass(frozen=True)
 class Check:
-    """Check a declaration, or a node's JSON settings on the platform."""
+    """Check a declaration, or a node's settings or options on the platform."""
 
     path: FileArg
+    options: Annotated[
+        bool, cappa.Arg(long='--options', help='the file holds options')
+    ] = False
 
     def __call__(self) -> None:
         """Check the file and print every error."""
+        if self.options:
+            print(_options_summary(self.path))
+            return
         if self.path.suffix == '.json':
             print(_settings_summary(self.path))
             return
@@ -385,6 +392,20 @@
     )
 
 
+def _options_summary(path: Path) -> str:
+    try:
+        options = load_options(path)
+    except OptionsFileError as exc:
+        raise failure_exit(str(exc), ExitCode.REFUSED) from exc
+    enabled = [
+        f'{section}.{key}'
+        for section, fields in structs.asdict(options).items()
+        for key, is_on in structs.asdict(fields).items()
+        if is_on
+    ]
+    return f'on: {", ".join(enabled) or "none"}'
+
+
 def _run_async(async_call: Any) -> Any:
     return _exit_on_error(partial(run, async_call))
 
--- a/trefoilhitch/platform/_generated/platform.py
+++ b/trefoilhitch/platform/_generated/platform.py
@@ -33,6 +33,20 @@
     Resources that a process may use.
     """
 
+    cpu_share: Annotated[
+        float, Meta(description='Share of a core; 0 if it is unknown.', ge=0.0)
+    ] = 0
+    cpu_cores: Annotated[
+        float,
+        Meta(
+            description='How many times as fast as one core the share is.',
+            ge=0.0,
+        ),
+    ] = 1
+    network_mbps: Annotated[
+        float,
+        Meta(description='Bandwidth of the link; 0 if it is unknown.', ge=0.0),
+    ] = 0
     memory_mb: int = 256
     max_fds: int = 1024
 
@@ -59,6 +73,16 @@
     Limits set by the installation.
     """
 
+    evacuate_ms: (
+        Annotated[
+            float,
+            Meta(
+                description='Time after which no statement may reach the endpoints of an evacuated data centre; null if data centres are not evacuated.',
+                ge=0.0,
+            ),
+        ]
+        | None
+    ) = None
     grace_period_s: Annotated[
         float, Meta(description='Time from SIGTERM to SIGKILL.')
     ] = 6
@@ -235,6 +259,14 @@
     region: str
     data_centre: str
     incarnation: Annotated[int, Meta(ge=0, le=4611686018427387903)]
+    capacity: Annotated[
+        int,
+        Meta(
+            description='What the VM can carry, in thousandths of a core; 0 if it is unknown.',
+            ge=0,
+            le=4611686018427387903,
+        ),
+    ] = 0
 
 
 class LeaseEntry(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -191,6 +191,7 @@
             region=heartbeat.region,
             data_centre=heartbeat.data_centre,
             incarnation=heartbeat.incarnation,
+            capacity=heartbeat.capacity,
         )
         try:
             await self._store.put(NODE_KIND, heartbeat.node, entry, 0, deadline)
@@ -249,4 +250,5 @@
         incarnation=entry.incarnation,
         counter=0,
         state='live',
+        capacity=entry.capacity,
     )
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -58,6 +58,8 @@
 _NS_PER_MS = 1_000_000
 _CLOSE_IDLE_INTERVAL_S = 0.2
 _USAGE_EXIT_CODE = 2
+# The first argument names the role.
+_OPTIONS_ARGUMENT = 2
 
 
 class StatusHandler:
@@ -111,13 +113,19 @@
     """
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, ''))
     try:
-        cfg = load_settings(path)
+        cfg = load_settings(path, _options_path())
     except SettingsFileError as exc:
         sys.stderr.write(f'{exc}\n')
         sys.exit(_USAGE_EXIT_CODE)
     run(_run_node, cfg, path)
 
 
+def _options_path() -> Path | None:
+    """Return the second argument of the program, the options file."""
+    words = sys.argv[_OPTIONS_ARGUMENT:]
+    return Path(words[0]) if words else None
+
+
 def make_external_services(
     cfg: PoolerSettings, runtime: NodeRuntime
 ) -> ExternalServices:
@@ -231,7 +239,7 @@
 
 def _check_settings(log: LogbookLog, path: Path) -> None:
     try:
-        cfg = load_settings(path)
+        cfg = load_settings(path, _options_path())
     except SettingsFileError as exc:
         log.event('reload_failed', detail=str(exc))
         return
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -253,6 +253,7 @@
         incarnation=runtime.incarnation,
         counter=1,
         state='live',
+        capacity=cfg.capacity,
     )
     return MembershipView(
         heartbeat=heartbeat, random=runtime.random, clock=runtime.clock
--- a/trefoilhitch/pooler/settings.py
+++ b/trefoilhitch/pooler/settings.py
@@ -1,8 +1,10 @@
 """Settings of a node that pools connections."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from trefoilhitch._generated.options import PoolerOptions
+from trefoilhitch.pooler.options import default_options
 from trefoilhitch.pooler.rate_limit import RateRule
 
 
@@ -28,6 +30,12 @@
             in seconds.
         max_sockets: maximum number of open sockets.
         rate_rule: how operations are counted against a rate.
+        capacity: what the VM can carry, in thousandths of a core; 0 if it is
+            unknown.
+        evacuation_timeout_s: time after which no statement may reach the
+            endpoints of an evacuated data centre, in seconds; None if data
+            centres are not evacuated.
+        options: parts of the node that are turned on.
 
     """
 
@@ -45,3 +53,6 @@
     drain_timeout_s: float
     max_sockets: int
     rate_rule: RateRule
+    capacity: int = 0
+    evacuation_timeout_s: float | None = None
+    options: PoolerOptions = field(default_factory=default_options)
--- a/trefoilhitch_node.py
+++ b/trefoilhitch_node.py
@@ -1,4 +1,7 @@
-"""Start a node on the users' platform: `python3 trefoilhitch_node.py edge`."""
+"""Start a node on the users' platform: `trefoilhitch_node.py ROLE [OPTIONS]`.
+
+OPTIONS is an INI file, see `deploy/node.ini`.
+"""
 
 from trefoilhitch.platform.program import main
 
