--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -7,6 +7,8 @@
 from trefoilhitch.pooler.endpoint_registry import MISSING_GRACE_S
 from trefoilhitch.pooler.failover_decision import SILENCE_TIMEOUT_S
 from trefoilhitch.pooler.lease import LEASE_DURATION_S
+from trefoilhitch.pooler.monitor_order import rank_monitors
+from trefoilhitch.pooler.store_watchers import MAX_NODES_THAT_ALL_WATCH
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
@@ -22,6 +24,8 @@
 # Duration of a failover once its lease is available.
 TAKE_OVER_S = 1.5
 SERVICE = 'ledger'
+# Nodes of which some in each of the three regions do not watch the store.
+NODES_BEYOND_WATCHERS = 3 * (MAX_NODES_THAT_ALL_WATCH + 1)
 # Time from the first start until the members of the group are recorded.
 RECORDED_S = MISSING_GRACE_S + 1.5
 
@@ -32,6 +36,13 @@
     return stack.group.primary
 
 
+def first_monitor(stack: WireStack) -> str:
+    """Return the node that monitors the primary of the service."""
+    members = next(iter(stack.nodes.values())).node.members
+    data_centre = primary_of(stack).data_centre
+    return rank_monitors(SERVICE, data_centre, members)[0]
+
+
 def lease_holder(stack: WireStack) -> str:
     """Return the node that holds the lease of the service, empty if none."""
     kept = stack.store_state.objects_by_kind.get(LEASE_KIND, {}).get(SERVICE)
@@ -307,3 +318,25 @@
             took_s = current_time() - started_at
     assert took_s <= min(TARGET_GAP_S, SILENCE_TIMEOUT_S + STEPS_S)
     assert stack.group.lost_entries == []
+
+
+@with_virtual_clock
+async def test_monitor_without_the_store_leaves_failovers_to_others() -> None:
+    # Only some nodes of a region watch the store. The others do not know that
+    # it refuses them before they need it.
+    async with running_wire_stack(nodes=NODES_BEYOND_WATCHERS) as stack:
+        await sleep(RECORDED_S)
+        await write(stack, 'before')
+        refused = first_monitor(stack)
+        stack.nodes[refused].store.faults.outage = True
+        primary_of(stack).crash()
+        primary_of(stack).is_primary = False
+        node = next(name for name in stack.nodes if name != refused)
+        started_at = current_time()
+        number = 0
+        while await write(stack, f'after-{number}', node):
+            number += 1
+            await sleep(0.05)
+        took_s = current_time() - started_at
+    assert took_s <= TARGET_GAP_S
+    assert stack.group.lost_entries == []
--- a/trefoilhitch/pooler/lease_client.py
+++ b/trefoilhitch/pooler/lease_client.py
@@ -6,6 +6,7 @@
 most once, and a late one fails its condition.
 """
 
+from collections.abc import Callable
 from functools import partial
 
 from trio import current_time
@@ -39,11 +40,14 @@
         """Set the store of the leases."""
         self._store = store
 
-    async def read(self, service: str) -> LeaseRecord:
+    async def read(
+        self, service: str, on_failure: Callable[[], None] | None = None
+    ) -> LeaseRecord:
         """Read a lease; one that does not exist has revision 0.
 
         Args:
             service: name of the service.
+            on_failure: called after each attempt without an answer.
 
         Returns:
             The lease.
@@ -52,7 +56,11 @@
             StoreUnavailableError: no attempt was answered.
 
         """
-        return await self._read(service, current_time() + CALL_TIMEOUT_S)
+        deadline = current_time() + CALL_TIMEOUT_S
+        read = partial(self._store.read_lease, service)
+        if on_failure is None:
+            return await read_with_retries(read, deadline)
+        return await read_with_retries(read, deadline, on_failure)
 
     async def write(
         self, service: str, lease: LeaseRecord
--- a/trefoilhitch/pooler/store_retry.py
+++ b/trefoilhitch/pooler/store_retry.py
@@ -15,14 +15,21 @@
 AnswerT = TypeVar('AnswerT')
 
 
+def _ignore() -> None:
+    """Do nothing about a failure."""
+
+
 async def read_with_retries(
-    read: Callable[[float], Awaitable[AnswerT]], deadline: float
+    read: Callable[[float], Awaitable[AnswerT]],
+    deadline: float,
+    on_failure: Callable[[], None] = _ignore,
 ) -> AnswerT:
     """Read from the store, again while no answer arrives.
 
     Args:
         read: reads once; the argument is the deadline of the attempt.
         deadline: monotonic time for all attempts.
+        on_failure: called after each attempt without an answer.
 
     Returns:
         The answer.
@@ -36,6 +43,7 @@
         try:
             return await read(attempt_deadline(deadline))
         except StoreUnavailableError:
+            on_failure()
             await pause(started_at, deadline)
             if current_time() >= deadline:
                 raise
