A node that the store refuses tells others where it notices it

Change: the node publishes its state when it reports the store as lost; the monitor passes the report on.

--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -328,7 +328,8 @@
         await sleep(RECORDED_S)
         await write(stack, 'before')
         refused = first_monitor(stack)
-        stack.nodes[refused].store.faults.outage = True
+        store = stack.nodes[refused].store
+        store.faults.outage = True
         primary_of(stack).crash()
         primary_of(stack).is_primary = False
         node = next(name for name in stack.nodes if name != refused)
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -324,18 +324,9 @@
         deps.log.event('succession_ended', service=service, outcome=outcome)
         self._deps.publish()
 
-    def _leave_to_others(self) -> None:
-        """Let a node take over that the store answers.
-
-        Most nodes do not watch the store, so that they only notice now that it
-        refuses them. This one goes on with its attempts; the lease decides.
-        """
-        self._deps.report_store_lost()
-        self._deps.publish()
-
     async def _read_lease(self, service: str) -> ObservedLease:
         record = await self._deps.failover.leases.read(
-            service, self._leave_to_others
+            service, on_failure=self._deps.report_store_lost
         )
         known = self._seen_leases.get(service)
         if known is None or not is_same_version(known.record, record):
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -171,8 +171,14 @@
             parts.store_sync.remove_lost_endpoints()
 
     def _report_store_lost(self) -> None:
+        """Let nodes take over that the store answers.
+
+        Most nodes do not watch the store, so they notice only when they need
+        it that it refuses them.
+        """
         self._store_lost_until = current_time() + STORE_LOST_S
         self._membership.mark_store_lost(lost=True)
+        self._parts.peer_sync.start_publishing()
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         self._parts.state.rates.apply_catalogue(catalogue)
