Urgent requests go first inside a rate that is used up

Callers: a flood of an organisation's least urgent requests spends each token of its rate as soon as it is available; 15 % of its most urgent requests were refused beside 20 % of the flood, although they lie within the rate.

Cause: tokens were spent in the order of arrival; a lender kept its tokens for its own flood; a pause after a refused request for tokens held for all requests of the organisation alike; a statement that was refused because its endpoint was overloaded kept its token.

Lenders grant to urgent requests before they spend on less urgent ones of their own. Pauses are kept apart by priority. A statement that was refused at once gives its token back while it can still be told apart in the window. The option rates_by_priority turns the reserve off; with one priority nothing changes.

Assertions of test_pooler_rates and test_odd_peer_fields are the same; try_spend now returns the spent tokens instead of True.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,7 +22,11 @@
         self.spare: float = 0
 
     async def request_tokens(
-        self, organisation: str, wanted: float, share: RateShare
+        self,
+        organisation: str,
+        wanted: float,
+        share: RateShare,
+        priority: int = 0,
     ) -> float:
         """Record the request and give the spare tokens."""
         await sleep(0.02)
--- a/tests/test_odd_peer_fields.py
+++ b/tests/test_odd_peer_fields.py
@@ -205,7 +205,7 @@
     )
     share = RateShare(0)
     assert await requester.request_tokens('himal', 2, share) == 2
-    spent = [share.try_spend(0) for _ in range(3)]
+    spent = [share.try_spend(0) is not None for _ in range(3)]
     assert spent == [True, True, False]
 
 
--- a/tests/test_pooler_rates.py
+++ b/tests/test_pooler_rates.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from trefoilhitch.pooler.rate_accounting import SpentTokens
 from trefoilhitch.pooler.rate_limit import (
     MIN_RESTART_S,
     RAMP_DOWN_FRACTION,
@@ -131,10 +132,10 @@
 class CountsNoWindow(RateShare):
     """Mutation: operations are paced, but not counted in a window."""
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(self, now: float, priority: int = 0) -> SpentTokens | None:
         """Clear the window before spending."""
         self._window.used = 0
-        return super().try_spend(now)
+        return super().try_spend(now, priority)
 
 
 STEPS = st.lists(
@@ -294,7 +295,7 @@
 def _spend_for(share: RateShare, started_at: float, span_s: float) -> int:
     """Request an operation every 0.02 s, return how many were admitted."""
     moments = [started_at + step * 0.02 for step in range(int(span_s / 0.02))]
-    return [share.try_spend(moment) for moment in moments].count(True)
+    return sum(share.try_spend(moment) is not None for moment in moments)
 
 
 def test_use_under_higher_rate_leaves_tokens_of_lower_one() -> None:
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -462,6 +462,12 @@
 
     organisation: str
     wanted: Annotated[float, Meta(ge=0.0)]
+    priority: Annotated[
+        Number,
+        Meta(
+            description='Priority of the operation that needs them, of which 0 is the highest.'
+        ),
+    ] = 0
 
 
 class TokenReply(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -7,7 +7,8 @@
 from trio import Event, move_on_after
 
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.pooler.rate_share import RateShare
+from trefoilhitch.pooler.rate_accounting import SpentTokens
+from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
 
 # Longest wait of an operation for tokens of other nodes.
 TOKEN_WAIT_S = 0.15
@@ -28,7 +29,11 @@
     """Requests rate tokens from other nodes."""
 
     async def request_tokens(
-        self, organisation: str, wanted: float, share: RateShare
+        self,
+        organisation: str,
+        wanted: float,
+        share: RateShare,
+        priority: int = HIGHEST_PRIORITY,
     ) -> float:
         """Request tokens until enough were given or all nodes were asked.
 
@@ -36,6 +41,7 @@
             organisation: organisation whose rate the tokens belong to.
             wanted: number of tokens needed.
             share: rate share that receives the tokens.
+            priority: priority of the operation that needs them.
 
         Returns:
             Number of tokens given.
@@ -45,17 +51,39 @@
 
 @dataclass(slots=True)
 class _TokenRequestState:
-    """State of the requests for tokens of one organisation."""
+    """State of the requests for tokens of one organisation and priority."""
 
     pending: Event | None = None
     pause_s: float = 0
     paused_until: float = 0
 
+    def may_request(self, now: float) -> bool:
+        return now >= self.paused_until
+
     def back_off(self, now: float) -> None:
         self.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
         self.paused_until = now + self.pause_s
 
 
+@dataclass(frozen=True, slots=True)
+class AdmittedOperation:
+    """An operation that may run.
+
+    Args:
+        share: share that its token came from, None without a rate.
+        spent: tokens of the share that it spent, None without a rate.
+
+    """
+
+    share: RateShare | None = None
+    spent: SpentTokens | None = None
+
+    def refund(self) -> None:
+        """Give the token back, since the operation was not sent."""
+        if self.share is not None and self.spent is not None:
+            self.share.refund(self.spent)
+
+
 class Admission:
     """Admits operations against this node's rate shares.
 
@@ -66,6 +94,7 @@
         tokens: requests tokens from other nodes.
         clock: seconds, on a clock that counts suspended time.
         metrics: counts token requests and refusals.
+        by_priority: whether tokens are reserved for urgent operations.
 
     """
 
@@ -76,46 +105,70 @@
         tokens: TokenSource,
         clock: Callable[[], float],
         metrics: Metrics,
+        by_priority: bool = True,
     ) -> None:
         """Start without pending token requests."""
+        self._by_priority = by_priority
         self._rates = rates
         self._tokens = tokens
         self._clock = clock
         self._metrics = metrics
-        self._request_states: dict[str, _TokenRequestState] = {}
+        self._request_states: dict[tuple[str, int], _TokenRequestState] = {}
 
-    async def admit(self, organisation: str) -> bool:
+    async def admit(
+        self, organisation: str, priority: int = HIGHEST_PRIORITY
+    ) -> AdmittedOperation | None:
         """Admit one operation if the organisation's rate allows it.
 
         Args:
             organisation: organisation that the operation belongs to.
+            priority: priority of the operation, of which 0 is the highest.
 
         Returns:
-            True if the operation may run, or if no rate is declared.
+            The operation, None if it may not run.
 
         """
         share = self._rates.share(organisation)
         if share is None:
-            return True
-        share.record_request(self._clock())
-        if share.try_spend(self._clock()):
-            return True
+            return AdmittedOperation()
+        rank = priority if self._by_priority else HIGHEST_PRIORITY
+        share.record_request(self._clock(), rank)
+        spent = share.try_spend(self._clock(), rank)
+        if spent is None:
+            spent = await self._wait_for_tokens(organisation, share, rank)
+        if spent is None:
+            self._metrics.count('rate_refusals', organisation)
+            self._metrics.count('rate_refusals_by_priority', str(priority))
+            return None
+        return AdmittedOperation(share, spent)
+
+    async def _wait_for_tokens(
+        self, organisation: str, share: RateShare, priority: int
+    ) -> SpentTokens | None:
         request_state = self._request_states.setdefault(
-            organisation, _TokenRequestState()
+            (organisation, priority), _TokenRequestState()
         )
-        with move_on_after(TOKEN_WAIT_S):
-            while self._clock() >= request_state.paused_until:
-                await self._request_tokens(organisation, share, request_state)
-                if share.try_spend(self._clock()):
-                    return True
-        self._metrics.count('rate_refusals', organisation)
-        return False
+        share.reserve.begin_wait(priority)
+        spent = None
+        try:
+            with move_on_after(TOKEN_WAIT_S):
+                while spent is None and request_state.may_request(
+                    self._clock()
+                ):
+                    await self._request_tokens(
+                        organisation, share, request_state, priority
+                    )
+                    spent = share.try_spend(self._clock(), priority)
+        finally:
+            share.reserve.end_wait(priority)
+        return spent
 
     async def _request_tokens(
         self,
         organisation: str,
         share: RateShare,
         request_state: _TokenRequestState,
+        priority: int,
     ) -> None:
         if request_state.pending is not None:
             await request_state.pending.wait()
@@ -127,7 +180,7 @@
         given: float = 0
         try:
             given = await self._tokens.request_tokens(
-                organisation, wanted, share
+                organisation, wanted, share, priority
             )
         finally:
             request_state.pending = None
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -89,7 +89,7 @@
             membership=self.state.membership,
             client=self.state.client,
         )
-        executor = make_local_executor(self.state)
+        executor = make_local_executor(self.state, cfg.options)
         self.gateway = make_gateway_server(self.state, executor)
         self.sessions = make_session_dependencies(
             self.state, executor, self._make_prover(), self._proofs
@@ -133,6 +133,7 @@
             cluster=self.state.cluster,
             declaration=self.state.declaration,
             rates=self.state.rates,
+            rates_by_priority=cfg.options.scheduling.rates_by_priority,
             control=self.control,
             seeds=cfg.seeds,
             entries=self.store_sync.entry_log,
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -27,6 +27,7 @@
         cluster: known endpoints and primaries.
         declaration: the declaration in force.
         rates: this node's shares of rates.
+        rates_by_priority: whether tokens are reserved for urgent operations.
         control: requests the status of endpoints.
         seeds: peer addresses to contact first.
         entries: changes of endpoints' entries, for other nodes.
@@ -40,6 +41,7 @@
     cluster: ClusterState
     declaration: CurrentDeclaration
     rates: HeldRates
+    rates_by_priority: bool
     control: EndpointControl
     seeds: Sequence[str]
     entries: EntryLog
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -96,7 +96,12 @@
         if share is None:
             return TokenReply(given=0)
         now = self._deps.cluster.clock()
-        return TokenReply(given=share.grant(request.wanted, now))
+        if self._deps.rates_by_priority:
+            share.reserve.expect_requests(request.priority, now)
+            given = share.grant(request.wanted, now, request.priority)
+        else:
+            given = share.grant(request.wanted, now)
+        return TokenReply(given=given)
 
     async def _lease_view(self, req: HttpRequest) -> LeaseViewReply:
         read_message(req, LeaseViewRequest)
--- a/trefoilhitch/pooler/rate_accounting.py
+++ b/trefoilhitch/pooler/rate_accounting.py
@@ -146,6 +146,32 @@
                 SpentTokens(spent.tokens, spent.limit_fraction, until)
             )
 
+    def remove(self, spent: SpentTokens) -> bool:
+        """Remove tokens that turned out not to be spent.
+
+        Args:
+            spent: the tokens as they were added.
+
+        Returns:
+            False if they cannot be told apart from others any more; they then
+            count until they expire.
+
+        """
+        until = ceil(spent.expires_at / COUNT_RESOLUTION_S) * COUNT_RESOLUTION_S
+        if not self._spent or self._spent[-1].expires_at != until:
+            return False
+        last = self._spent.pop()
+        self._spent.append(
+            SpentTokens(
+                last.tokens - spent.tokens,
+                last.limit_fraction - spent.limit_fraction,
+                until,
+            )
+        )
+        self.used -= spent.tokens
+        self.used_fraction -= spent.limit_fraction
+        return True
+
     def drop_expired(self, now: float) -> None:
         """Drop the tokens that no longer count.
 
--- /dev/null
+++ b/trefoilhitch/pooler/rate_priority/__init__.py
@@ -0,0 +1,1 @@
+"""Order in which statements of different priorities spend a rate."""
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -21,6 +21,7 @@
     RAMP_DOWN_FRACTION,
     RateLimit,
 )
+from trefoilhitch.pooler.rate_priority.priority_reserve import PriorityReserve
 
 # Granted tokens expire this long after they were requested.
 GRANT_LIFETIME_S = 0.5
@@ -32,6 +33,7 @@
 # A node that runs short requests the tokens that it needs within this time.
 REQUEST_AHEAD_S = 0.1
 MIN_GRANT_TOKENS = 0.1
+HIGHEST_PRIORITY = 0
 _ROUNDING = 1e-9
 
 
@@ -55,6 +57,7 @@
         self._window = SlidingWindow()
         self._granted = GrantedTokens()
         self._demand = Demand(measured_at=now)
+        self.reserve = PriorityReserve()
         # An earlier process may have spent all tokens until it ended.
         self._bucket = TokenBucket(refilled_at=now - MIN_RESTART_S)
 
@@ -97,32 +100,51 @@
         self._limit = limit
         self._previous_limit = None
 
-    def record_request(self, now: float) -> None:
+    def record_request(
+        self, now: float, priority: int = HIGHEST_PRIORITY
+    ) -> None:
         """Count an operation that a client requests.
 
         Args:
             now: time in seconds.
+            priority: priority of the operation, of which 0 is the highest.
 
         """
         self._demand.update(now)
         self._demand.request_count += 1
+        self.reserve.record_request(priority, now)
 
-    def try_spend(self, now: float) -> bool:
+    def try_spend(
+        self, now: float, priority: int = HIGHEST_PRIORITY
+    ) -> SpentTokens | None:
         """Spend one token if it is available.
 
         Args:
             now: time in seconds.
+            priority: priority of the operation; tokens that are reserved for
+                more urgent ones are not available to it.
 
         Returns:
-            True if the operation may run.
+            The tokens of this node's own share that were spent, None if the
+            operation may not run.
 
         """
         own_tokens = self._own_tokens(now)
         self._granted.drop_expired(now)
-        if own_tokens + self._granted.total() < 1 - _ROUNDING:
-            return False
-        self._count_spent(1 - self._granted.spend(1), now, spent_by=now)
-        return True
+        needed = 1 + self._reserved(priority, now) - _ROUNDING
+        if own_tokens + self._granted.total() < needed:
+            return None
+        return self._count_spent(1 - self._granted.spend(1), now, spent_by=now)
+
+    def refund(self, spent: SpentTokens) -> None:
+        """Take back the tokens of an operation that was not sent.
+
+        Args:
+            spent: tokens that the operation spent.
+
+        """
+        if self._window.remove(spent):
+            self._bucket.tokens += spent.tokens
 
     def tokens_to_request(self, now: float) -> float:
         """Return how many tokens to request from other nodes.
@@ -137,25 +159,26 @@
         self._demand.update(now)
         return 1 + self._demand.per_s * REQUEST_AHEAD_S
 
-    def grant(self, wanted: float, now: float) -> float:
+    def grant(
+        self, wanted: float, now: float, priority: int | None = None
+    ) -> float:
         """Grant tokens to another node.
 
+        Tokens are kept for the demand of this node's clients, but not for
+        operations that are less urgent than those of the other node.
+
         Args:
             wanted: number of tokens that it requests.
             now: time in seconds.
+            priority: priority of its operations; None keeps tokens for all of
+                this node's clients.
 
         Returns:
             Number of tokens subtracted from this share, 0 if none can be
             spared.
 
         """
-        self._demand.update(now)
-        missing_per_s = max(0, self._demand.per_s - self._bucket.per_s)
-        kept = (
-            self._demand.per_s * DEMAND_RESERVE_S
-            + missing_per_s * SHORTAGE_RESERVE_S
-        )
-        spare = self._own_tokens(now) - kept
+        spare = self._own_tokens(now) - self._tokens_to_keep(now, priority)
         granted = min(wanted, spare)
         if granted < MIN_GRANT_TOKENS:
             return 0
@@ -224,14 +247,35 @@
         left = operations / self._node_count - min(self._window.used, scaled)
         return max(0, min(self._bucket.tokens, left))
 
+    def _tokens_to_keep(self, now: float, priority: int | None) -> float:
+        """Return the tokens that this node does not grant to another one."""
+        self._demand.update(now)
+        demand_per_s = self._demand.per_s
+        if priority is not None:
+            demand_per_s = self.reserve.demand_per_s(priority, now)
+        missing_per_s = max(0, demand_per_s - self._bucket.per_s)
+        return (
+            demand_per_s * DEMAND_RESERVE_S + missing_per_s * SHORTAGE_RESERVE_S
+        )
+
+    def _reserved(self, priority: int, now: float) -> float:
+        """Return the tokens that are reserved for more urgent operations.
+
+        One token always remains within the reach of each operation, however
+        small the share is.
+        """
+        reserved = self.reserve.tokens_above(priority, now)
+        return min(reserved, max(0, self._bucket.capacity - 1))
+
     def _count_spent(
         self, tokens: float, now: float, *, spent_by: float
-    ) -> None:
+    ) -> SpentTokens:
         """Count tokens that are spent by the given time."""
-        if not tokens:
-            return
         effective = self._effective_limit(now)
-        limit_fraction = tokens / effective.operations
         expires_at = spent_by + effective.window_s
+        if not tokens:
+            return SpentTokens(0, 0, expires_at)
+        spent = SpentTokens(tokens, tokens / effective.operations, expires_at)
         self._bucket.tokens -= tokens
-        self._window.add(SpentTokens(tokens, limit_fraction, expires_at))
+        self._window.add(spent)
+        return spent
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -2,6 +2,7 @@
 
 from trio import current_time
 
+from trefoilhitch._generated.options import PoolerOptions
 from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
@@ -19,11 +20,14 @@
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 
-def make_local_executor(state: NodeState) -> LocalExecutor:
+def make_local_executor(
+    state: NodeState, options: PoolerOptions
+) -> LocalExecutor:
     """Create the executor on this node's connections.
 
     Args:
         state: state of the node.
+        options: parts of the node that are turned on.
 
     Returns:
         The executor.
@@ -40,6 +44,7 @@
         ),
         clock=runtime.clock,
         metrics=runtime.metrics,
+        by_priority=options.scheduling.rates_by_priority,
     )
     runner = ConnectionRunner(
         connector=state.connector, metrics=runtime.metrics
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -5,7 +5,7 @@
 from typing import Protocol, Self
 
 from trefoilhitch.errors import TrefoilhitchError
-from trefoilhitch.pooler.admission import Admission
+from trefoilhitch.pooler.admission import Admission, AdmittedOperation
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.pooled_connection import PooledConnection
@@ -89,6 +89,7 @@
         keeps_connection: whether the connection is kept if it succeeds.
         is_admitted: whether an earlier attempt spent a token for it.
         on_admitted: called when a token was spent for it.
+        priority: priority of its route, of which 0 is the highest.
 
     """
 
@@ -100,6 +101,7 @@
     keeps_connection: bool
     is_admitted: bool
     on_admitted: Callable[[], None]
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,8 +241,10 @@
         """Run a statement; see `StatementExecutor`."""
         if self._has_left(job.endpoint):
             raise ConnectionNotOpenedError('the endpoint has left')
-        await self._admit(job)
-        pooled = await self._acquire(job)
+        admitted = await self._admit(job)
+        pooled = await self._acquire_or_refund(job, admitted)
+        if not job.is_admitted:
+            job.on_admitted()
         conn = LocalConnection(
             pool=self._pool,
             runner=self._runner,
@@ -258,12 +262,26 @@
                 self._pool.release(job.endpoint, pooled)
         return StartedStatement(reply, conn if is_kept else None)
 
-    async def _admit(self, job: StatementJob) -> None:
+    async def _admit(self, job: StatementJob) -> AdmittedOperation:
         if job.is_admitted:
-            return
-        if not await self._admission.admit(job.organisation):
+            return AdmittedOperation()
+        admitted = await self._admission.admit(job.organisation, job.priority)
+        if admitted is None:
             raise RateExceededError(job.organisation)
-        job.on_admitted()
+        return admitted
+
+    async def _acquire_or_refund(
+        self, job: StatementJob, admitted: AdmittedOperation
+    ) -> PooledConnection:
+        """Acquire a connection; a statement that is refused costs no token."""
+        try:
+            return await self._acquire(job)
+        except ConnectionNotOpenedError as exc:
+            if exc.overloaded:
+                admitted.refund()
+            elif not job.is_admitted:
+                job.on_admitted()
+            raise
 
     async def _acquire(self, job: StatementJob) -> PooledConnection:
         try:
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Sequence
 
+from msgspec.structs import replace as replace_message
 from trio import open_nursery
 
 from trefoilhitch._generated.peer import MemberBeat, TokenReply, TokenRequest
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PeerClient
-from trefoilhitch.pooler.rate_share import RateShare
+from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
 
 # Number of nodes from which the ones to ask are chosen.
 SAMPLE_SIZE = 16
@@ -42,7 +43,11 @@
         self._clock = clock
 
     async def request_tokens(
-        self, organisation: str, wanted: float, share: RateShare
+        self,
+        organisation: str,
+        wanted: float,
+        share: RateShare,
+        priority: int = HIGHEST_PRIORITY,
     ) -> float:
         """Request tokens from other nodes, near nodes first.
 
@@ -50,17 +55,20 @@
             organisation: organisation whose rate the tokens belong to.
             wanted: number of tokens needed.
             share: rate share that receives the tokens.
+            priority: priority of the operation that needs them.
 
         Returns:
             Number of tokens given.
 
         """
         near, far = self._nodes_to_ask(organisation)
-        given = await self._request_from_each(near, organisation, wanted, share)
+        request = TokenRequest(
+            organisation=organisation, wanted=wanted, priority=priority
+        )
+        given = await self._request_from_each(near, request, share)
         if given < 1:
-            given += await self._request_from_each(
-                far, organisation, wanted - given, share
-            )
+            remaining = replace_message(request, wanted=wanted - given)
+            given += await self._request_from_each(far, remaining, share)
         return given
 
     def _nodes_to_ask(
@@ -83,13 +91,12 @@
     async def _request_from_each(
         self,
         nodes: Sequence[MemberBeat],
-        organisation: str,
-        wanted: float,
+        total: TokenRequest,
         share: RateShare,
     ) -> float:
         given: list[float] = []
-        part = wanted / max(1, len(nodes))
-        request = TokenRequest(organisation=organisation, wanted=part)
+        part = total.wanted / max(1, len(nodes))
+        request = replace_message(total, wanted=part)
         async with open_nursery() as nursery:
             for peer in nodes:
                 nursery.start_soon(
