Control requests are shared by relays; nodes that accept no connections are left at once; gateways by capacity

Cause: while a failover is under way, or the store refuses nodes, each statement that needs the latest data sent an HTTP request to the first gateway of the service. Its accept queue overflowed, and each statement to it waited 0.3 s for a connection, on every node: the breaker needs two failures and lets a statement try every 0.4 s, so that a node with a statement every second always waits. VMs of 0.36 and 2.15 cores were chosen as gateways alike.

Change: a node asks the relay of its data centre, the relay asks the gateway, and the gateway asks the endpoint at most every 0.05 s; each has one request in flight for an endpoint, which serves only those that asked before it was sent. Nodes that do not answer have a backoff, with one trial at a time that no statement waits for; the next in the ranking is asked meanwhile. The first request that gets no connection within 0.2 s ends the wait of all others, which go to the stand-in. Views of leases and proofs have the same backoff. Gateways and relays are chosen among the VMs with at least half the largest capacity, organisations by weighted rendezvous hashing; if one live node reports no capacity, all choose as before. Requests are counted by kind. The options gateways.shared_status and gateways.by_capacity turn this off.

--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -1,11 +1,15 @@
 """Which nodes hold connections and rates."""
 
+from collections import Counter
 from random import Random
 
 import pytest
+from msgspec.structs import replace as replace_message
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue, Organisation, Service
+from trefoilhitch.pooler.control.capacity_ranking import rank_weighted
+from trefoilhitch.pooler.control.status_relays import rank_relays
 from trefoilhitch.pooler.current_declaration import (
     CurrentDeclaration,
     Declaration,
@@ -14,6 +18,7 @@
 from trefoilhitch.pooler.gateway_placement import (
     Capacity,
     choose_gateways,
+    choose_strong_gateways,
     gateway_count,
     gateway_share,
     rank_by_name,
@@ -148,3 +153,168 @@
         for own in members
     ]
     assert 100 < sum(caps) <= 180
+
+
+def beat(number: int, capacity: int, data_centre: str = 'dc-0') -> MemberBeat:
+    """Return the state of a node with a capacity."""
+    return MemberBeat(
+        node=f'edge-{data_centre}-{number}',
+        address=f'10.0.0.{number}:1',
+        region='region-0',
+        data_centre=data_centre,
+        incarnation=1,
+        counter=1,
+        state='live',
+        capacity=capacity,
+    )
+
+
+def unequal(count: int = 20, data_centre: str = 'dc-0') -> list[MemberBeat]:
+    """Return nodes of which two are strong, as in a real data centre."""
+    weak = (360, 520)
+    return [
+        beat(number, 2150 if number < 2 else weak[number % 2], data_centre)
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize('capacity', [0, 500])
+def test_equal_capacities_change_no_choice(capacity: int) -> None:
+    before = nodes(195)
+    equal = [replace_message(each, capacity=capacity) for each in before]
+    for name in DATA_CENTRES:
+        chosen = choose_strong_gateways(name, equal, 180)
+        expected = choose_gateways(name, equal, 180)
+        assert chosen == expected
+        assert [chosen.rank(each) for each in ORGANISATIONS] == [
+            expected.rank(each) for each in ORGANISATIONS
+        ]
+
+
+@pytest.mark.parametrize('connections', [24, 42, 70, 132, 1000])
+def test_strong_nodes_are_the_gateways(connections: int) -> None:
+    members = unequal()
+    chosen = choose_strong_gateways('dc-0', members, connections)
+    today = choose_gateways('dc-0', members, connections)
+    assert len(chosen.gateways) <= len(today.gateways)
+    assert len(chosen.gateways) == min(2, len(today.gateways))
+    assert {each.capacity for each in chosen.gateways} == {2150}
+
+
+def test_gateways_by_capacity_stay_below_the_limit() -> None:
+    members = unequal()
+    for connections in (16, 42, 70, 132, 1000):
+        chosen = choose_strong_gateways('dc-0', members, connections)
+        caps = [
+            chosen.connection_cap(each.node, connections) for each in members
+        ]
+        assert sum(caps) <= connections
+
+
+def test_single_strong_node_shares_with_another() -> None:
+    members = [each for each in unequal() if not each.node.endswith('-1')]
+    chosen = choose_strong_gateways('dc-0', members, 70)
+    assert len(chosen.gateways) == 2
+    assert chosen.gateways[0].capacity == 2150
+    weaker = chosen.gateways[1]
+    held = sum(
+        chosen.rank(name)[0].node == weaker.node for name in ORGANISATIONS
+    )
+    share = weaker.capacity / (weaker.capacity + 2150)
+    assert held < 2 * share * len(ORGANISATIONS)
+
+
+def test_organisations_are_divided_by_capacity() -> None:
+    members = [beat(1, 1000), beat(2, 2000), beat(3, 1500)]
+    names = [f'org-{number}' for number in range(3000)]
+    first = Counter(rank_weighted(name, members)[0].capacity for name in names)
+    assert first[1000] == pytest.approx(3000 * 10 / 45, rel=0.1)
+    assert first[2000] == pytest.approx(3000 * 20 / 45, rel=0.1)
+
+
+def test_node_that_joins_or_leaves_moves_only_its_organisations() -> None:
+    members = [beat(number, 1000 + 100 * number) for number in range(8)]
+    joined = beat(9, 1700)
+    for name in ORGANISATIONS:
+        before = rank_weighted(name, members)[0]
+        after = rank_weighted(name, [*members, joined])[0]
+        assert after in {before, joined}
+    moved = sum(
+        rank_weighted(name, [*members, joined])[0] is joined
+        for name in ORGANISATIONS
+    )
+    assert 0 < moved < len(ORGANISATIONS) / 4
+
+
+def test_weak_node_that_joins_or_leaves_moves_nothing() -> None:
+    members = unequal()
+    before = choose_strong_gateways('dc-0', members, 132)
+    for changed in ([*members, beat(30, 520)], members[:-1]):
+        after = choose_strong_gateways('dc-0', changed, 132)
+        assert [after.rank(name)[:2] for name in ORGANISATIONS] == [
+            before.rank(name)[:2] for name in ORGANISATIONS
+        ]
+
+
+def test_lost_strong_node_moves_only_its_organisations() -> None:
+    members = unequal()
+    before = choose_strong_gateways('dc-0', members, 132)
+    lost = before.gateways[0]
+    after = choose_strong_gateways(
+        'dc-0', [each for each in members if each != lost], 132
+    )
+    new = set(after.gateways) - set(before.gateways)
+    for name in ORGANISATIONS:
+        first = before.rank(name)[0]
+        if first != lost:
+            assert after.rank(name)[0] in {first, *new}
+
+
+def members_of_all() -> list[MemberBeat]:
+    """Return unequal nodes of all data centres."""
+    return [each for name in DATA_CENTRES for each in unequal(20, name)]
+
+
+def test_each_rate_has_one_holder_by_capacity() -> None:
+    members = members_of_all()
+    directories = [directory_of(own, members) for own in members]
+    for name in ORGANISATIONS[:10]:
+        holders = [
+            own
+            for own, directory in zip(members, directories, strict=True)
+            if directory.holds_rate(name)
+        ]
+        assert sorted(each.data_centre for each in holders) == sorted(
+            DATA_CENTRES
+        )
+        assert {each.capacity for each in holders} == {2150}
+    caps = [each.connection_cap('dc-3', 180) for each in directories]
+    assert 100 < sum(caps) <= 180
+
+
+def test_one_node_without_capacity_keeps_all_to_the_same_choice() -> None:
+    # A node of an earlier release, or one whose operator turned the choice by
+    # capacity off, chooses without capacities; the others have to agree.
+    members = members_of_all()
+    unknown = replace_message(members[-1], capacity=0)
+    mixed = [*members[:-1], unknown]
+    without = [replace_message(each, capacity=0) for each in members]
+    expected = directory_of(without[0], without)
+    for own in mixed[::7]:
+        directory = directory_of(own, mixed)
+        for name in ORGANISATIONS[:10]:
+            chosen = [each.node for each in directory.rank('dc-2', name)]
+            assert chosen == [each.node for each in expected.rank('dc-2', name)]
+
+
+def test_relays_are_strong_nodes_of_the_same_data_centre() -> None:
+    members = members_of_all()
+    ranked = rank_relays('ledger-1', members[5], members)
+    assert {each.data_centre for each in ranked} == {members[5].data_centre}
+    assert [each.capacity for each in ranked[:2]] == [2150, 2150]
+    first = Counter(
+        rank_relays(f'ledger-{number}', members[5], members)[0].node
+        for number in range(200)
+    )
+    assert len(first) == 2
+    assert min(first.values()) > 60
--- a/trefoilhitch/http_client.py
+++ b/trefoilhitch/http_client.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Awaitable, Callable
 from select import POLLIN, poll
 from typing import Self
 
@@ -230,6 +231,9 @@
             ) from exc
 
 
+ConnectionOpener = Callable[[str, float], Awaitable[HttpConnection]]
+
+
 class HttpClient:
     """Reuses idle connections to one server and opens more as needed.
 
@@ -238,6 +242,7 @@
         max_idle: largest number of idle connections.
         connect_timeout_s: longest time for the server to accept a connection,
             in seconds.
+        open_connection: opens a connection to an address until a deadline.
 
     """
 
@@ -247,9 +252,11 @@
         *,
         max_idle: int = 64,
         connect_timeout_s: float = math.inf,
+        open_connection: ConnectionOpener = HttpConnection.open,
     ) -> None:
         """Start without connections."""
         self.address = address
+        self._open_connection = open_connection
         self._max_idle = max_idle
         self._connect_timeout_s = connect_timeout_s
         self._idle: deque[HttpConnection] = deque()
@@ -271,13 +278,20 @@
 
         """
         connect_by = min(deadline, current_time() + self._connect_timeout_s)
-        conn = self._pop_idle() or await HttpConnection.open(
+        conn = self._pop_idle() or await self._open_connection(
             self.address, connect_by
         )
         resp = await conn.exchange(req, deadline)
         self._release(conn)
         return resp
 
+    def has_idle(self) -> bool:
+        """Return whether the next request needs no new connection."""
+        conn = self._pop_idle()
+        if conn is not None:
+            self._idle.append(conn)
+        return conn is not None
+
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/trefoilhitch/placement.py
+++ b/trefoilhitch/placement.py
@@ -9,6 +9,9 @@
 SAME_REGION = 1
 OTHER_REGION = 2
 _WEIGHT_BYTES = 8
+_BITS_PER_BYTE = 8
+# Weights are below this.
+WEIGHT_LIMIT = 1 << _BITS_PER_BYTE * _WEIGHT_BYTES
 
 
 def distance(first: PlacementNode, second: PlacementNode) -> int:
@@ -66,7 +69,7 @@
         nodes,
         key=lambda node: (
             distance(location, node),
-            -_weight(location.name, node.name),
+            -rendezvous_weight(location.name, node.name),
         ),
     )
     return [node.name for node in ordered]
@@ -88,7 +91,7 @@
     """
     ordered = sorted(
         (node.name for node in nodes),
-        key=lambda name: -_weight(service, name),
+        key=lambda name: -rendezvous_weight(service, name),
     )
     return ordered[:count]
 
@@ -111,6 +114,16 @@
     return choose_owner(location, record.nodes)
 
 
-def _weight(subject: str, node: str) -> int:
+def rendezvous_weight(subject: str, node: str) -> int:
+    """Return the weight of a node in the ranking for a subject.
+
+    Args:
+        subject: what the nodes are ranked for.
+        node: name of the node.
+
+    Returns:
+        A number from 0 up to `WEIGHT_LIMIT`; the highest ranks first.
+
+    """
     digest = blake2b(f'{subject}/{node}'.encode(), digest_size=_WEIGHT_BYTES)
     return int.from_bytes(digest.digest())
--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -62,6 +62,7 @@
         if request.requires_primary_proof:
             commands.append(self._connector.status())
             self._count('status', 1)
+            self._metrics.count('control_requests', 'statement_status')
         responses = await conn.conn.run([*preparation, *commands], deadline)
         if preparation and request.prepared and responses[0].ok:
             conn.prepared.add(request.prepared.pooled_name)
--- a/trefoilhitch/pooler/endpoint_control.py
+++ b/trefoilhitch/pooler/endpoint_control.py
@@ -53,7 +53,7 @@
             The status, or None if the request failed.
 
         """
-        return await self._send(endpoint, self._connector.status())
+        return await self._send('status', endpoint, self._connector.status())
 
     async def fence(self, endpoint: str, term: int) -> EndpointStatus | None:
         """Stop a replica from receiving the log.
@@ -67,7 +67,7 @@
             take effect.
 
         """
-        return await self._send(endpoint, self._connector.fence(term))
+        return await self._send('fence', endpoint, self._connector.fence(term))
 
     async def demote(self, endpoint: str, term: int) -> EndpointStatus | None:
         """Demote a primary of a lower term to a replica.
@@ -81,7 +81,9 @@
             take effect.
 
         """
-        return await self._send(endpoint, self._connector.demote(term))
+        return await self._send(
+            'demote', endpoint, self._connector.demote(term)
+        )
 
     async def unfence(self, endpoint: str) -> EndpointStatus | None:
         """Let a fenced replica receive the log again.
@@ -93,7 +95,7 @@
             The endpoint's status, or None if the request failed.
 
         """
-        return await self._send(endpoint, self._connector.unfence())
+        return await self._send('unfence', endpoint, self._connector.unfence())
 
     def close(self, endpoint: str) -> None:
         """Close the connection to an endpoint.
@@ -107,9 +109,10 @@
             conn.close()
 
     async def _send(
-        self, endpoint: str, command: Command
+        self, kind: str, endpoint: str, command: Command
     ) -> EndpointStatus | None:
         self._metrics.count('own_statements', 'control')
+        self._metrics.count('control_requests', kind)
         try:
             return await self._run(endpoint, command)
         except _FAILURES as exc:
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -12,7 +12,7 @@
     RunRequest,
 )
 from trefoilhitch.errors import DeadlineError, RefusalError, UnreachableError
-from trefoilhitch.pooler.circuit_breakers import CircuitBreakers
+from trefoilhitch.pooler.control.gateway_breakers import GatewayBreakers
 from trefoilhitch.pooler.gateway_messages import make_run_request, read_reply
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.peer_client import PeerClient
@@ -122,6 +122,7 @@
         client: sends requests to other nodes.
         rank: returns the gateways of an organisation to an endpoint, the first
             choice first.
+        breakers: tell which gateways may be tried.
 
     """
 
@@ -130,11 +131,12 @@
         *,
         client: PeerClient,
         rank: Callable[[str, str], tuple[MemberBeat, ...]],
+        breakers: GatewayBreakers,
     ) -> None:
-        """Start without known failures of gateways."""
+        """Store the dependencies."""
         self._client = client
         self._rank = rank
-        self._breakers = CircuitBreakers()
+        self._breakers = breakers
 
     async def start(self, job: StatementJob) -> StartedStatement:
         """Run a statement; see `StatementExecutor`."""
@@ -150,9 +152,9 @@
         for gateway in self._candidates(job):
             reply = await send_run(self._client, gateway, message, job.deadline)
             if reply is None:
-                self._breakers.record_failure(gateway.node, current_time())
+                self._breakers.record_failure(gateway)
                 continue
-            self._breakers.record_success(gateway.node)
+            self._breakers.record_success(gateway)
             if reply.outcome != 'declined':
                 return self._read_start(job, gateway, reply)
         raise GatewayUnavailableError(f'no gateway to {job.endpoint}')
@@ -162,7 +164,7 @@
         for gateway in self._rank(job.endpoint, job.organisation):
             if tried == MAX_GATEWAYS_TRIED:
                 return
-            if self._breakers.may_attempt(gateway.node, current_time()):
+            if self._breakers.may_attempt(gateway):
                 tried += 1
                 yield gateway
 
@@ -230,6 +232,8 @@
             message,
             RunReply,
             deadline + RESPONSE_MARGIN_S,
+            # Only this gateway can go on with its transactions.
+            always_tried=bool(message.transaction),
         )
     except UnreachableError:
         return None
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -5,11 +5,13 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.control.capacity_ranking import are_capacities_known
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.gateway_placement import (
     Capacity,
     GatewaySet,
     choose_gateways,
+    choose_strong_gateways,
     uses_gateways,
 )
 from trefoilhitch.pooler.membership_view import MembershipView
@@ -157,7 +159,13 @@
         node_count = len(self._membership.possibly_active())
         self._active = uses_gateways(capacity, node_count)
         live = self._membership.live()
+        # A node that chooses without capacities reports none of its own.
+        choose = (
+            choose_strong_gateways
+            if are_capacities_known(live)
+            else choose_gateways
+        )
         self._gateways = {
-            name: choose_gateways(name, live, capacity.connections)
+            name: choose(name, live, capacity.connections)
             for name in self._data_centres
         }
--- a/trefoilhitch/pooler/gateway_placement.py
+++ b/trefoilhitch/pooler/gateway_placement.py
@@ -17,6 +17,12 @@
 from trefoilhitch._generated.record import PlacementNode
 from trefoilhitch.placement import rank_nodes
 from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.control.capacity_ranking import (
+    do_capacities_differ,
+    rank_strong_first,
+    rank_weighted,
+    strong_count,
+)
 
 # Connections of an endpoint that are reserved for control requests: of each
 # node that monitors it, and of nodes that are asked for a second opinion.
@@ -31,6 +37,9 @@
 # Connections to each endpoint that a gateway should hold, so that they can be
 # reused although each is bound to one organisation.
 CONNECTIONS_PER_GATEWAY = 16
+# Gateways of a data centre with one VM that is stronger than all others, so
+# that another one holds connections when that is lost.
+MIN_STRONG_GATEWAYS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,11 +89,13 @@
         gateways: the gateways.
         backup: the node that stands in for one which does not answer, if
             there is one.
+        by_capacity: whether organisations are divided by capacity.
 
     """
 
     gateways: tuple[MemberBeat, ...] = ()
     backup: tuple[MemberBeat, ...] = ()
+    by_capacity: bool = False
 
     def rank(self, organisation: str) -> tuple[MemberBeat, ...]:
         """Return the nodes that serve an organisation, the first choice first.
@@ -96,7 +107,8 @@
             The gateways, then the backup.
 
         """
-        return (*rank_by_name(organisation, self.gateways), *self.backup)
+        rank = rank_weighted if self.by_capacity else rank_by_name
+        return (*rank(organisation, self.gateways), *self.backup)
 
     def connection_cap(self, node: str, connections: int) -> int:
         """Return how many connections a node may hold to one endpoint.
@@ -172,6 +184,36 @@
     return GatewaySet(gateways, backup=tuple(others[:1]))
 
 
+def choose_strong_gateways(
+    data_centre: str, nodes: Iterable[MemberBeat], connections: int
+) -> GatewaySet:
+    """Choose the gateways of a data centre among its strongest VMs.
+
+    Args:
+        data_centre: name of the data centre.
+        nodes: live nodes of all data centres, whose capacities are known.
+        connections: connections that the most limited endpoint accepts.
+
+    Returns:
+        The gateways and their backup; those of `choose_gateways` if all VMs
+        are equal.
+
+    """
+    local = [node for node in nodes if node.data_centre == data_centre]
+    if not do_capacities_differ(local):
+        return choose_gateways(data_centre, local, connections)
+    ranked = rank_strong_first(f'gateway/{data_centre}', local)
+    count = min(
+        gateway_count(connections, len(local)),
+        max(MIN_STRONG_GATEWAYS, strong_count(local)),
+    )
+    return GatewaySet(
+        tuple(ranked[:count]),
+        backup=tuple(ranked[count : count + 1]),
+        by_capacity=True,
+    )
+
+
 def rank_by_name(subject: str, nodes: Sequence[MemberBeat]) -> list[MemberBeat]:
     """Rank nodes for a subject by rendezvous hashing, wherever they are.
 
--- a/trefoilhitch/pooler/lease_view_reader.py
+++ b/trefoilhitch/pooler/lease_view_reader.py
@@ -11,6 +11,7 @@
     LeaseViewRequest,
     MemberBeat,
 )
+from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 from trefoilhitch.pooler.lease_observer import LeaseObserver, read_lease_view
@@ -35,6 +36,7 @@
         membership: the known nodes.
         client: sends requests to other nodes.
         clock: returns seconds on a clock that includes suspended time.
+        asked: tells which nodes may be asked.
 
     """
 
@@ -45,8 +47,10 @@
         membership: MembershipView,
         client: PeerClient,
         clock: Callable[[], float],
+        asked: AskedNodes,
     ) -> None:
         """Store the dependencies."""
+        self._asked = asked
         self._store = store
         self._membership = membership
         self._client = client
@@ -83,6 +87,7 @@
             LeaseViewReply,
             timeout_s=PEER_TIMEOUT_S,
         )
+        self._asked.record(source.node, answered=reply is not None)
         if reply is None or not reply.known:
             return None
         return LeaseView(
@@ -100,10 +105,16 @@
             node for node in self._membership.live() if not node.store_lost
         ]
         local = [node for node in reaching if self._membership.is_near(node)]
-        for candidates in (local, reaching):
-            readers = rank_by_name('leases', candidates)
-            if readers and readers[0].node != own.node:
-                return readers[0]
+        for node in rank_by_name('leases', local):
+            if node.node == own.node:
+                break
+            if self._asked.may_ask(node.node):
+                return node
+        # Those ranked next would ask this node, so the store is read instead.
+        first = rank_by_name('leases', reaching)[:1]
+        for reader in first:
+            if reader.node != own.node and self._asked.may_ask(reader.node):
+                return reader
         return None
 
 
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -4,6 +4,11 @@
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.connection_caps import ConnectionCaps
 from trefoilhitch.pooler.connection_pool import ConnectionPool
+from trefoilhitch.pooler.control.components import (
+    make_asked_nodes,
+    make_client,
+    make_statuses,
+)
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.endpoint_control import EndpointControl
@@ -11,27 +16,28 @@
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.lease_observer import LeaseObserver
-from trefoilhitch.pooler.lease_view_reader import LeaseViewReader
+from trefoilhitch.pooler.lease_view_reader import (
+    PEER_TIMEOUT_S,
+    LeaseViewReader,
+)
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.node_state import NodeState
-from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.peer_dependencies import PeerDependencies
 from trefoilhitch.pooler.peer_request_handler import PeerRequestHandler
 from trefoilhitch.pooler.peer_services import PeerServices
 from trefoilhitch.pooler.peer_sync import PeerSync
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
 from trefoilhitch.pooler.primary_proof import PrimaryProver
-from trefoilhitch.pooler.proof_fetcher import ProofFetcher
+from trefoilhitch.pooler.proof_fetcher import PROOF_TIMEOUT_S, ProofFetcher
 from trefoilhitch.pooler.rate_shares import RateShares
-from trefoilhitch.pooler.routed_executor import EndpointGateways, RoutedStatus
+from trefoilhitch.pooler.routed_executor import EndpointGateways
 from trefoilhitch.pooler.session_components import (
     make_gateway_server,
     make_local_executor,
     make_session_dependencies,
 )
 from trefoilhitch.pooler.settings import PoolerSettings
-from trefoilhitch.pooler.shared_status import SharedStatus
 from trefoilhitch.pooler.store_sync import StoreSync, StoreSyncDependencies
 from trefoilhitch.pooler.store_watchers import watches_store
 
@@ -61,13 +67,9 @@
             log=runtime.log,
             metrics=runtime.metrics,
         )
-        self.leases = _make_lease_observer(self.state, external)
+        self.leases = _make_lease_observer(cfg, self.state, external)
         self.store_sync = self._make_store_sync()
-        self._shared_status = SharedStatus(
-            pool=self.state.pool,
-            connector=self.state.connector,
-            metrics=runtime.metrics,
-        )
+        self.statuses = make_statuses(cfg, self.state, self._service_of)
         self.confirmer = self._make_confirmer()
         self._declarations = DeclarationSync(
             declaration=self.state.declaration,
@@ -88,6 +90,7 @@
             cluster=self.state.cluster,
             membership=self.state.membership,
             client=self.state.client,
+            asked=make_asked_nodes(cfg, runtime, PROOF_TIMEOUT_S),
         )
         executor = make_local_executor(self.state)
         self.gateway = make_gateway_server(self.state, executor)
@@ -148,7 +151,7 @@
             leases=self.leases,
             proofs=self._proofs,
             declarations=self._declarations,
-            request_status=self._shared_status.request,
+            statuses=self.statuses,
         )
         return PeerRequestHandler(self._peer_deps, services)
 
@@ -161,15 +164,9 @@
         )
 
     def _make_confirmer(self) -> PrimaryConfirmer:
-        routed = RoutedStatus(
-            gateways=self.state.gateways,
-            local=self._shared_status,
-            client=self.state.client,
-            service_of=self._service_of,
-        )
         return PrimaryConfirmer(
             cluster=self.state.cluster,
-            request_status=routed.request,
+            request_status=self.statuses.request,
             sync_replicas=self.sync_replicas,
             log=self._runtime.log,
         )
@@ -237,7 +234,7 @@
             connector=connector, cap=caps.cap, metrics=runtime.metrics
         ),
         connector=connector,
-        client=PeerClient(runtime.log),
+        client=make_client(cfg, runtime),
         runtime=runtime,
     )
 
@@ -253,7 +250,7 @@
         incarnation=runtime.incarnation,
         counter=1,
         state='live',
-        capacity=cfg.capacity,
+        capacity=cfg.capacity if cfg.options.gateways.by_capacity else 0,
     )
     return MembershipView(
         heartbeat=heartbeat, random=runtime.random, clock=runtime.clock
@@ -261,13 +258,14 @@
 
 
 def _make_lease_observer(
-    state: NodeState, external: ExternalServices
+    cfg: PoolerSettings, state: NodeState, external: ExternalServices
 ) -> LeaseObserver:
     reader = LeaseViewReader(
         store=external.leases,
         membership=state.membership,
         client=state.client,
         clock=state.runtime.clock,
+        asked=make_asked_nodes(cfg, state.runtime, PEER_TIMEOUT_S),
     )
     return LeaseObserver(
         read_view=reader.read,
--- a/trefoilhitch/pooler/peer_client.py
+++ b/trefoilhitch/pooler/peer_client.py
@@ -9,8 +9,13 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.errors import RefusalError
-from trefoilhitch.http_client import HttpClient
+from trefoilhitch.http_client import HttpClient, HttpConnection
 from trefoilhitch.json_client import JsonClient
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.control.connection_guard import (
+    ConnectionGuard,
+    NoConnectionsError,
+)
 from trefoilhitch.pooler.peer_decoding import decode_message
 from trefoilhitch.pooler.peer_dependencies import PEER_PREFIX
 from trefoilhitch.pooler.reported_call import run_reported
@@ -24,6 +29,9 @@
 # Longest detail of a failure that is logged.
 MAX_DETAIL_CHARS = 200
 
+# Calls that are always tried: they find out which nodes are reachable, or are
+# of use at one node only.
+_ALWAYS_TRIED = frozenset(('exchange', 'probe', 'abandon'))
 ReplyT = TypeVar('ReplyT')
 
 
@@ -32,12 +40,23 @@
 
     Args:
         log: records failed requests.
+        guard: tells which nodes accept no connections; None if each request
+            finds out for itself.
+        metrics: counts requests and their failures by call.
 
     """
 
-    def __init__(self, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        log: DecisionLog,
+        *,
+        guard: ConnectionGuard | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
         """Start without connections."""
         self.log = log
+        self._guard = guard
+        self._metrics = metrics or Metrics()
         self._connections: dict[str, HttpClient] = {}
         self._nursery: Nursery | None = None
 
@@ -45,11 +64,33 @@
         """Run the requests that nobody waits for, until cancelled."""
         try:
             async with open_nursery() as nursery:
+                if self._guard is not None:
+                    nursery.start_soon(self._guard.run)
                 self._nursery = nursery
                 await sleep_forever()
         finally:
             self._nursery = None
 
+    @property
+    def is_guarded(self) -> bool:
+        """Whether requests to nodes that accept no connections fail at once."""
+        return self._guard is not None
+
+    def may_reach(self, address: str) -> bool:
+        """Return whether a request to a node may be sent at the moment.
+
+        Args:
+            address: peer address of the node.
+
+        Returns:
+            False if the node is known to accept no connections and none is
+            idle.
+
+        """
+        if self._guard is None or self._guard.accepts(address):
+            return True
+        return self._http_client(address).has_idle()
+
     def start_request(
         self,
         address: str,
@@ -88,6 +129,8 @@
         message: Struct,
         reply_type: type[ReplyT],
         deadline: float,
+        *,
+        always_tried: bool = False,
     ) -> ReplyT:
         """Send a request to another node and return its response.
 
@@ -97,6 +140,8 @@
             message: body of the request.
             reply_type: type of the response's body.
             deadline: monotonic time.
+            always_tried: whether the request is sent although the node is
+                known to accept no connections, as no other node can serve it.
 
         Returns:
             The response's body.
@@ -106,22 +151,28 @@
             RefusalError: the request failed.
 
         """
-        http_client = self._connections.get(address)
-        if http_client is None:
-            http_client = HttpClient(
-                address,
-                max_idle=MAX_IDLE_CONNECTIONS,
-                connect_timeout_s=CONNECT_TIMEOUT_S,
-            )
-            self._connections[address] = http_client
+        self._metrics.count('peer_requests', name)
+        is_tried = always_tried or name in _ALWAYS_TRIED
+        if not (is_tried or self.may_reach(address)):
+            raise NoConnectionsError(f'{address}: accepts no connections')
         json_client = JsonClient(
-            transport=http_client,
+            transport=self._http_client(address),
             error_decoder=_peer_failure,
             reply_decoder=decode_message,
         )
-        return await json_client.post(
-            f'{PEER_PREFIX}/{name}', message, reply_type, deadline
+        post = partial(
+            json_client.post,
+            f'{PEER_PREFIX}/{name}',
+            message,
+            reply_type,
+            deadline,
         )
+        try:
+            return await post()
+        except NoConnectionsError:
+            if not is_tried:
+                raise
+        return await post()
 
     async def request(
         self,
@@ -151,12 +202,26 @@
             self.log, partial(self._log_refusal, address, name, call)
         )
 
+    def _http_client(self, address: str) -> HttpClient:
+        http_client = self._connections.get(address)
+        if http_client is None:
+            opener = self._guard.open if self._guard else HttpConnection.open
+            http_client = HttpClient(
+                address,
+                max_idle=MAX_IDLE_CONNECTIONS,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                open_connection=opener,
+            )
+            self._connections[address] = http_client
+        return http_client
+
     async def _log_refusal(
         self, address: str, name: str, call: Callable[[], Awaitable[ReplyT]]
     ) -> ReplyT | None:
         try:
             return await call()
         except RefusalError as exc:
+            self._metrics.count('peer_failures', name)
             self.log.event(
                 'peer_failed', peer=address, call=name, detail=str(exc)
             )
--- a/trefoilhitch/pooler/peer_endpoint_handler.py
+++ b/trefoilhitch/pooler/peer_endpoint_handler.py
@@ -11,7 +11,6 @@
     StatusRequest,
 )
 from trefoilhitch.http_message import HttpRequest
-from trefoilhitch.pooler.gateway_messages import write_status
 from trefoilhitch.pooler.peer_dependencies import PeerDependencies
 from trefoilhitch.pooler.peer_services import (
     PeerCallHandler,
@@ -54,9 +53,9 @@
         return CheckReply(answered=True, leads=status.is_primary)
 
     async def _status(self, req: HttpRequest) -> StatusReport:
-        endpoint = read_message(req, StatusRequest).endpoint
-        status = await self._services.request_status(endpoint)
-        return write_status(status) if status else StatusReport(answered=False)
+        return await self._services.statuses.answer(
+            read_message(req, StatusRequest)
+        )
 
     async def _run(self, req: HttpRequest) -> RunReply:
         return await self._services.gateway.run(read_message(req, RunRequest))
--- a/trefoilhitch/pooler/peer_services.py
+++ b/trefoilhitch/pooler/peer_services.py
@@ -9,12 +9,12 @@
 from trefoilhitch.errors import BadRequestError
 from trefoilhitch.http_message import HttpRequest
 from trefoilhitch.json_decoding import UnreadableJsonError
+from trefoilhitch.pooler.control.status_source import StatusSource
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.peer_decoding import decode_message
 from trefoilhitch.pooler.peer_sync import PeerSync
-from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 
 MessageT = TypeVar('MessageT')
@@ -31,8 +31,7 @@
         leases: keeps a view of the leases.
         proofs: fetches proofs of primaries.
         declarations: sends the declaration in force.
-        request_status: requests an endpoint's status over a connection of this
-            node.
+        statuses: obtains the statuses of endpoints.
 
     """
 
@@ -41,7 +40,7 @@
     leases: LeaseObserver
     proofs: ProofFetcher
     declarations: DeclarationSync
-    request_status: Callable[[str], Awaitable[EndpointStatus | None]]
+    statuses: StatusSource
 
 
 def read_message(req: HttpRequest, message_type: type[MessageT]) -> MessageT:
--- a/trefoilhitch/pooler/proof_fetcher.py
+++ b/trefoilhitch/pooler/proof_fetcher.py
@@ -5,10 +5,13 @@
 its primary, while others ask for them.
 """
 
+from collections.abc import Sequence
+
 from trio import Event, move_on_after
 
 from trefoilhitch._generated.peer import MemberBeat, ProofReply, ProofRequest
 from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.monitor_order import rank_monitors
@@ -19,7 +22,7 @@
 MAX_SHARED_AGE_S = 0.5
 # How long a read waits for a proof before it does without one.
 MAX_WAIT_S = 0.15
-REQUEST_TIMEOUT_S = 0.3
+PROOF_TIMEOUT_S = 0.3
 _MS_PER_S = 1000
 
 
@@ -30,6 +33,7 @@
         cluster: receives the proofs.
         membership: the known nodes.
         client: sends requests to other nodes.
+        asked: tells which nodes may be asked.
 
     """
 
@@ -39,8 +43,10 @@
         cluster: ClusterState,
         membership: MembershipView,
         client: PeerClient,
+        asked: AskedNodes,
     ) -> None:
         """Start without requests."""
+        self._asked = asked
         self._cluster = cluster
         self._membership = membership
         self._client = client
@@ -106,23 +112,34 @@
             'proof',
             request,
             ProofReply,
-            timeout_s=REQUEST_TIMEOUT_S,
+            timeout_s=PROOF_TIMEOUT_S,
         )
+        self._asked.record(source.node, answered=reply is not None)
         if reply is not None:
             apply_proofs(self._cluster, reply.proofs, sent_at)
 
     def _source(self, service: str) -> MemberBeat | None:
-        """Return the node to ask, None if it is this one."""
+        """Return the node to ask, None if there is none."""
         own = self._membership.heartbeat
         live = self._membership.live()
         local = [node for node in live if self._membership.is_near(node)]
-        ranked = rank_by_name(f'proof/{service}', local)
-        if ranked and ranked[0].node != own.node:
-            return ranked[0]
-        monitors = rank_monitors(
+        for node in rank_by_name(f'proof/{service}', local):
+            if node.node == own.node:
+                break
+            if self._asked.may_ask(node.node):
+                return node
+        return self._monitor(service, live)
+
+    def _monitor(
+        self, service: str, live: Sequence[MemberBeat]
+    ) -> MemberBeat | None:
+        """Return the monitor, None if it is this node or did not answer."""
+        names = rank_monitors(
             service, self._cluster.primary_data_centre(service), live
         )
-        by_name = {node.node: node for node in live}
-        if not monitors or monitors[0] == own.node:
+        first = names[0] if names else ''
+        if first in {'', self._membership.heartbeat.node}:
+            return None
+        if not self._asked.may_ask(first):
             return None
-        return by_name[monitors[0]]
+        return next(node for node in live if node.node == first)
--- a/trefoilhitch/pooler/routed_executor.py
+++ b/trefoilhitch/pooler/routed_executor.py
@@ -1,14 +1,8 @@
 """Chooses whether this node or a gateway runs a statement."""
 
-from collections.abc import Callable
-
-from trefoilhitch._generated.peer import MemberBeat, StatusReport, StatusRequest
+from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
-from trefoilhitch.pooler.gateway_messages import read_status
-from trefoilhitch.pooler.peer_client import PeerClient
-from trefoilhitch.pooler.ports import EndpointStatus
-from trefoilhitch.pooler.shared_status import SharedStatus
 from trefoilhitch.pooler.statement_executor import (
     StartedStatement,
     StatementExecutor,
@@ -34,6 +28,11 @@
         self._directory = directory
         self._node = node
 
+    @property
+    def are_used(self) -> bool:
+        """Whether gateways hold the connections."""
+        return self._directory.is_active
+
     def rank(self, endpoint: str, subject: str) -> tuple[MemberBeat, ...]:
         """Return the gateways to an endpoint.
 
@@ -103,53 +102,3 @@
         if self._gateways.is_own(job.endpoint, job.organisation):
             return await self._local.start(job)
         return await self._remote.start(job)
-
-
-class RoutedStatus:
-    """Requests statuses on this node's connections or through a gateway.
-
-    Args:
-        gateways: finds the gateways to an endpoint.
-        local: requests statuses on this node's connections.
-        client: sends requests to other nodes.
-        service_of: returns the service of an endpoint, empty if unknown.
-
-    """
-
-    def __init__(
-        self,
-        *,
-        gateways: EndpointGateways,
-        local: SharedStatus,
-        client: PeerClient,
-        service_of: Callable[[str], str],
-    ) -> None:
-        """Store the dependencies."""
-        self._gateways = gateways
-        self._local = local
-        self._client = client
-        self._service_of = service_of
-
-    async def request(self, endpoint: str) -> EndpointStatus | None:
-        """Return a status that was requested after this call.
-
-        Args:
-            endpoint: id of the endpoint.
-
-        Returns:
-            The status, None if the request failed.
-
-        """
-        service = self._service_of(endpoint)
-        if self._gateways.is_own(endpoint, service):
-            return await self._local.request(endpoint)
-        for gateway in self._gateways.rank(endpoint, service)[:1]:
-            report = await self._client.request(
-                gateway.address,
-                'status',
-                StatusRequest(endpoint=endpoint),
-                StatusReport,
-            )
-            if report is not None:
-                return read_status(report)
-        return None
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -5,6 +5,11 @@
 from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
+from trefoilhitch.pooler.control.gateway_breakers import (
+    CountingBreakers,
+    GatewayBreakers,
+    GuardedBreakers,
+)
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.gateway_server import GatewayServer
@@ -97,7 +102,11 @@
     executor = RoutedExecutor(
         gateways=state.gateways,
         local=local,
-        remote=GatewayExecutor(client=state.client, rank=state.gateways.rank),
+        remote=GatewayExecutor(
+            client=state.client,
+            rank=state.gateways.rank,
+            breakers=_make_breakers(state),
+        ),
     )
     failures = EndpointFailures(
         cluster=state.cluster,
@@ -130,3 +139,9 @@
         log=runtime.log,
         metrics=runtime.metrics,
     )
+
+
+def _make_breakers(state: NodeState) -> GatewayBreakers:
+    if state.client.is_guarded:
+        return GuardedBreakers(state.client)
+    return CountingBreakers()
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -75,7 +75,11 @@
             return near, far[:MAX_FAR_NODES]
         # One gateway of each data centre holds tokens, so the region counts.
         region = membership.heartbeat.region
-        holders = self._directory.rate_holders(organisation)
+        holders = [
+            holder
+            for holder in self._directory.rate_holders(organisation)
+            if self._client.may_reach(holder.address)
+        ]
         near = [peer for peer in holders if peer.region == region]
         far = [peer for peer in holders if peer.region != region]
         return near, far
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -18,6 +18,7 @@
     sleep_forever,
 )
 
+from trefoilhitch._generated.options import PoolerOptions
 from trefoilhitch.decision_log import DecisionLog, NullLog
 from trefoilhitch.http_message import HttpRequest, HttpResponse, RequestHandler
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
@@ -27,6 +28,7 @@
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
+from trefoilhitch.pooler.options import default_options
 from trefoilhitch.pooler.ports import EndpointConnector
 from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
@@ -155,6 +157,8 @@
         self.group = WireGroup(SERVICE, on_role_change=self.register_endpoints)
         self.promotions = PromotionApi({SERVICE: self.group})
         self.nodes: dict[str, WireNode] = {}
+        # Options of the nodes that are started from now on.
+        self.options = default_options()
         # While set, no node answers another one.
         self.peers_cut = False
         self._nursery = nursery
@@ -330,6 +334,7 @@
             drain_timeout_s=DRAIN_TIMEOUT_S,
             max_sockets=1000,
             rate_rule=RATE_RULE,
+            options=self.options,
         )
 
 
@@ -379,7 +384,11 @@
 
 @asynccontextmanager
 async def running_wire_stack(
-    *, seed: int = 1, nodes: int = 3, log: DecisionLog | None = None
+    *,
+    seed: int = 1,
+    nodes: int = 3,
+    log: DecisionLog | None = None,
+    options: PoolerOptions | None = None,
 ) -> AsyncIterator[WireStack]:
     """Run a stack, and stop it at the end of the block.
 
@@ -387,6 +396,8 @@
         seed: seed of all random choices.
         nodes: number of nodes.
         log: log of the nodes; by default nothing is logged.
+        options: options of the nodes; by default those of a node without an
+            options file.
 
     Yields:
         The stack with all nodes ready.
@@ -394,6 +405,7 @@
     """
     async with open_nursery() as nursery:
         stack = WireStack(nursery, seed=seed, log=log or NullLog())
+        stack.options = options or stack.options
         await stack.start(nodes=nodes)
         yield stack
         nursery.cancel_scope.cancel()
