A changed way to choose gateways hands over rates and connections after 2 s

Cause: if one live node does not report a capacity, all nodes choose gateways by name. The first such node that joins, or the last that leaves, changes the gateways of all data centres, and nodes learn of it at different times: until then two nodes could hold the same part of a rate.

Change: for 2 s after such a change a node holds a rate only if it held it before, and a new gateway opens no more than the two connections of a stand-in. Statements within the rate may be refused during these 2 s; this happens when nodes of an earlier release are replaced, or an operator changes the option.

--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -1,6 +1,7 @@
 """Which nodes hold connections and rates."""
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -14,7 +15,10 @@
     CurrentDeclaration,
     Declaration,
 )
-from trefoilhitch.pooler.gateway_directory import GatewayDirectory
+from trefoilhitch.pooler.gateway_directory import (
+    HANDOVER_S,
+    GatewayDirectory,
+)
 from trefoilhitch.pooler.gateway_placement import (
     Capacity,
     choose_gateways,
@@ -94,10 +98,21 @@
     assert all(rank_by_name(name, remaining)[0] in new for name in moved)
 
 
-def directory_of(own: MemberBeat, known: list[MemberBeat]) -> GatewayDirectory:
+def directory_of(
+    own: MemberBeat,
+    known: list[MemberBeat],
+    clock: Callable[[], float] = float,
+) -> GatewayDirectory:
     """Return the directory of one node."""
     membership = MembershipView(heartbeat=own, random=Random(0), clock=float)
     membership.merge(known)
+    return directory_on(membership, clock)
+
+
+def directory_on(
+    membership: MembershipView, clock: Callable[[], float] = float
+) -> GatewayDirectory:
+    """Return a directory of the members that a view holds."""
     declaration = CurrentDeclaration()
     catalogue = Catalogue(
         revision=1,
@@ -112,6 +127,7 @@
         declaration=declaration,
         data_centres=DATA_CENTRES,
         window_s=5,
+        clock=clock,
     )
 
 
@@ -318,3 +334,48 @@
     )
     assert len(first) == 2
     assert min(first.values()) > 60
+
+
+class SteppedClock:
+    """A clock that a test moves on."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.now: float = 0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+def test_changed_way_to_choose_exceeds_neither_limit_nor_rate() -> None:
+    # A node without a known capacity joins, and half of the nodes know.
+    members = members_of_all()
+    unknown = beat(99, 0, 'dc-5')
+    clock = SteppedClock()
+    views = []
+    for own in members:
+        view = MembershipView(heartbeat=own, random=Random(0), clock=clock)
+        view.merge(members)
+        views.append(view)
+    directories = [directory_on(view, clock) for view in views]
+    assert all(each.is_active for each in directories)
+    for view in views[::2]:
+        view.merge([unknown])
+    for connections in (70, 132, 180):
+        caps = [
+            each.connection_cap('dc-3', connections) for each in directories
+        ]
+        assert sum(caps) <= connections
+    for name in ORGANISATIONS:
+        holders = [each for each in directories if each.holds_rate(name)]
+        assert len(holders) <= len(DATA_CENTRES)
+    for view in views[1::2]:
+        view.merge([unknown])
+    assert all(each.is_handing_over for each in directories)
+    clock.now += HANDOVER_S
+    assert not any(each.is_handing_over for each in directories)
+    for name in ORGANISATIONS:
+        holders = [each for each in directories if each.holds_rate(name)]
+        # The node that joined may hold the part of its data centre.
+        assert len(holders) >= len(DATA_CENTRES) - 1
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -1,13 +1,16 @@
 """The gateways as this node sees them, computed when the members change."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.control.capacity_ranking import are_capacities_known
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.gateway_placement import (
+    BACKUP_CONNECTIONS,
     Capacity,
     GatewaySet,
     choose_gateways,
@@ -16,6 +19,28 @@
 )
 from trefoilhitch.pooler.membership_view import MembershipView
 
+# A change of the members reaches all nodes within some 2 s.
+HANDOVER_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayHandover:
+    """A change of the way in which all gateways are chosen.
+
+    It happens when the first or the last node without a known capacity joins
+    or leaves. It changes the gateways of all data centres at once, and other
+    nodes learn of it at other times. Until all have, a new gateway takes over
+    neither rates nor connections that a former one may still use.
+
+    Args:
+        former: the gateways before, by data centre.
+        ends_at: when all nodes choose alike.
+
+    """
+
+    former: Mapping[str, GatewaySet]
+    ends_at: float
+
 
 @dataclass(frozen=True, slots=True)
 class _Version:
@@ -33,6 +58,7 @@
         declaration: declaration in force.
         data_centres: names of all data centres of the deployment.
         window_s: length of the window in which operations are counted.
+        clock: returns seconds on a clock that includes suspended time.
 
     """
 
@@ -43,8 +69,12 @@
         declaration: CurrentDeclaration,
         data_centres: tuple[str, ...],
         window_s: float,
+        clock: Callable[[], float] = current_time,
     ) -> None:
         """Start without gateways."""
+        self._clock = clock
+        self._handover: GatewayHandover | None = None
+        self._by_capacity: bool | None = None
         self._membership = membership
         self._declaration = declaration
         self._data_centres = data_centres
@@ -60,6 +90,14 @@
         self._refresh()
         return self._active
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Whether other nodes may still choose the gateways differently."""
+        self._refresh()
+        if self._handover and self._clock() >= self._handover.ends_at:
+            self._handover = None
+        return self._handover is not None
+
     def rank(
         self, data_centre: str, organisation: str
     ) -> tuple[MemberBeat, ...]:
@@ -96,7 +134,9 @@
             return True
         own = self._membership.heartbeat
         ranked = self.rank(own.data_centre, organisation)
-        return bool(ranked) and ranked[0].node == own.node
+        if not ranked or ranked[0].node != own.node:
+            return False
+        return not self.is_handing_over or self._held_before(organisation)
 
     def rate_holder_count(self) -> int:
         """Return among how many nodes each rate is divided.
@@ -139,7 +179,21 @@
         """
         self._refresh()
         own = self._membership.heartbeat.node
-        return self._gateway_set(data_centre).connection_cap(own, connections)
+        cap = self._gateway_set(data_centre).connection_cap(own, connections)
+        if self._handover is not None and self.is_handing_over:
+            former = self._handover.former.get(data_centre, GatewaySet())
+            held = former.connection_cap(own, connections)
+            return min(cap, max(held, BACKUP_CONNECTIONS))
+        return cap
+
+    def _held_before(self, organisation: str) -> bool:
+        """Return whether this node was the first gateway before a change."""
+        if self._handover is None:
+            return True
+        own = self._membership.heartbeat
+        former = self._handover.former.get(own.data_centre, GatewaySet())
+        first = former.rank(organisation)[:1]
+        return own.node in {each.node for each in first}
 
     def _gateway_set(self, data_centre: str) -> GatewaySet:
         return self._gateways.get(data_centre, GatewaySet())
@@ -159,13 +213,19 @@
         node_count = len(self._membership.possibly_active())
         self._active = uses_gateways(capacity, node_count)
         live = self._membership.live()
-        # A node that chooses without capacities reports none of its own.
+        self._choose_by_capacity(by_capacity=are_capacities_known(live))
         choose = (
-            choose_strong_gateways
-            if are_capacities_known(live)
-            else choose_gateways
+            choose_strong_gateways if self._by_capacity else choose_gateways
         )
         self._gateways = {
             name: choose(name, live, capacity.connections)
             for name in self._data_centres
         }
+
+    def _choose_by_capacity(self, *, by_capacity: bool) -> None:
+        """Begin a hand-over if all gateways are chosen in another way."""
+        if self._by_capacity not in {None, by_capacity}:
+            self._handover = GatewayHandover(
+                self._gateways, self._clock() + HANDOVER_S
+            )
+        self._by_capacity = by_capacity
--- a/trefoilhitch/pooler/held_rates.py
+++ b/trefoilhitch/pooler/held_rates.py
@@ -8,6 +8,9 @@
 from trefoilhitch.pooler.rate_share import RateShare
 from trefoilhitch.pooler.rate_shares import RateShares
 
+# Members that the shares were computed for, before any were.
+_NEVER = -1, False
+
 
 class HeldRates:
     """Applies changes of the members before a share is used.
@@ -33,7 +36,7 @@
         self._membership = membership
         self._directory = directory
         self._clock = clock
-        self._version = -1
+        self._version = _NEVER
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Apply the declared rates.
@@ -43,7 +46,7 @@
 
         """
         self._shares.apply_catalogue(catalogue, self._clock())
-        self._version = -1
+        self._version = _NEVER
 
     def share(self, organisation: str) -> RateShare | None:
         """Return this node's share of an organisation's rate.
@@ -63,7 +66,7 @@
 
         No tokens are spent before the registered nodes have been listed.
         """
-        version = self._membership.version
+        version = self._membership.version, self._directory.is_handing_over
         if version == self._version or not self._membership.nodes_listed:
             return
         self._version = version
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -210,6 +210,7 @@
         declaration=declaration,
         data_centres=tuple(sorted(cfg.regions)),
         window_s=cfg.rate_rule.window_s,
+        clock=runtime.clock,
     )
     caps = ConnectionCaps(
         declaration=declaration,
