--- a/trefoilhitch/pooler/control/relayed_status.py
+++ b/trefoilhitch/pooler/control/relayed_status.py
@@ -17,11 +17,11 @@
 )
 from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.control.endpoint_status import STATUS_TIMEOUT_S
+from trefoilhitch.pooler.control.relay_directory import RelayDirectory
 from trefoilhitch.pooler.control.shared_requests import (
     SharedRequests,
     no_interval,
 )
-from trefoilhitch.pooler.control.status_relays import rank_relays
 from trefoilhitch.pooler.control.status_source import (
     StatusDependencies,
     make_report,
@@ -55,6 +55,7 @@
         """Start without requests."""
         self._deps = deps
         self._nursery: Nursery | None = None
+        self._relay_directory = RelayDirectory(deps.membership)
         # Requests to relays, of this node as a relay, and as a gateway.
         self._own = self._share(self._ask_relays)
         self._relayed = self._share(self._ask_gateways)
@@ -108,7 +109,7 @@
     def _choose_path(self, endpoint: str) -> SharedRequests[EndpointStatus]:
         if self._is_first_gateway(endpoint):
             return self._local
-        relays = self._rank_relays(endpoint)
+        relays = self._relay_directory.rank(endpoint)
         if not relays or relays[0].node == self._node:
             return self._relayed
         return self._own
@@ -116,7 +117,7 @@
     async def _ask_relays(self, endpoint: str) -> EndpointStatus | None:
         request = StatusRequest(endpoint=endpoint, relay=True)
         deadline = current_time() + RELAY_TIMEOUT_S
-        ranked = self._rank_relays(endpoint)
+        ranked = self._relay_directory.rank(endpoint)
         for relay in self._to_ask(ranked, request, self._relays):
             if relay.node == self._node:
                 break
@@ -209,10 +210,6 @@
     def _node(self) -> str:
         return self._deps.membership.heartbeat.node
 
-    def _rank_relays(self, endpoint: str) -> list[MemberBeat]:
-        membership = self._deps.membership
-        return rank_relays(endpoint, membership.heartbeat, membership.live())
-
     def _is_first_gateway(self, endpoint: str) -> bool:
         service = self._deps.service_of(endpoint)
         return self._deps.gateways.is_own(endpoint, service)
