A node whose process is stopped is tried by each request

Cause: after a restart of all nodes, a node that had been refused a connection left the other one alone for up to 1.6 s, although it listened again.

A stopped process refuses a connection in one round trip, so each request finds out for itself and goes to the stand-in.

--- a/tests/test_connection_guard.py
+++ b/tests/test_connection_guard.py
@@ -76,6 +76,8 @@
     def __init__(self) -> None:
         """Start with nodes that accept connections."""
         self.refusing: set[str] = set()
+        # Processes that do not run: their VMs refuse connections at once.
+        self.stopped: set[str] = set()
         self.attempts: Counter[str] = Counter()
         self.attempted_at: list[float] = []
 
@@ -83,6 +85,9 @@
         """Open a connection, or wait until the deadline."""
         self.attempts[address] += 1
         self.attempted_at.append(current_time())
+        if address in self.stopped:
+            await sleep(0.001)
+            raise UnreachableError(f'{address}: connection refused')
         if address not in self.refusing:
             await sleep(0.001)
             return Answering()
@@ -282,6 +287,20 @@
     assert max(entry.durations_s) < 0.01
 
 
+@with_virtual_clock
+async def test_restarted_node_is_used_as_soon_as_it_listens() -> None:
+    entry = Entry(Network())
+    async with running(entry):
+        entry.network.stopped.add(FIRST)
+        await run_statements(entry, 20, 0.5)
+        assert max(entry.durations_s) < 3 * RESPONSE_S
+        entry.network.stopped.clear()
+        entry.network.attempts.clear()
+        await run_statements(entry, 20, 0.5)
+    assert not entry.failures
+    assert not entry.network.attempts[SECOND]
+
+
 @with_virtual_clock
 async def test_request_with_little_time_proves_nothing() -> None:
     entry = Entry(Network())
--- a/trefoilhitch/pooler/control/connection_guard.py
+++ b/trefoilhitch/pooler/control/connection_guard.py
@@ -2,8 +2,8 @@
 
 When the accept queue of a node overflows, each of the many requests to it
 would wait for a connection until its time-out, one after the other. Here, the
-first that fails ends the wait of all others, and later ones fail at once,
-until one trial at a time shows that the node accepts connections again.
+first that gets none in time ends the wait of all others, and later ones fail at
+once, until one trial at a time shows that the node responds again.
 """
 
 from functools import partial
@@ -117,8 +117,9 @@
                 address, min(connect_by, deadline)
             )
         except UnreachableError:
-            # A request with less time than that proves nothing.
-            if deadline >= connect_by or current_time() < deadline:
+            # A node that refuses a connection does so at once, so that nobody
+            # waits. A request with less time proves nothing.
+            if current_time() >= connect_by:
                 self._on_failure(address)
             raise
         self._refusing.discard(address)
@@ -132,16 +133,16 @@
         for scope in self._waiting.get(address, ()):
             scope.cancel()
         self._nursery.start_soon(
-            run_reported, self._log, partial(self._try_until_open, address)
+            run_reported, self._log, partial(self._try_until_response, address)
         )
 
-    async def _try_until_open(self, address: str) -> None:
+    async def _try_until_response(self, address: str) -> None:
         """Try a node, at once and then after growing pauses."""
         give_up_at = current_time() + MAX_TRIALS_S
         failures = 0
         try:
             while address in self._refusing and current_time() < give_up_at:
-                if await self._is_open(address):
+                if await self._responds(address):
                     break
                 failures += 1
                 await sleep(pause_s(failures, self._random.random()))
@@ -149,12 +150,12 @@
             self._refusing.discard(address)
         self._log.event('peer_trials_ended', peer=address, failures=failures)
 
-    async def _is_open(self, address: str) -> bool:
+    async def _responds(self, address: str) -> bool:
+        """Return whether a node accepts or refuses a connection in time."""
+        connect_by = current_time() + CONNECT_TIMEOUT_S
         try:
-            conn = await self._open_connection(
-                address, current_time() + CONNECT_TIMEOUT_S
-            )
+            conn = await self._open_connection(address, connect_by)
         except UnreachableError:
-            return False
+            return current_time() < connect_by
         conn.close()
         return True
