Monitors pause between probes of a primary that they cannot prove

Cause: a primary that answers while neither a lease nor its replicas prove it was probed at every check (0.15 s) by all three monitors of its service, each time with requests to its replicas, since no probe made a newer proof.

Change: after an answer that proved nothing, the first monitor pauses for 0.45 s, the age at which it renews a proof, and standbys for two and three times as long. Another primary is probed at once, and one that does not answer as often as before. The option gateways.shared_status turns it off.

--- a/tests/test_control_requests.py
+++ b/tests/test_control_requests.py
@@ -11,6 +11,10 @@
 from tests.support import run_virtual
 from tests.test_gateways import NODES, declaration
 from trefoilhitch._generated.options import PoolerOptions
+from trefoilhitch.pooler.control.probe_pauses import (
+    UNPROVED_PAUSE_S,
+    ProbePauses,
+)
 from trefoilhitch.pooler.control.relayed_status import STATUS_INTERVAL_S
 from trefoilhitch.pooler.options import default_options
 from trefoilhitch_lab.wire_client import wire_client
@@ -136,3 +140,43 @@
     served = reads.codes['']
     assert served > 0.95 * reads.codes.total()
     assert reads.longest_s < 1.2
+
+
+def probes_without_proof(*, shared: bool) -> int:
+    """Count the probes of a primary whose replicas no node reaches."""
+    probes: list[int] = []
+
+    async def scenario() -> None:
+        async with stack_in_doubt(shared=shared) as stack:
+            primary = stack.group.primary
+            assert primary is not None
+            replicas = set(stack.group.endpoints) - {primary.endpoint}
+            for node in stack.nodes.values():
+                node.cut_endpoints.update(replicas)
+            await sleep(4)
+            before = primary.request_counts['STATUS']
+            await sleep(READ_FOR_S)
+            probes.append(primary.request_counts['STATUS'] - before)
+
+    run_virtual(scenario)
+    return probes[0]
+
+
+def test_monitors_pause_while_no_probe_proves_anything() -> None:
+    # The first monitor, and two standbys with longer pauses.
+    per_s = sum(1 / (UNPROVED_PAUSE_S * rank) for rank in (1, 2, 3))
+    assert 4 <= probes_without_proof(shared=True) <= READ_FOR_S * per_s + 3
+
+
+def test_monitors_probe_at_every_check_with_the_option_off() -> None:
+    per_s = sum(1 / (UNPROVED_PAUSE_S * rank) for rank in (1, 2, 3))
+    assert probes_without_proof(shared=False) > 2 * READ_FOR_S * per_s
+
+
+def test_other_primary_is_probed_at_once() -> None:
+    pauses = ProbePauses(enabled=True)
+    pauses.record_unproved('ledger', 'i-1', 0, 0)
+    assert not pauses.may_probe('ledger', 'i-1', UNPROVED_PAUSE_S / 2)
+    assert pauses.may_probe('ledger', 'i-2', 0)
+    assert pauses.may_probe('stock', 'i-1', 0)
+    assert pauses.may_probe('ledger', 'i-1', UNPROVED_PAUSE_S)
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -10,6 +10,7 @@
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError
 from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.control.probe_pauses import ProbePauses
 from trefoilhitch.pooler.endpoint_control import (
     CONTROL_TIMEOUT_S,
     EndpointControl,
@@ -57,6 +58,7 @@
         members_version: returns a number that changes with these nodes.
         confirm_silence: has other nodes probe a primary; returns False if
             one of them reached it.
+        pauses: decide how often an unproved primary is probed.
         publish: sends a change to other nodes at once.
         report_store_lost: called when the store did not answer, so that
             another node takes over.
@@ -70,6 +72,7 @@
     live_nodes: Callable[[], list[MemberBeat]]
     members_version: Callable[[], int]
     confirm_silence: Callable[[str, str], Awaitable[bool]]
+    pauses: ProbePauses
     publish: Callable[[], None]
     report_store_lost: Callable[[], None]
 
@@ -185,15 +188,23 @@
         if primary is None:
             await self._find_primary(service)
         elif newest is None or newest.sent_at < probe_if_before:
-            await self._probe_primary(service, primary)
+            if self._deps.pauses.may_probe(service, primary, current_time()):
+                await self._probe_primary(service, primary, rank)
 
-    async def _probe_primary(self, service: str, endpoint: str) -> None:
+    async def _probe_primary(
+        self, service: str, endpoint: str, rank: int
+    ) -> None:
         sent_at = self._cluster.clock()
         status = await self._control.status(endpoint)
         if status is None:
             self._cluster.record_unanswered(service, sent_at, CONTROL_TIMEOUT_S)
             return
         await self._apply_status(service, endpoint, status, sent_at)
+        newest = self._cluster.observations.newest(service)
+        if newest is None or newest.sent_at < sent_at:
+            self._deps.pauses.record_unproved(
+                service, endpoint, rank, current_time()
+            )
 
     async def _find_primary(self, service: str) -> None:
         sent_at = self._cluster.clock()
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -6,6 +6,7 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
+from trefoilhitch.pooler.control.probe_pauses import ProbePauses
 from trefoilhitch.pooler.failover_plan import FailoverDependencies
 from trefoilhitch.pooler.group_recorder import GroupRecorder
 from trefoilhitch.pooler.lease_client import LeaseClient
@@ -217,6 +218,9 @@
                 live_nodes=self._membership.live,
                 members_version=lambda: self._membership.version,
                 confirm_silence=parts.peer_sync.confirm_silence,
+                pauses=ProbePauses(
+                    enabled=self._cfg.options.gateways.shared_status
+                ),
                 publish=parts.peer_sync.start_publishing,
                 report_store_lost=self._report_store_lost,
             )
