A statement is not sent again to a primary that no replica confirms

Cause: during a failover each read of the latest data was sent to the primary up to eight times, each time with a STATUS and requests to replicas, although these were fenced.

Change: for 1 s after a primary was not confirmed, its replicas are asked first; if those that answer are all fenced or primary, nothing is sent, and the statement is refused as not run after a quarter of its target latency. The statuses are requested after the statement arrived, as before, and the primary's own follows the statement on its connection, as before. The option gateways.shared_status turns it off.

--- a/tests/test_control_requests.py
+++ b/tests/test_control_requests.py
@@ -10,6 +10,7 @@
 
 from tests.support import run_virtual
 from tests.test_gateways import NODES, declaration
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.options import PoolerOptions
 from trefoilhitch.pooler.control.probe_pauses import (
     UNPROVED_PAUSE_S,
@@ -17,6 +18,8 @@
 )
 from trefoilhitch.pooler.control.relayed_status import STATUS_INTERVAL_S
 from trefoilhitch.pooler.options import default_options
+from trefoilhitch.pooler.ports import EndpointStatus
+from trefoilhitch.pooler.primary_confirmation import may_confirm
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
 
@@ -180,3 +183,62 @@
     assert pauses.may_probe('ledger', 'i-2', 0)
     assert pauses.may_probe('stock', 'i-1', 0)
     assert pauses.may_probe('ledger', 'i-1', UNPROVED_PAUSE_S)
+
+
+def reads_without_proof(*, shared: bool) -> tuple[Reads, int]:
+    """Read while all replicas are fenced; count the requests."""
+    reads = Reads()
+    requests: list[int] = []
+
+    async def scenario() -> None:
+        async with stack_in_doubt(shared=shared) as stack:
+            primary = stack.group.primary
+            assert primary is not None
+            for endpoint in stack.group.endpoints.values():
+                if endpoint is not primary:
+                    endpoint.terms.fenced = 9
+            before = primary.request_counts['STATUS']
+            await reads.run(stack)
+            requests.append(primary.request_counts['STATUS'] - before)
+
+    run_virtual(scenario)
+    assert set(reads.codes) == {'BUSY'}
+    return reads, requests[0]
+
+
+def test_reads_that_nobody_confirms_are_not_sent_again() -> None:
+    reads, requests = reads_without_proof(shared=True)
+    # Each node's first reads, and those sent each time that the doubt passed.
+    assert requests < reads.codes['BUSY'] / 2
+    # None is held until its time-out of 1 s, and most much shorter.
+    assert reads.longest_s < 0.8
+    sessions = NODES * SESSIONS_PER_NODE
+    assert reads.codes['BUSY'] > sessions * READ_FOR_S / 0.4
+
+
+def test_each_attempt_is_sent_with_the_option_off() -> None:
+    reads, requests = reads_without_proof(shared=False)
+    assert requests > 4 * reads.codes['BUSY']
+
+
+@pytest.mark.parametrize(
+    ('primary', 'fenced', 'term', 'expected'),
+    [
+        (False, 0, 1, True),
+        # The primary may report a later term than this node knows.
+        (False, 0, 9, True),
+        (False, 4, 1, False),
+        (True, 0, 1, False),
+    ],
+)
+def test_statement_is_sent_only_if_replicas_may_confirm(
+    primary: bool, fenced: int, term: int, expected: bool
+) -> None:
+    status = EndpointStatus(
+        is_primary=primary,
+        term=term,
+        position=LogPosition(),
+        fenced_term=fenced,
+    )
+    assert may_confirm([status], 1) is expected
+    assert not may_confirm([status], 2)
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -95,7 +95,7 @@
         executor = make_local_executor(self.state)
         self.gateway = make_gateway_server(self.state, executor)
         self.sessions = make_session_dependencies(
-            self.state, executor, self._make_prover(), self._proofs
+            self.state, executor, self._make_prover(cfg), self._proofs
         )
         self.peer_handler = self._make_peer_handler()
 
@@ -155,12 +155,13 @@
         )
         return PeerRequestHandler(self._peer_deps, services)
 
-    def _make_prover(self) -> PrimaryProver:
+    def _make_prover(self, cfg: PoolerSettings) -> PrimaryProver:
         return PrimaryProver(
             cluster=self.state.cluster,
             confirmer=self.confirmer,
             leases=self.leases,
             metrics=self._runtime.metrics,
+            confirms_first=cfg.options.gateways.shared_status,
         )
 
     def _make_confirmer(self) -> PrimaryConfirmer:
--- a/trefoilhitch/pooler/primary_confirmation.py
+++ b/trefoilhitch/pooler/primary_confirmation.py
@@ -59,3 +59,20 @@
     """
     confirming = [each for each in replicas if replica_confirms(each, term)]
     return len(confirming) >= needed_confirmations(sync_replicas)
+
+
+def may_confirm(replicas: Iterable[EndpointStatus], sync_replicas: int) -> bool:
+    """Return whether statuses may confirm a primary of some term.
+
+    Args:
+        replicas: statuses of the replicas.
+        sync_replicas: replicas that hold a commit before it is acknowledged.
+
+    Returns:
+        False if they confirm none, whichever term it reports.
+
+    """
+    possible = [
+        each for each in replicas if not (each.is_primary or each.fenced_term)
+    ]
+    return len(possible) >= needed_confirmations(sync_replicas)
--- a/trefoilhitch/pooler/primary_confirmer.py
+++ b/trefoilhitch/pooler/primary_confirmer.py
@@ -10,6 +10,7 @@
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmation import (
     is_confirmed,
+    may_confirm,
     needed_confirmations,
     replica_confirms,
 )
@@ -37,6 +38,10 @@
         """
         return is_confirmed(term, self.statuses, self.sync_replicas)
 
+    def may_confirm(self) -> bool:
+        """Return whether a primary of some term may be confirmed."""
+        return may_confirm(self.statuses, self.sync_replicas)
+
 
 class PrimaryConfirmer:
     """Collects the statuses of replicas, those of near ones first.
--- a/trefoilhitch/pooler/primary_proof.py
+++ b/trefoilhitch/pooler/primary_proof.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from trio import open_nursery
+from trio import current_time, open_nursery
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.metrics import Metrics
@@ -15,8 +15,12 @@
     ReplicaStatuses,
 )
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.statement_executor import PrimaryUnconfirmedError
 from trefoilhitch.pooler.statement_request import StatementResult
 
+# Time after which a primary that was not confirmed is used unasked again, while
+# its replicas are asked. A failover takes about as long.
+DOUBT_S = 1.0
 ResultT = TypeVar('ResultT')
 
 
@@ -46,6 +50,8 @@
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries need not be asked.
         metrics: counts the proofs.
+        confirms_first: whether replicas are asked before a statement is sent
+            to a primary that they did not confirm recently.
 
     """
 
@@ -56,8 +62,12 @@
         confirmer: PrimaryConfirmer,
         leases: LeaseObserver,
         metrics: Metrics,
+        confirms_first: bool = False,
     ) -> None:
         """Store the dependencies."""
+        self._confirms_first = confirms_first
+        # Primaries that were not confirmed, and until when they are in doubt.
+        self._in_doubt: dict[str, tuple[str, float]] = {}
         self._cluster = cluster
         self._confirmer = confirmer
         self._leases = leases
@@ -92,9 +102,12 @@
             The outcome, and the statuses of replicas.
 
         Raises:
+            PrimaryUnconfirmedError: no replica confirmed the primary.
             TrefoilhitchError: the statement failed.
 
         """
+        if self._is_in_doubt(service, endpoint):
+            return await self._run_after_confirmation(send, service, endpoint)
         collected: list[ReplicaStatuses] = []
         failure = None
         async with open_nursery() as nursery:
@@ -172,13 +185,38 @@
             return False
         self._cluster.record_answered(service, proof.sent_at)
         if not proof.replicas.confirm(status.term):
+            self._doubt(service, endpoint)
             return False
+        self._in_doubt.pop(service, None)
         primary = Primary(service, endpoint, status.term)
         self._cluster.record_proof(
             primary, status.position, proof.sent_at, 'status'
         )
         return status.term >= self._cluster.proved_term(service)
 
+    async def _run_after_confirmation(
+        self,
+        send: Callable[[], Awaitable[ResultT]],
+        service: str,
+        endpoint: str,
+    ) -> tuple[ResultT, ReplicaStatuses]:
+        """Ask the replicas first, and send nothing if they confirm nothing."""
+        term = self._cluster.proved_term(service)
+        replicas = await self._confirmer.collect(service, endpoint, term)
+        if not replicas.may_confirm():
+            self._doubt(service, endpoint)
+            raise PrimaryUnconfirmedError(f'no replica confirmed {endpoint}')
+        return await send(), replicas
+
+    def _doubt(self, service: str, endpoint: str) -> None:
+        until = current_time() + DOUBT_S
+        self._in_doubt[service] = endpoint, until
+
+    def _is_in_doubt(self, service: str, endpoint: str) -> bool:
+        doubted, until = self._in_doubt.get(service, ('', 0))
+        is_recent = doubted == endpoint and current_time() < until
+        return self._confirms_first and is_recent
+
     async def _collect(
         self, service: str, endpoint: str, collected: list[ReplicaStatuses]
     ) -> None:
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -28,10 +28,18 @@
     """The rate of the organisation is used up; nothing was sent."""
 
 
-class GatewayUnavailableError(TrefoilhitchError):
+class StatementNotSentError(TrefoilhitchError):
+    """The statement was not sent to an endpoint."""
+
+
+class GatewayUnavailableError(StatementNotSentError):
     """No gateway took the statement; nothing was sent to an endpoint."""
 
 
+class PrimaryUnconfirmedError(StatementNotSentError):
+    """No replica confirmed the primary; nothing was sent to it."""
+
+
 class ConnectionNotOpenedError(TrefoilhitchError):
     """No connection to the endpoint was available; nothing was sent.
 
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -24,9 +24,10 @@
 from trefoilhitch.pooler.statement import Verb
 from trefoilhitch.pooler.statement_executor import (
     ConnectionNotOpenedError,
-    GatewayUnavailableError,
+    PrimaryUnconfirmedError,
     RateExceededError,
     StartedStatement,
+    StatementNotSentError,
 )
 from trefoilhitch.pooler.statement_request import (
     StatementResult,
@@ -175,12 +176,8 @@
             if self._failures.record_not_opened(run, target.endpoint, exc):
                 await sleep(BUSY_PAUSE_S)
             return None
-        except GatewayUnavailableError as exc:
-            self._log.event(
-                'gateway_unavailable',
-                request=run.statement.request_id,
-                detail=str(exc),
-            )
+        except StatementNotSentError as exc:
+            self._record_not_sent(run, exc)
             await sleep(BUSY_PAUSE_S)
             return None
         except EndpointConnectionError as exc:
@@ -195,6 +192,20 @@
             self._finish(started, response, take_over)
         return response
 
+    def _record_not_sent(
+        self, run: StatementRun, exc: StatementNotSentError
+    ) -> None:
+        if isinstance(exc, PrimaryUnconfirmedError):
+            # Refused early, like one whose primary is not reached.
+            run.primary_failures += 1
+            self._metrics.count('reads_unproved')
+            return
+        self._log.event(
+            'gateway_unavailable',
+            request=run.statement.request_id,
+            detail=str(exc),
+        )
+
     def _finish(
         self,
         started: StartedStatement,
