Tests: gateways by capacity on the wire, backoff of the readers of leases

Cause: that capacities reach the choice of gateways, and that a lost reader of leases is left alone, was tested in parts only.

Change: the stack takes options and capacities of its nodes.

Ten views while the first reader does not answer: at most five listings of the store (trials); ten with the option off.

--- a/tests/test_control_requests.py
+++ b/tests/test_control_requests.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
 
 import pytest
 from msgspec.structs import replace as replace_message
@@ -12,11 +14,17 @@
 from tests.test_gateways import NODES, declaration
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.options import PoolerOptions
+from trefoilhitch._generated.peer import LeaseViewReply, MemberBeat
+from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.control.probe_pauses import (
     UNPROVED_PAUSE_S,
     ProbePauses,
 )
 from trefoilhitch.pooler.control.relayed_status import STATUS_INTERVAL_S
+from trefoilhitch.pooler.gateway_placement import rank_by_name
+from trefoilhitch.pooler.lease import LeaseListing
+from trefoilhitch.pooler.lease_view_reader import LeaseViewReader
+from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.options import default_options
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmation import may_confirm
@@ -51,8 +59,9 @@
 class Reads:
     """Reads of the latest data through all nodes."""
 
-    def __init__(self) -> None:
+    def __init__(self, pause_s: float = 0.02) -> None:
         """Start without reads."""
+        self.pause_s = pause_s
         self.codes: Counter[str] = Counter()
         self.longest_s: float = 0
 
@@ -74,7 +83,7 @@
                 self.codes[(await client.query('READ a1')).code] += 1
                 elapsed_s = current_time() - started_at
                 self.longest_s = max(self.longest_s, elapsed_s)
-                await sleep(0.02)
+                await sleep(self.pause_s)
 
 
 def replica_requests(stack: WireStack) -> int:
@@ -242,3 +251,142 @@
     )
     assert may_confirm([status], 1) is expected
     assert not may_confirm([status], 2)
+
+
+STRONG = 2150
+CAPACITIES = {
+    f'node-{number}': STRONG if number < 3 else 400 for number in range(NODES)
+}
+
+
+def holders_of_connections(
+    by_capacity: bool, capacities: dict[str, int]
+) -> set[str]:
+    """Return the nodes that opened connections for statements."""
+    defaults = default_options()
+    gateways = replace_message(defaults.gateways, by_capacity=by_capacity)
+    holders: set[str] = set()
+
+    async def scenario() -> None:
+        async with running_wire_stack(
+            nodes=NODES,
+            options=replace_message(defaults, gateways=gateways),
+            capacities=capacities,
+        ) as stack:
+            stack.store_state.put('config', 'main', declaration(2))
+            await sleep(8)
+            opened = {
+                name: node.metrics.total('endpoint_connections_opened')
+                for name, node in stack.nodes.items()
+            }
+            # Fewer than the rate of the organisation.
+            reads = Reads(pause_s=0.2)
+            await reads.run(stack)
+            assert set(reads.codes) == {''}
+            for name, node in stack.nodes.items():
+                total = node.metrics.total('endpoint_connections_opened')
+                if total > opened[name]:
+                    holders.add(name)
+
+    run_virtual(scenario)
+    return holders
+
+
+def test_strong_nodes_hold_the_connections() -> None:
+    holders = holders_of_connections(True, CAPACITIES)
+    assert holders <= {'node-0', 'node-1', 'node-2'}
+
+
+def test_option_turns_the_choice_by_capacity_off() -> None:
+    off = holders_of_connections(False, CAPACITIES)
+    unknown = holders_of_connections(True, {})
+    assert off == unknown
+    assert not off <= {'node-0', 'node-1', 'node-2'}
+
+
+class Peers:
+    """Other nodes, of which some do not answer."""
+
+    def __init__(self, lost: set[str]) -> None:
+        """Start without requests."""
+        self.lost = lost
+        self.asked: list[str] = []
+
+    async def request(
+        self, address: str, *args: object, **kwargs: object
+    ) -> LeaseViewReply | None:
+        """Answer with a view."""
+        self.asked.append(address)
+        return None if address in self.lost else LeaseViewReply(known=True)
+
+
+class Leases:
+    """A store whose leases are listed."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.listings = 0
+
+    async def list_leases(self, deadline: float) -> LeaseListing:
+        """Count a listing."""
+        self.listings += 1
+        return LeaseListing()
+
+
+def read_views(*, enabled: bool) -> tuple[Peers, int]:
+    """Read ten views while the first reader does not answer."""
+    names = [f'edge-{number}' for number in range(8)]
+    beats = [
+        MemberBeat(
+            node=name,
+            address=f'10.0.0.{number}:1',
+            region='region',
+            data_centre='dc',
+            incarnation=1,
+            counter=1,
+            state='live',
+        )
+        for number, name in enumerate(names)
+    ]
+    ranked = rank_by_name('leases', beats)
+    membership = MembershipView(
+        heartbeat=ranked[-1], random=Random(0), clock=float
+    )
+    membership.merge(beats)
+    peers = Peers({ranked[0].address})
+    store = Leases()
+    client: Any = peers
+    leases: Any = store
+
+    async def scenario() -> None:
+        reader = LeaseViewReader(
+            store=leases,
+            membership=membership,
+            client=client,
+            clock=current_time,
+            asked=AskedNodes.with_backoff(
+                Random(0), trial_s=0.3, enabled=enabled
+            ),
+        )
+        for _ in range(10):
+            await reader.read(current_time() + 1)
+            await sleep(0.5)
+
+    run_virtual(scenario)
+    assert peers.asked[0] == ranked[0].address
+    return peers, store.listings
+
+
+def test_view_of_leases_comes_from_the_next_reader() -> None:
+    peers, listings = read_views(enabled=True)
+    failed = [each for each in peers.asked if each in peers.lost]
+    # The store is read instead only when the lost reader is tried.
+    assert len(failed) == listings
+    assert listings <= 5
+    assert len(peers.asked) == 10
+
+
+def test_lost_reader_is_asked_each_time_with_the_option_off() -> None:
+    peers, listings = read_views(enabled=False)
+    assert set(peers.asked) == peers.lost
+    assert listings == 10
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -1,6 +1,6 @@
 """Wire-protocol nodes and an emulated platform in one event loop."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -159,6 +159,8 @@
         self.nodes: dict[str, WireNode] = {}
         # Options of the nodes that are started from now on.
         self.options = default_options()
+        # Capacities of the nodes' VMs, which are unknown by default.
+        self.capacities: Mapping[str, int] = MappingProxyType({})
         # While set, no node answers another one.
         self.peers_cut = False
         self._nursery = nursery
@@ -334,6 +336,7 @@
             drain_timeout_s=DRAIN_TIMEOUT_S,
             max_sockets=1000,
             rate_rule=RATE_RULE,
+            capacity=self.capacities.get(name, 0),
             options=self.options,
         )
 
@@ -389,6 +392,7 @@
     nodes: int = 3,
     log: DecisionLog | None = None,
     options: PoolerOptions | None = None,
+    capacities: Mapping[str, int] | None = None,
 ) -> AsyncIterator[WireStack]:
     """Run a stack, and stop it at the end of the block.
 
@@ -398,6 +402,8 @@
         log: log of the nodes; by default nothing is logged.
         options: options of the nodes; by default those of a node without an
             options file.
+        capacities: capacities of VMs by node, in thousandths of a core; by
+            default they are unknown.
 
     Yields:
         The stack with all nodes ready.
@@ -406,6 +412,7 @@
     async with open_nursery() as nursery:
         stack = WireStack(nursery, seed=seed, log=log or NullLog())
         stack.options = options or stack.options
+        stack.capacities = capacities or stack.capacities
         await stack.start(nodes=nodes)
         yield stack
         nursery.cancel_scope.cancel()
