Evacuation of a data centre: decisions, store, exchange, statements, hand-over

Cause: operators request the evacuation of a data centre in the store (kind evacuations), but nothing reads the request. Change: where the settings hold bounds.evacuate_ms, nodes watch the kind, tell each other what is in force, keep new statements and open transactions away from the data centre, and hand its primaries over. Without the bound nothing is watched and no message grows.

--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         """Start from zero."""
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, float] = {}
         self._latency = HdrHistogram(
             MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS
         )
@@ -45,6 +46,16 @@
         """
         self._counters[name, label] += amount
 
+    def set_gauge(self, name: str, current: float) -> None:
+        """Set a number that may rise and fall.
+
+        Args:
+            name: name of the gauge.
+            current: its present number.
+
+        """
+        self._gauges[name] = current
+
     def observe(self, seconds: float) -> None:
         """Record how long a request took.
 
@@ -102,6 +113,7 @@
                 previous_name = name
             labels = f'{{kind="{label}"}}' if label else ''
             yield f'trefoilhitch_{name}_total{labels} {count}'
+        yield from self._gauge_lines()
         yield '# TYPE trefoilhitch_request_seconds summary'
         for quantile in QUANTILES:
             seconds = self.latency_ms(quantile) / _US_PER_MS
@@ -109,3 +121,8 @@
             yield f'trefoilhitch_request_seconds{labels} {seconds}'
         total = self._latency.get_total_count()
         yield f'trefoilhitch_request_seconds_count {total}'
+
+    def _gauge_lines(self) -> Iterator[str]:
+        for name, current in sorted(self._gauges.items()):
+            yield f'# TYPE trefoilhitch_{name} gauge'
+            yield f'trefoilhitch_{name} {current}'
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -36,6 +36,7 @@
 CONFIG_KIND: Final = 'config'
 CONFIG_NAME: Final = 'main'
 ENDPOINT_KIND: Final = 'servers'
+EVACUATION_KIND: Final = 'evacuations'
 NODE_KIND: Final = 'trefoilhitch_nodes'
 LEASE_KIND: Final = 'trefoilhitch_leases'
 GROUP_KIND: Final = 'trefoilhitch_groups'
--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -27,26 +27,12 @@
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
 from trefoilhitch.log_writer import FLUSH_INTERVAL_S, LogWriter
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.platform.endpoint_connection import WireConnector
-from trefoilhitch.platform.group_store import PlatformGroupStore
-from trefoilhitch.platform.lease_store import (
-    PlatformLeaseStore,
-    PlatformNodeRegistry,
-)
-from trefoilhitch.platform.object_store import ObjectStoreClient
-from trefoilhitch.platform.promotion_client import PromotionClient
+from trefoilhitch.platform.external_services import make_external_services
 from trefoilhitch.platform.settings import SettingsFileError, load_settings
-from trefoilhitch.platform.sources import (
-    DeclarationSource,
-    EndpointSource,
-    read_declaration,
-)
-from trefoilhitch.platform.unreadable_reporter import UnreadableReporter
 from trefoilhitch.platform.wire_server import WireServer
 from trefoilhitch.pooler.node import PoolerNode
-from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
+from trefoilhitch.pooler.node_environment import NodeRuntime
 from trefoilhitch.pooler.settings import PoolerSettings
-from trefoilhitch.pooler.store_era import StoreEra
 from trefoilhitch.task_supervisor import TaskSupervisor
 from trefoilhitch.tcp import split_address
 
@@ -126,35 +112,6 @@
     return Path(words[0]) if words else None
 
 
-def make_external_services(
-    cfg: PoolerSettings, runtime: NodeRuntime
-) -> ExternalServices:
-    """Create the adapters to the platform.
-
-    Args:
-        cfg: settings of the node.
-        runtime: records what cannot be decoded, and the store's era.
-
-    Returns:
-        The adapters that a node uses.
-
-    """
-    era = StoreEra(clock=runtime.clock, log=runtime.log)
-    unreadable = UnreadableReporter(runtime.log, runtime.metrics)
-    store = ObjectStoreClient(cfg.store_address, era)
-    return ExternalServices(
-        era=era,
-        make_connector=WireConnector,
-        leases=PlatformLeaseStore(store, unreadable),
-        groups=PlatformGroupStore(store, unreadable),
-        promoter=PromotionClient(cfg.promotion_address, cfg.node),
-        registry=PlatformNodeRegistry(store, unreadable),
-        declarations=DeclarationSource(store, unreadable),
-        endpoints=EndpointSource(store, unreadable),
-        read_declaration=read_declaration,
-    )
-
-
 async def _run_node(cfg: PoolerSettings, path: Path) -> None:
     writer = LogWriter(sys.stdout.fileno())
     log = LogbookLog(node=cfg.node, sink=JsonLinesHandler(writer))
--- a/trefoilhitch/platform/sources.py
+++ b/trefoilhitch/platform/sources.py
@@ -1,4 +1,4 @@
-"""Change sources of the operators' declaration and the endpoints' entries."""
+"""Change sources of what operators and endpoints write."""
 
 from typing import Generic, TypeVar
 
@@ -14,6 +14,7 @@
     CONFIG_KIND,
     CONFIG_NAME,
     ENDPOINT_KIND,
+    EVACUATION_KIND,
     ObjectStoreClient,
 )
 from trefoilhitch.platform.stored_objects import ChangeList, StoredObject
@@ -122,6 +123,15 @@
             return None
 
 
+class EvacuationSource(_ObjectSource[str]):
+    """Reads which data centres are evacuated; only names matter."""
+
+    kind = EVACUATION_KIND
+
+    def _decode_object(self, stored: StoredObject) -> str:
+        return stored.meta.name
+
+
 class DeclarationSource(_ObjectSource[Declaration]):
     """Reads the declaration in force."""
 
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -1,5 +1,6 @@
 """State of the endpoints and primaries, as one node knows it."""
 
+import math
 from collections.abc import Callable, Collection
 
 from trio import Event
@@ -20,6 +21,12 @@
     choose_begin_target,
     choose_read_target,
 )
+from trefoilhitch.pooler.evacuation.evacuated_data_centres import (
+    EvacuatedDataCentres,
+)
+from trefoilhitch.pooler.evacuation.evacuated_endpoints import (
+    EvacuatedEndpoints,
+)
 from trefoilhitch.pooler.failover_decision import PrimaryEvidence
 from trefoilhitch.pooler.observations import (
     ObservationHistory,
@@ -46,6 +53,8 @@
         log: receives changes of primaries.
         clock: returns seconds on a clock that includes suspended time.
         drain_timeout_s: how long a leaving endpoint serves, in seconds.
+        evacuation_timeout_s: time after which no statement may reach an
+            evacuated data centre, in seconds; None without evacuations.
 
     """
 
@@ -56,9 +65,14 @@
         log: DecisionLog,
         clock: Callable[[], float],
         drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S,
+        evacuation_timeout_s: float | None = None,
     ) -> None:
         """Create an empty state."""
-        self.endpoints = EndpointRegistry(drain_timeout_s)
+        data_centres = EvacuatedDataCentres(evacuation_timeout_s or math.inf)
+        self.endpoints = EndpointRegistry(drain_timeout_s, data_centres)
+        self.evacuated = EvacuatedEndpoints(
+            data_centres=data_centres, find=self.find, clock=clock
+        )
         self.observations = ObservationHistory()
         self.commits = CommitTracker()
         self.selector = selector
@@ -290,7 +304,7 @@
         return choose_read_target(
             requirements,
             self.selector.rank(usable, now),
-            self.primary(service),
+            self.evacuated.permitted(self.primary(service)),
             self.observations,
             tried,
         )
@@ -308,7 +322,8 @@
 
         """
         primary = self.primary(requirements.route.service)
-        return choose_begin_target(requirements, primary, self.observations)
+        permitted = self.evacuated.permitted(primary)
+        return choose_begin_target(requirements, permitted, self.observations)
 
     def find(self, endpoint: str) -> EndpointRecord | None:
         """Return the entry of an endpoint.
--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -1,6 +1,6 @@
 """Runs statements on a connection after applying the session's state."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.outcome import ResponseLoss
@@ -9,6 +9,7 @@
     Command,
     EndpointConnectionError,
     EndpointConnector,
+    EndpointEvacuatedError,
 )
 from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
@@ -24,13 +25,19 @@
     Args:
         connector: builds the pooler's own statements.
         metrics: counts the pooler's own statements.
+        is_closed: returns whether an endpoint may be sent no statement.
 
     """
 
     def __init__(
-        self, *, connector: EndpointConnector, metrics: Metrics
+        self,
+        *,
+        connector: EndpointConnector,
+        metrics: Metrics,
+        is_closed: Callable[[str], bool],
     ) -> None:
         """Store the dependencies."""
+        self._is_closed = is_closed
         self._connector = connector
         self._metrics = metrics
 
@@ -54,9 +61,13 @@
 
         Raises:
             EndpointConnectionError: the response did not arrive completely.
+            EndpointEvacuatedError: the endpoint is evacuated; the statement
+                was not sent.
 
         """
+        self._ensure_open(conn)
         await self._apply_variables(conn, variables, deadline)
+        self._ensure_open(conn)
         commands = [self._command(request)]
         preparation = self._preparation(conn, request.prepared)
         if request.requires_primary_proof:
@@ -70,6 +81,12 @@
             status = self._connector.read_status(responses[-1])
         return StatementResult(responses[len(preparation)], status)
 
+    def _ensure_open(self, conn: PooledConnection) -> None:
+        if self._is_closed(conn.conn.endpoint):
+            raise EndpointEvacuatedError(
+                ResponseLoss.NOT_SENT, 'the data centre is evacuated'
+            )
+
     async def _apply_variables(
         self,
         conn: PooledConnection,
--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, replace
 
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
+from trefoilhitch.pooler.evacuation.evacuated_data_centres import (
+    EvacuatedDataCentres,
+)
 from trefoilhitch.pooler.former_endpoints import FormerEndpoints
 from trefoilhitch.pooler.leaving_endpoints import LeavingEndpoints
 
@@ -39,13 +42,17 @@
     Args:
         drain_timeout_s: how long an endpoint serves after it began to leave,
             in seconds.
+        evacuated: the evacuated data centres, None if there can be none.
 
     """
 
     def __init__(
-        self, drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S
+        self,
+        drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S,
+        evacuated: EvacuatedDataCentres | None = None,
     ) -> None:
         """Create an empty registry."""
+        self._evacuated = evacuated or EvacuatedDataCentres()
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
         self._former = FormerEndpoints()
@@ -334,13 +341,16 @@
             service: service name.
 
         Returns:
-            Entries that are neither leaving nor missing, sorted by id.
+            Entries that are neither leaving, missing nor in an evacuated data
+            centre, sorted by id.
 
         """
         return [
             record
             for record in self.members(service)
-            if not record.leaving and not self.is_missing(record.endpoint)
+            if not record.leaving
+            and not self.is_missing(record.endpoint)
+            and not self._evacuated.contains(record.data_centre)
         ]
 
     def is_lost(self, endpoint: str) -> bool:
--- /dev/null
+++ b/trefoilhitch/pooler/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres: no statement reaches their endpoints."""
--- a/trefoilhitch/pooler/failover_decision.py
+++ b/trefoilhitch/pooler/failover_decision.py
@@ -53,6 +53,7 @@
     SILENT = 'silent'
     STALLED = 'stalled'
     LEAVING = 'leaving'
+    EVACUATED = 'evacuated'
     GONE = 'gone'
     NO_PRIMARY = 'none_leads'
 
@@ -79,6 +80,7 @@
     primary: EndpointRecord | None,
     *,
     lost: bool,
+    evacuated: bool = False,
     now: float,
     timeouts: FailoverTimeouts = REPLACE_TIMEOUTS,
 ) -> FailoverReason | None:
@@ -88,6 +90,8 @@
         evidence: what the nodes know about failures of the primary.
         primary: entry of the primary, None if none is known.
         lost: whether its entry has been missing for too long.
+        evacuated: whether its data centre is evacuated, and another endpoint
+            may take its place.
         now: monotonic time.
         timeouts: how long its silence or its stall has to last.
 
@@ -106,6 +110,7 @@
         (primary.leaving, FailoverReason.LEAVING),
         (lost, FailoverReason.GONE),
         (is_stalled, FailoverReason.STALLED),
+        (evacuated, FailoverReason.EVACUATED),
     )
     return next((reason for applies, reason in reasons if applies), None)
 
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -124,7 +124,9 @@
             self._deps.sync_replicas(self._service),
             primary=primary,
             unusable=self._unusable(),
-            pending=self._lease.record.candidate,
+            pending=self._deps.cluster.evacuated.omit(
+                self._lease.record.candidate
+            ),
         )
         if chosen is None:
             raise FailoverStoppedError('too few endpoints could be fenced')
@@ -158,7 +160,9 @@
         return {
             record.endpoint
             for record in endpoints.log_holders(self._service)
-            if record.leaving or endpoints.is_missing(record.endpoint)
+            if record.leaving
+            or endpoints.is_missing(record.endpoint)
+            or self._deps.cluster.evacuated.contains(record.endpoint)
         }
 
     async def _wait_until(self, moment: float) -> None:
--- a/trefoilhitch/pooler/lifecycle.py
+++ b/trefoilhitch/pooler/lifecycle.py
@@ -52,16 +52,18 @@
         has_declaration: whether a declaration is in force.
         has_endpoints: whether the list of endpoints has been read.
         is_stopping: whether the node is shutting down.
+        has_evacuations: whether the list of evacuations has been read, or
+            none is kept.
 
     """
 
     has_declaration: bool
     has_endpoints: bool
     is_stopping: bool
+    has_evacuations: bool = True
 
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts new clients."""
-        return (
-            self.has_declaration and self.has_endpoints and not self.is_stopping
-        )
+        is_informed = self.has_endpoints and self.has_evacuations
+        return self.has_declaration and is_informed and not self.is_stopping
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -15,6 +15,12 @@
     EndpointControl,
     request_all,
 )
+from trefoilhitch.pooler.evacuation.handover import (
+    SUCCESSOR_CHECK_PAUSE_S,
+    NoSuccessorError,
+    ensure_successor,
+    may_hand_over,
+)
 from trefoilhitch.pooler.failover_decision import (
     PREPARE_TIMEOUTS,
     PROOF_REQUEST_AFTER_S,
@@ -246,7 +252,8 @@
             since + rank * RANK_DELAY_S, self._pause_until.get(service, 0)
         )
         if now < ready_at:
-            await self._refresh_lease(service)
+            if reason != FailoverReason.EVACUATED:
+                await self._refresh_lease(service)
             return
         self._failing_over.add(service)
         try:
@@ -290,6 +297,7 @@
             self._cluster.evidence(service, primary),
             record,
             lost=self._cluster.endpoints.is_lost(primary or ''),
+            evacuated=may_hand_over(self._cluster, service, primary),
             now=self._cluster.clock(),
             timeouts=timeouts,
         )
@@ -311,16 +319,21 @@
             is_suspicion_shared=partial(self._is_suspicion_shared, service),
             is_needed=partial(self._is_failover_needed, service),
         )
+        pause_s = RETRY_PAUSE_S
         try:
+            await ensure_successor(deps, plan)
             await FailoverRunner(deps, plan).run(
                 await self._read_lease(service)
             )
+        except NoSuccessorError as exc:
+            outcome = f'{type(exc).__name__}: {exc}'
+            pause_s = SUCCESSOR_CHECK_PAUSE_S
         except FailoverStoppedError as exc:
             outcome = f'{type(exc).__name__}: {exc}'
         except StoreError as exc:
             outcome = f'{type(exc).__name__}: {exc}'
             self._deps.report_store_lost()
-        self._pause_until[service] = current_time() + RETRY_PAUSE_S
+        self._pause_until[service] = current_time() + pause_s
         deps.log.event('succession_ended', service=service, outcome=outcome)
         self._deps.publish()
 
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -91,6 +91,7 @@
             has_declaration=self._parts.state.declaration.catalogue is not None,
             has_endpoints=self._parts.store_sync.endpoints_listed,
             is_stopping=self.sessions.drain_plan is not None,
+            has_evacuations=self._parts.store_sync.evacuations_listed,
         ).is_ready
 
     def start(self, nursery: Nursery) -> None:
@@ -115,6 +116,9 @@
             'housekeeping': self._run_housekeeping,
             'monitor': self._make_monitor().run,
         }
+        if parts.enforcer is not None:
+            tasks['watch_evacuations'] = parts.store_sync.watch_evacuations
+            tasks['enforce_evacuations'] = parts.enforcer.run
         for name, task in tasks.items():
             nursery.start_soon(supervisor.run, name, task)
 
@@ -150,9 +154,11 @@
 
     @property
     def _can_serve(self) -> bool:
+        store_sync = self._parts.store_sync
         return (
             self._parts.state.declaration.catalogue is not None
-            and self._parts.store_sync.endpoints_listed
+            and store_sync.endpoints_listed
+            and store_sync.evacuations_listed
         )
 
     async def _run_housekeeping(self) -> None:
--- a/trefoilhitch/pooler/node_environment.py
+++ b/trefoilhitch/pooler/node_environment.py
@@ -49,6 +49,7 @@
         registry: stores the nodes' entries.
         declarations: source of the operators' declaration.
         endpoints: source of the endpoints' entries.
+        evacuations: source of the names of evacuated data centres.
         read_declaration: parses a declaration's text.
 
     """
@@ -63,6 +64,7 @@
     registry: NodeRegistry
     declarations: ChangeSource[Declaration]
     endpoints: ChangeSource[EndpointRecord]
+    evacuations: ChangeSource[str]
     read_declaration: Callable[[str], Declaration]
 
 
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -8,6 +8,11 @@
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.endpoint_control import EndpointControl
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
+from trefoilhitch.pooler.evacuation.components import (
+    make_enforcer,
+    make_evacuations,
+    make_feed,
+)
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.lease_observer import LeaseObserver
@@ -62,6 +67,7 @@
             metrics=runtime.metrics,
         )
         self.leases = _make_lease_observer(self.state, external)
+        self._evacuations = make_evacuations(cfg, self.state)
         self.store_sync = self._make_store_sync()
         self._shared_status = SharedStatus(
             pool=self.state.pool,
@@ -90,7 +96,12 @@
             client=self.state.client,
         )
         executor = make_local_executor(self.state)
-        self.gateway = make_gateway_server(self.state, executor)
+        self.gateway = make_gateway_server(
+            self.state, executor, lambda: self.store_sync.evacuations_listed
+        )
+        self.enforcer = make_enforcer(
+            self._evacuations, self.state, executor.end_transactions
+        )
         self.sessions = make_session_dependencies(
             self.state, executor, self._make_prover(), self._proofs
         )
@@ -139,6 +150,7 @@
             store_era=self._external.era,
             random=self._runtime.random,
             log=self._runtime.log,
+            evacuations=self._evacuations,
         )
 
     def _make_peer_handler(self) -> PeerRequestHandler:
@@ -188,6 +200,11 @@
                 store_era=self._external.era,
                 may_watch=self._watches_store,
                 spread=self._spread,
+                evacuations=make_feed(
+                    self._evacuations,
+                    self._external.evacuations,
+                    lambda: self._spread(True),
+                ),
             )
         )
 
@@ -203,6 +220,7 @@
         log=runtime.log,
         clock=runtime.clock,
         drain_timeout_s=cfg.drain_timeout_s,
+        evacuation_timeout_s=cfg.evacuation_timeout_s,
     )
     declaration.add_listener(
         lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -10,6 +10,7 @@
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.endpoint_control import EndpointControl
 from trefoilhitch.pooler.entry_log import EntryLog
+from trefoilhitch.pooler.evacuation.evacuations import Evacuations
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_messages import commit_reports, primary_proofs
@@ -33,6 +34,7 @@
         store_era: era of the store.
         random: chooses the order of nodes.
         log: records probes by peers.
+        evacuations: the evacuations in force, None if none are kept.
 
     """
 
@@ -46,6 +48,7 @@
     store_era: StoreEra
     random: Random
     log: DecisionLog
+    evacuations: Evacuations | None = None
 
 
 def make_exchange(
@@ -76,4 +79,5 @@
         store_era=deps.store_era.current,
         proofs=primary_proofs(deps.cluster) if include_proofs else [],
         commits=commit_reports(deps.cluster),
+        evacuations=deps.evacuations.report() if deps.evacuations else None,
     )
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -117,6 +117,9 @@
 
         """
         self._deps.store_era.observe(exchange.store_era, 'peer')
+        evacuations = self._deps.evacuations
+        if evacuations and evacuations.merge(exchange.evacuations):
+            self.start_spreading(from_store=False)
         if not exchange.beats:
             return
         sender = exchange.beats[0]
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -71,6 +71,10 @@
     """The endpoint accepted no connection; nothing was sent."""
 
 
+class EndpointEvacuatedError(EndpointConnectionError):
+    """The data centre of the endpoint is evacuated; nothing was sent."""
+
+
 class EndpointOverloadedError(EndpointConnectionError):
     """Too many requests wait for a connection; nothing was sent."""
 
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -1,5 +1,7 @@
 """Connects the components that run clients' statements on a node."""
 
+from collections.abc import Callable
+
 from trio import current_time
 
 from trefoilhitch.pooler.admission import Admission
@@ -42,7 +44,9 @@
         metrics=runtime.metrics,
     )
     runner = ConnectionRunner(
-        connector=state.connector, metrics=runtime.metrics
+        connector=state.connector,
+        metrics=runtime.metrics,
+        is_closed=state.cluster.evacuated.ends_transactions,
     )
     return LocalExecutor(
         pool=state.pool,
@@ -51,17 +55,22 @@
         has_left=lambda endpoint: state.cluster.endpoints.has_left(
             endpoint, current_time()
         ),
+        evacuated=state.cluster.evacuated,
     )
 
 
 def make_gateway_server(
-    state: NodeState, executor: LocalExecutor
+    state: NodeState,
+    executor: LocalExecutor,
+    knows_evacuations: Callable[[], bool],
 ) -> GatewayServer:
     """Create the part of a node that serves other nodes' statements.
 
     Args:
         state: state of the node.
         executor: executor on this node's connections.
+        knows_evacuations: returns whether this node knows which data centres
+            are evacuated.
 
     Returns:
         The server.
@@ -69,7 +78,9 @@
     """
     return GatewayServer(
         executor=executor,
-        accepts=state.gateways.holds_connections,
+        accepts=lambda endpoint: (
+            knows_evacuations() and state.gateways.holds_connections(endpoint)
+        ),
         idle_limit_s=lambda: state.declaration.limits.transaction_idle_s,
         log=state.runtime.log,
     )
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -8,9 +8,14 @@
 from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
+from trefoilhitch.pooler.evacuation.evacuated_endpoints import (
+    EvacuatedEndpoints,
+)
+from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
     EndpointConnectionError,
+    EndpointEvacuatedError,
     EndpointOverloadedError,
     EndpointRefusedError,
     EndpointUnreachableError,
@@ -39,7 +44,8 @@
         detail: explanation for people.
         unreachable: whether the endpoint accepted no connection.
         refused: whether the endpoint refused the connection.
-        overloaded: whether too many requests wait for one.
+        overloaded: whether too many requests wait for one, or the endpoint
+            is evacuated.
 
     """
 
@@ -72,7 +78,9 @@
             str(exc),
             unreachable=isinstance(exc, EndpointUnreachableError),
             refused=isinstance(exc, EndpointRefusedError),
-            overloaded=isinstance(exc, EndpointOverloadedError),
+            overloaded=isinstance(
+                exc, (EndpointOverloadedError, EndpointEvacuatedError)
+            ),
         )
 
 
@@ -145,6 +153,7 @@
         runner: runs statements on it.
         endpoint: endpoint id.
         pooled: the connection.
+        on_end: called when the transaction has ended.
 
     """
 
@@ -155,9 +164,12 @@
         runner: ConnectionRunner,
         endpoint: str,
         pooled: PooledConnection,
+        on_end: Callable[['LocalConnection'], None],
     ) -> None:
         """Take the connection over."""
         self.endpoint = endpoint
+        self.is_running = False
+        self._on_end = on_end
         self._pool = pool
         self._runner = runner
         self._pooled = pooled
@@ -184,9 +196,17 @@
             EndpointConnectionError: the response did not arrive completely.
 
         """
-        reply = await self._runner.run(
-            self._pooled, variables, request, deadline
-        )
+        if self._is_released:
+            raise EndpointConnectionError(
+                ResponseLoss.NOT_SENT, 'the transaction was rolled back'
+            )
+        self.is_running = True
+        try:
+            reply = await self._runner.run(
+                self._pooled, variables, request, deadline
+            )
+        finally:
+            self.is_running = False
         if reply.response.state == SessionState.IDLE:
             self._end(request.statement.verb)
         return reply
@@ -207,6 +227,7 @@
     def _release(self) -> None:
         if not self._is_released:
             self._is_released = True
+            self._on_end(self)
             self._pool.release(self.endpoint, self._pooled)
 
 
@@ -218,6 +239,7 @@
         runner: runs statements on them.
         admission: spends tokens of the organisations' rates.
         has_left: returns whether an endpoint has been leaving for too long.
+        evacuated: tells which endpoints are evacuated.
 
     """
 
@@ -228,8 +250,11 @@
         runner: ConnectionRunner,
         admission: Admission,
         has_left: Callable[[str], bool],
+        evacuated: EvacuatedEndpoints,
     ) -> None:
         """Store the dependencies."""
+        self._evacuated = evacuated
+        self._open: set[LocalConnection] = set()
         self._has_left = has_left
         self._pool = pool
         self._runner = runner
@@ -239,6 +264,7 @@
         """Run a statement; see `StatementExecutor`."""
         if self._has_left(job.endpoint):
             raise ConnectionNotOpenedError('the endpoint has left')
+        self._ensure_not_excluded(job.endpoint)
         await self._admit(job)
         pooled = await self._acquire(job)
         conn = LocalConnection(
@@ -246,17 +272,44 @@
             runner=self._runner,
             endpoint=job.endpoint,
             pooled=pooled,
+            on_end=self._open.discard,
         )
         is_kept = False
         try:
-            reply = await self._runner.run(
-                pooled, job.variables, job.request, job.deadline
-            )
+            reply = await self._run(job, pooled)
             is_kept = job.keeps_connection and reply.response.ok
         finally:
             if not is_kept:
                 self._pool.release(job.endpoint, pooled)
-        return StartedStatement(reply, conn if is_kept else None)
+        if not is_kept:
+            return StartedStatement(reply)
+        self._open.add(conn)
+        return StartedStatement(reply, conn)
+
+    def end_transactions(self) -> None:
+        """Roll back idle transactions on endpoints that may have none."""
+        for conn in list(self._open):
+            is_ended = self._evacuated.ends_transactions(conn.endpoint)
+            if is_ended and not conn.is_running:
+                conn.discard()
+
+    def _ensure_not_excluded(self, endpoint: str) -> None:
+        if self._evacuated.excludes(endpoint):
+            raise ConnectionNotOpenedError(
+                'the data centre is evacuated', overloaded=True
+            )
+
+    async def _run(
+        self, job: StatementJob, pooled: PooledConnection
+    ) -> StatementResult:
+        # The wait for the connection may have been long.
+        self._ensure_not_excluded(job.endpoint)
+        try:
+            return await self._runner.run(
+                pooled, job.variables, job.request, job.deadline
+            )
+        except EndpointEvacuatedError as exc:
+            raise ConnectionNotOpenedError.from_failure(exc) from exc
 
     async def _admit(self, job: StatementJob) -> None:
         if job.is_admitted:
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -1,5 +1,6 @@
 """Runs single statements: choice of endpoint, retries and outcome."""
 
+import math
 from collections.abc import Callable
 
 from trio import current_time, move_on_at, sleep
@@ -109,7 +110,7 @@
             target = await self._find_target(run)
             if target is None:
                 return refusal_response(
-                    Refusal.BUSY, 'no endpoint leads the service'
+                    Refusal.BUSY, self._describe_missing_target(run)
                 )
             response = await self._attempt(run, target, take_over)
             if response is not None:
@@ -133,13 +134,28 @@
             target = self._choose_target(run)
             if target is not None and self._may_attempt(target):
                 return target
-            expects_primary = self._cluster.expects_primary(run.route.service)
-            limit = run.wait_until if expects_primary else run.refuse_at
+            limit = self._wait_limit(run, target)
             if current_time() >= limit:
                 return None
             with move_on_at(limit):
                 await self._cluster.wait_for_change()
 
+    def _wait_limit(self, run: StatementRun, target: Target | None) -> float:
+        """Return until when a statement waits for an endpoint."""
+        if target is None and self._is_primary_excluded(run):
+            return -math.inf
+        expects_primary = self._cluster.expects_primary(run.route.service)
+        return run.wait_until if expects_primary else run.refuse_at
+
+    def _is_primary_excluded(self, run: StatementRun) -> bool:
+        primary = self._cluster.primary(run.route.service)
+        return self._cluster.evacuated.excludes(primary)
+
+    def _describe_missing_target(self, run: StatementRun) -> str:
+        if self._is_primary_excluded(run):
+            return 'the data centre of the primary is evacuated'
+        return 'no endpoint leads the service'
+
     def _may_attempt(self, target: Target) -> bool:
         breakers = self._cluster.breakers
         return breakers.may_attempt(target.endpoint, current_time())
@@ -153,6 +169,7 @@
         if run.statement.verb == Verb.BEGIN:
             return self._cluster.choose_begin_target(requirements)
         primary = self._cluster.primary(run.route.service)
+        primary = self._cluster.evacuated.permitted(primary)
         return (
             Target(primary, None, None, requires_primary_proof=False)
             if primary
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -19,6 +19,7 @@
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.entry_log import EntryLog, read_changes
 from trefoilhitch.pooler.era_numbers import NO_ERA
+from trefoilhitch.pooler.evacuation.evacuation_feed import EvacuationFeed
 from trefoilhitch.pooler.object_watcher import (
     Changes,
     ChangeSource,
@@ -44,6 +45,8 @@
         may_watch: returns whether this node watches the store.
         spread: tells other nodes that this one has something newer; the
             argument tells whether it comes from the store.
+        evacuations: source and receiver of the evacuations, None if the
+            deployment has none.
 
     """
 
@@ -58,6 +61,7 @@
     store_era: StoreEra
     may_watch: Callable[[], bool]
     spread: Callable[[bool], None]
+    evacuations: EvacuationFeed | None = None
 
 
 class StoreSync:
@@ -93,6 +97,20 @@
             store_era=deps.store_era,
             may_watch=deps.may_watch,
         )
+        self._evacuations = (
+            ObjectWatcher(
+                kind='evacuations',
+                source=deps.evacuations.source,
+                replace_all=deps.evacuations.replace_all,
+                apply=deps.evacuations.apply,
+                log=deps.log,
+                random=deps.random,
+                store_era=deps.store_era,
+                may_watch=deps.may_watch,
+            )
+            if deps.evacuations
+            else None
+        )
 
     @property
     def endpoints_listed(self) -> bool:
@@ -102,7 +120,13 @@
     @property
     def is_store_lost(self) -> bool:
         """Whether the store does not answer this node."""
-        return self._endpoints.is_failing or self._declarations.is_failing
+        watchers = (self._endpoints, self._declarations, self._evacuations)
+        return any(each is not None and each.is_failing for each in watchers)
+
+    @property
+    def evacuations_listed(self) -> bool:
+        """Whether the evacuations have been listed, or none are kept."""
+        return self._evacuations is None or self._evacuations.listed
 
     def apply_entries(self, reply: EntriesReply) -> None:
         """Apply the entries that another node sent.
@@ -127,6 +151,11 @@
         """Watch the declaration until cancelled."""
         await self._declarations.run()
 
+    async def watch_evacuations(self) -> None:
+        """Watch the evacuations until cancelled, if any are kept."""
+        if self._evacuations is not None:
+            await self._evacuations.run()
+
     def remove_lost_endpoints(self) -> None:
         """Remove endpoints whose entries have been missing for too long."""
         deps = self._deps
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -105,6 +105,14 @@
             replicas=ReplicaStatuses((), 0),
             sent_at=self._cluster.clock(),
         )
+        if self._cluster.evacuated.ends_transactions(endpoint):
+            return self._on_connection_lost(
+                session,
+                transaction,
+                statement,
+                ResponseLoss.NOT_SENT,
+                proof.sent_at,
+            )
         try:
             reply = await self._send(session, transaction, statement)
         except EndpointConnectionError as exc:
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -22,7 +22,7 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse, RequestHandler
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.platform.program import make_external_services
+from trefoilhitch.platform.external_services import make_external_services
 from trefoilhitch.platform.wire_server import WireServer
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.node import PoolerNode
@@ -144,11 +144,18 @@
         nursery: runs all servers and nodes.
         seed: seed of all random choices.
         log: log of the nodes.
+        evacuation_timeout_s: time after which no statement may reach an
+            evacuated data centre, in seconds; None without evacuations.
 
     """
 
     def __init__(
-        self, nursery: Nursery, *, seed: int, log: DecisionLog
+        self,
+        nursery: Nursery,
+        *,
+        seed: int,
+        log: DecisionLog,
+        evacuation_timeout_s: float | None = None,
     ) -> None:
         """Prepare the stack; `start` starts it."""
         self.store_state = StoreState()
@@ -160,6 +167,7 @@
         self._nursery = nursery
         self._random = Random(seed)
         self._log = log
+        self._evacuation_timeout_s = evacuation_timeout_s
         self._promotion_address = ''
         self._start_count = 0
         self._ports: dict[str, tuple[int, int]] = {}
@@ -330,6 +338,7 @@
             drain_timeout_s=DRAIN_TIMEOUT_S,
             max_sockets=1000,
             rate_rule=RATE_RULE,
+            evacuation_timeout_s=self._evacuation_timeout_s,
         )
 
 
@@ -379,7 +388,11 @@
 
 @asynccontextmanager
 async def running_wire_stack(
-    *, seed: int = 1, nodes: int = 3, log: DecisionLog | None = None
+    *,
+    seed: int = 1,
+    nodes: int = 3,
+    log: DecisionLog | None = None,
+    evacuation_timeout_s: float | None = None,
 ) -> AsyncIterator[WireStack]:
     """Run a stack, and stop it at the end of the block.
 
@@ -387,13 +400,20 @@
         seed: seed of all random choices.
         nodes: number of nodes.
         log: log of the nodes; by default nothing is logged.
+        evacuation_timeout_s: time after which no statement may reach an
+            evacuated data centre, in seconds; None without evacuations.
 
     Yields:
         The stack with all nodes ready.
 
     """
     async with open_nursery() as nursery:
-        stack = WireStack(nursery, seed=seed, log=log or NullLog())
+        stack = WireStack(
+            nursery,
+            seed=seed,
+            log=log or NullLog(),
+            evacuation_timeout_s=evacuation_timeout_s,
+        )
         await stack.start(nodes=nodes)
         yield stack
         nursery.cancel_scope.cancel()
