Tests of the evacuation of data centres

Cause: the decisions and their connection to the node were without tests. No statement of a client reaches an evacuated endpoint after 5 s, counted at the endpoints. A data centre without an evacuation no longer counts as excluded at an infinite time.

--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,488 @@
+"""Evacuations of data centres, as operators, clients and endpoints see them."""
+
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from trio import BrokenResourceError, Nursery, current_time, open_nursery, sleep
+
+from tests import test_wire_failover as failover
+from tests.support import run_virtual, with_virtual_clock
+from tests.test_gateways import MAX_CONNECTIONS, NODES
+from tests.test_wire_failover import KEY, RECORDED_S, primary_of
+from trefoilhitch.platform.object_store import EVACUATION_KIND
+from trefoilhitch.pooler.evacuation.evacuated_data_centres import (
+    NEW_STATEMENT_FRACTION,
+)
+from trefoilhitch_lab.platform_store import StoreCopy
+from trefoilhitch_lab.wire_client import WireClient, wire_client
+from trefoilhitch_lab.wire_stack import (
+    DATA_CENTRES,
+    SERVICE,
+    WireStack,
+    make_declaration,
+    running_wire_stack,
+)
+
+BOUND_S = 5.0
+# How long nodes are watched after the bound.
+AFTER_S = 4.0
+# Connections that nodes keep for their control requests.
+CONTROL = 3
+# Time in which nodes learn of a withdrawal.
+SOON_S = 0.5
+PATAN, LAKESIDE, BIRATNAGAR = DATA_CENTRES
+IN_PATAN, IN_LAKESIDE, IN_BIRATNAGAR = 'ledger-0', 'ledger-1', 'ledger-2'
+CLIENT_VERBS = ('READ', 'WRITE', 'EXECUTE', 'BEGIN', 'COMMIT', 'ROLLBACK')
+FEW_CONNECTIONS = [
+    {'name': SERVICE, 'max_connections': MAX_CONNECTIONS, 'sync_replicas': 1}
+]
+LONG_LIMITS = {'header_timeout_ms': 3000, 'tx_idle_ms': 30000}
+
+
+@dataclass
+class Load:
+    """Clients at all nodes, and the codes of the answers that they get."""
+
+    stack: WireStack
+    codes: list[str] = field(default_factory=list)
+
+    async def run(self, nursery: Nursery) -> None:
+        """Start clients that read, write and run transactions."""
+        for node in self.stack.nodes:
+            for database in ('orders', 'stock', 'visits'):
+                nursery.start_soon(self._request, node, database)
+
+    async def _request(self, node: str, database: str) -> None:
+        number = 0
+        while True:
+            number += 1
+            mark = f'{node}-{database}-{number}'
+            if node in self.stack.nodes:
+                await self._run_session(node, database, mark)
+            await sleep(0.05)
+
+    async def _run_session(self, node: str, database: str, mark: str) -> None:
+        reads = ['READ row', 'BEGIN READ', 'READ row', 'COMMIT']
+        writes = [f'WRITE {mark} x', 'BEGIN', f'WRITE {mark} y', 'COMMIT']
+        running = self.stack.nodes[node]
+        address = running.address
+        # A node that is killed closes its connections.
+        with suppress(OSError, IndexError, BrokenResourceError):
+            await self._query_each(address, database, reads)
+            await self._query_each(address, database, writes)
+
+    async def _query_each(
+        self, address: str, database: str, texts: list[str]
+    ) -> None:
+        async with wire_client(address) as client:
+            await client.start(database, KEY)
+            for text in texts:
+                self.codes.append((await client.query(text)).code)
+
+
+def evacuate(stack: WireStack, *data_centres: str, spec: Any = None) -> None:
+    """Request evacuations, as operators do."""
+    for name in data_centres:
+        stack.store_state.put(EVACUATION_KIND, name, spec or {})
+
+
+def received(stack: WireStack, endpoints: Iterable[str]) -> int:
+    """Return how many statements of clients endpoints have received."""
+    return sum(
+        stack.group.endpoints[endpoint].request_counts[verb]
+        for endpoint in endpoints
+        for verb in CLIENT_VERBS
+    )
+
+
+async def expect_nothing(
+    stack: WireStack, *endpoints: str, wait_s: float = AFTER_S
+) -> None:
+    """Check that endpoints get no statement of clients for a while."""
+    before = received(stack, endpoints)
+    await sleep(wait_s)
+    assert received(stack, endpoints) == before
+
+
+async def expect_served(stack: WireStack) -> None:
+    """Check that every node reads and writes."""
+    for node, running in stack.nodes.items():
+        assert await failover.write(stack, f'served-{node}', node) == ''
+        async with wire_client(running.address) as client:
+            await client.start('stock', KEY)
+            assert (await client.query('READ row')).code == ''
+
+
+@asynccontextmanager
+async def evacuating_stack(
+    *, nodes: int = 3, under_load: bool = True
+) -> AsyncIterator[WireStack]:
+    """Run a stack whose settings hold the bound of evacuations."""
+    async with (
+        running_wire_stack(nodes=nodes, evacuation_timeout_s=BOUND_S) as stack,
+        open_nursery() as nursery,
+    ):
+        await sleep(RECORDED_S)
+        if under_load:
+            await Load(stack).run(nursery)
+            await sleep(1)
+            assert all(
+                received(stack, [name]) for name in stack.group.endpoints
+            )
+        yield stack
+        nursery.cancel_scope.cancel()
+    assert stack.group.lost_entries == []
+
+
+@with_virtual_clock
+async def test_statements_reach_an_evacuated_primary_after_the_bound() -> None:
+    async with evacuating_stack() as stack:
+        assert primary_of(stack).endpoint == IN_PATAN
+        evacuate(stack, PATAN)
+        await sleep(BOUND_S)
+        await expect_nothing(stack, IN_PATAN)
+        assert primary_of(stack).endpoint != IN_PATAN
+        await expect_served(stack)
+    assert len(stack.promotions.completed) == 1
+
+
+@with_virtual_clock
+async def test_statements_reach_evacuated_replicas_after_the_bound() -> None:
+    async with evacuating_stack() as stack:
+        evacuate(stack, LAKESIDE)
+        await sleep(BOUND_S)
+        await expect_nothing(stack, IN_LAKESIDE)
+        await expect_served(stack)
+    assert stack.promotions.received == []
+
+
+@pytest.mark.parametrize('kept', DATA_CENTRES)
+def test_two_evacuated_data_centres_at_once_are_used(kept: str) -> None:
+    """Guards against statements to either, and a promotion in the second."""
+
+    async def play() -> None:
+        async with evacuating_stack() as stack:
+            others = [name for name in DATA_CENTRES if name != kept]
+            evacuate(stack, *others)
+            await sleep(BOUND_S)
+            endpoints = [
+                each.endpoint
+                for each in stack.group.endpoints.values()
+                if each.data_centre != kept
+            ]
+            await expect_nothing(stack, *endpoints)
+            assert primary_of(stack).data_centre == kept
+            await expect_served(stack)
+
+    run_virtual(play)
+
+
+@with_virtual_clock
+async def test_writes_wait_while_no_endpoint_may_run_them() -> None:
+    """Guards against requests that are held, and against promotions."""
+    async with evacuating_stack() as stack:
+        evacuate(stack, *DATA_CENTRES)
+        await sleep(BOUND_S)
+        started_at = current_time()
+        assert await failover.write(stack, 'refused') == 'BUSY'
+        assert current_time() - started_at < 0.05
+        await expect_nothing(stack, *stack.group.endpoints)
+        assert stack.promotions.received == []
+        stack.store_state.remove(EVACUATION_KIND, BIRATNAGAR)
+        await sleep(4)
+        await expect_served(stack)
+        assert primary_of(stack).endpoint == IN_BIRATNAGAR
+
+
+@with_virtual_clock
+async def test_lagging_replica_makes_an_evacuation_lose_commits() -> None:
+    """Guards against a hand-over to an endpoint that lacks commits."""
+    async with evacuating_stack() as stack:
+        lagging = stack.group.endpoints[IN_BIRATNAGAR]
+        lagging.faults.cut_from_group = True
+        await sleep(1)
+        evacuate(stack, PATAN, LAKESIDE)
+        await sleep(BOUND_S)
+        await expect_nothing(stack, IN_PATAN, IN_LAKESIDE)
+        assert primary_of(stack).endpoint == IN_PATAN
+        assert stack.promotions.received == []
+        assert await failover.write(stack, 'refused') == 'BUSY'
+        lagging.faults.cut_from_group = False
+        stack.group.catch_up(lagging)
+        await sleep(5)
+        assert primary_of(stack) is lagging
+        await expect_served(stack)
+
+
+@with_virtual_clock
+async def test_crashed_primary_is_replaced_in_an_evacuated_data_centre() -> (
+    None
+):
+    async with evacuating_stack(under_load=False) as stack:
+        await failover.write(stack, 'before')
+        evacuate(stack, LAKESIDE)
+        await sleep(BOUND_S)
+        primary_of(stack).crash()
+        primary_of(stack).is_primary = False
+        await sleep(BOUND_S)
+        assert primary_of(stack).endpoint == IN_BIRATNAGAR
+        assert len(stack.promotions.completed) == 1
+
+
+@with_virtual_clock
+async def test_nodes_that_restart_forget_an_evacuation() -> None:
+    async with evacuating_stack() as stack:
+        evacuate(stack, PATAN)
+        await sleep(BOUND_S)
+        names = list(stack.nodes)
+        before = received(stack, [IN_PATAN])
+        for name in names:
+            stack.kill_node(name)
+        for name in names:
+            await stack.start_node(name)
+        await stack.wait_until_ready()
+        await sleep(AFTER_S)
+        assert received(stack, [IN_PATAN]) == before
+        await expect_served(stack)
+
+
+@with_virtual_clock
+async def test_nodes_that_restart_early_count_the_time_anew() -> None:
+    """Guards against statements to a primary before its hand-over."""
+    async with evacuating_stack() as stack:
+        names = list(stack.nodes)
+        for name in names:
+            stack.kill_node(name)
+        evacuate(stack, PATAN)
+        before = received(stack, [IN_PATAN])
+        for name in names:
+            await stack.start_node(name)
+        await stack.wait_until_ready()
+        await sleep(BOUND_S + AFTER_S)
+        assert received(stack, [IN_PATAN]) == before
+        await expect_served(stack)
+
+
+@with_virtual_clock
+async def test_node_is_ready_before_it_has_listed_the_evacuations() -> None:
+    async with evacuating_stack() as stack:
+        evacuate(stack, PATAN)
+        await sleep(BOUND_S)
+        running = await stack.start_node('node-3')
+        running.store.faults.silent = True
+        await sleep(3)
+        assert not running.node.ready
+        running.store.faults.silent = False
+        await sleep(4)
+        assert running.node.ready
+
+
+@with_virtual_clock
+async def test_outage_of_the_store_ends_an_evacuation() -> None:
+    async with evacuating_stack() as stack:
+        evacuate(stack, PATAN)
+        await sleep(SOON_S)
+        for each in stack.nodes.values():
+            each.store.faults.outage = True
+        await sleep(BOUND_S)
+        await expect_nothing(stack, IN_PATAN, wait_s=2 * BOUND_S)
+        for each in stack.nodes.values():
+            each.store.faults.outage = False
+        await sleep(BOUND_S)
+        await expect_nothing(stack, IN_PATAN)
+        await expect_served(stack)
+
+
+def older_copy(stack: WireStack) -> StoreCopy:
+    """Return a copy of the store from before its evacuations."""
+    copy = stack.store_state.copy()
+    copy.objects_by_kind.pop(EVACUATION_KIND, None)
+    return copy
+
+
+@with_virtual_clock
+async def test_restored_store_ends_an_evacuation_until_it_is_written() -> None:
+    async with evacuating_stack() as stack:
+        copy = older_copy(stack)
+        evacuate(stack, PATAN)
+        await sleep(BOUND_S)
+        before = received(stack, [IN_PATAN])
+        stack.restore_store(copy)
+        await sleep(4)
+        evacuate(stack, PATAN)
+        await sleep(2 * BOUND_S)
+        assert received(stack, [IN_PATAN]) == before
+        await expect_served(stack)
+
+
+@with_virtual_clock
+async def test_evacuation_that_the_store_lost_for_good_stays_in_force() -> None:
+    async with evacuating_stack() as stack:
+        copy = older_copy(stack)
+        evacuate(stack, LAKESIDE)
+        await sleep(BOUND_S)
+        stack.restore_store(copy)
+        await sleep(2 * BOUND_S)
+        before = received(stack, [IN_LAKESIDE])
+        await sleep(AFTER_S)
+        assert received(stack, [IN_LAKESIDE]) > before
+
+
+@with_virtual_clock
+async def test_withdrawn_evacuation_keeps_reads_away() -> None:
+    async with evacuating_stack() as stack:
+        evacuate(stack, LAKESIDE, PATAN)
+        await sleep(BOUND_S)
+        primary = primary_of(stack)
+        for name in (LAKESIDE, PATAN):
+            stack.store_state.remove(EVACUATION_KIND, name)
+        await sleep(SOON_S)
+        for endpoint in (IN_LAKESIDE, IN_PATAN):
+            before = received(stack, [endpoint])
+            await sleep(1)
+            assert received(stack, [endpoint]) > before
+        await sleep(AFTER_S)
+        assert primary_of(stack) is primary
+    assert len(stack.promotions.completed) == 1
+
+
+@with_virtual_clock
+async def test_evacuation_withdrawn_before_the_hand_over_moves_primaries() -> (
+    None
+):
+    async with evacuating_stack() as stack:
+        evacuate(stack, PATAN)
+        await sleep(SOON_S)
+        stack.store_state.remove(EVACUATION_KIND, PATAN)
+        await sleep(BOUND_S)
+        await expect_served(stack)
+        assert primary_of(stack).endpoint == IN_PATAN
+    assert stack.promotions.received == []
+
+
+@pytest.mark.parametrize('spec', [[], 'x', {'a': [1]}, 7])
+def test_content_of_an_evacuation_matters(spec: Any) -> None:
+    """Guards against an evacuation that is ignored for its odd content."""
+
+    async def play() -> None:
+        async with evacuating_stack() as stack:
+            evacuate(stack, LAKESIDE, spec=spec)
+            await sleep(BOUND_S)
+            await expect_nothing(stack, IN_LAKESIDE)
+
+    run_virtual(play)
+
+
+async def begin(client: WireClient, database: str, text: str) -> None:
+    """Begin a transaction."""
+    assert await client.start(database, KEY) == 'READY I -'
+    assert (await client.query(text)).code == ''
+
+
+async def play_transaction(stack: WireStack, node: str, last: str) -> None:
+    """Keep a transaction open in a data centre that is evacuated."""
+    declared = make_declaration(9, limits=LONG_LIMITS)
+    if len(stack.nodes) == NODES:
+        declared['services'] = FEW_CONNECTIONS
+        for endpoint in stack.group.endpoints.values():
+            endpoint.faults.max_connections = MAX_CONNECTIONS
+    stack.store_state.put('config', 'main', declared)
+    await sleep(BOUND_S)
+    async with wire_client(stack.nodes[node].address) as client:
+        await begin(client, 'orders', 'BEGIN')
+        assert (await client.query('WRITE row 1')).code == ''
+        # The endpoint stays the primary, and would commit.
+        evacuate(stack, *DATA_CENTRES)
+        await sleep(NEW_STATEMENT_FRACTION * BOUND_S + 0.2)
+        assert await failover.write(stack, 'refused', node) == 'BUSY'
+        assert (await client.query('WRITE row 2')).code == ''
+        await sleep(SOON_S)
+        assert stack.group.endpoints[IN_PATAN].connection_count <= CONTROL
+        before = received(stack, [IN_PATAN])
+        answer = await client.query(last)
+        expected = {'ROLLBACK': ''}.get(last, 'ABORTED')
+        assert answer.code == expected
+        assert received(stack, [IN_PATAN]) == before
+        if answer.state != 'I':
+            assert last not in {'COMMIT', 'ROLLBACK'}
+            assert (await client.query('ROLLBACK')).code == ''
+        assert (await client.query('WRITE row 3')).code == 'BUSY'
+    assert not stack.group.acknowledged_entries
+
+
+@pytest.mark.parametrize('last', ['READ row', 'WRITE row 9', 'COMMIT'])
+@pytest.mark.parametrize('node', ['node-0', 'node-1'])
+def test_open_transaction_goes_on_after_the_bound(node: str, last: str) -> None:
+    """Guards against statements of transactions that were begun before."""
+
+    async def play() -> None:
+        async with evacuating_stack(under_load=False) as stack:
+            await play_transaction(stack, node, last)
+
+    run_virtual(play)
+
+
+@pytest.mark.parametrize('last', ['READ row', 'COMMIT', 'ROLLBACK'])
+@pytest.mark.parametrize('node', ['node-0', 'node-4', 'node-8'])
+def test_open_transaction_goes_on_behind_a_gateway(
+    node: str, last: str
+) -> None:
+    """Guards against a gateway that sends what it still holds."""
+
+    async def play() -> None:
+        async with evacuating_stack(nodes=NODES, under_load=False) as stack:
+            await play_transaction(stack, node, last)
+
+    run_virtual(play)
+
+
+@with_virtual_clock
+async def test_statements_reach_an_evacuated_endpoint_through_a_gateway() -> (
+    None
+):
+    async with evacuating_stack(nodes=NODES, under_load=False) as stack:
+        for endpoint in stack.group.endpoints.values():
+            endpoint.faults.max_connections = MAX_CONNECTIONS
+        declared = make_declaration(9, services=FEW_CONNECTIONS)
+        stack.store_state.put('config', 'main', declared)
+        await sleep(BOUND_S)
+        async with open_nursery() as nursery:
+            await Load(stack).run(nursery)
+            await sleep(2)
+            evacuate(stack, PATAN)
+            await sleep(BOUND_S)
+            await expect_nothing(stack, IN_PATAN)
+            await expect_served(stack)
+            nursery.cancel_scope.cancel()
+
+
+@with_virtual_clock
+async def test_evacuations_are_read_without_the_bound() -> None:
+    """Guards against store calls and failovers that nobody configured."""
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        evacuate(stack, PATAN)
+        await Load(stack).run(nursery)
+        await sleep(BOUND_S)
+        before = received(stack, [IN_PATAN])
+        await sleep(1)
+        assert received(stack, [IN_PATAN]) > before
+        assert primary_of(stack).endpoint == IN_PATAN
+        nursery.cancel_scope.cancel()
+    assert stack.promotions.received == []
+
+
+@with_virtual_clock
+async def test_operators_see_no_evacuation() -> None:
+    """Guards against a metric that does not follow."""
+    async with evacuating_stack(under_load=False) as stack:
+        metrics = stack.nodes['node-1'].metrics
+        assert 'trefoilhitch_evacuated_data_centres 0' in metrics.render()
+        evacuate(stack, LAKESIDE, PATAN)
+        await sleep(SOON_S)
+        assert 'trefoilhitch_evacuated_data_centres 2' in metrics.render()
+        stack.store_state.remove(EVACUATION_KIND, PATAN)
+        await sleep(SOON_S)
+        assert 'trefoilhitch_evacuated_data_centres 1' in metrics.render()
--- a/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
@@ -94,7 +94,9 @@
             now: time in seconds.
 
         """
-        began_at = self._began_at.get(data_centre, math.inf)
+        began_at = self._began_at.get(data_centre)
+        if began_at is None:
+            return False
         return now >= began_at + self._timeout_s * NEW_STATEMENT_FRACTION
 
     def must_end_at(self, data_centre: str) -> float:
