--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -1,15 +1,15 @@
 """Runs statements on a connection after applying the session's state."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
     Command,
     EndpointConnectionError,
     EndpointConnector,
-    EndpointEvacuatedError,
 )
 from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
@@ -25,7 +25,7 @@
     Args:
         connector: builds the pooler's own statements.
         metrics: counts the pooler's own statements.
-        is_closed: returns whether an endpoint may be sent no statement.
+        guard: checks whether an endpoint may be sent statements.
 
     """
 
@@ -34,10 +34,10 @@
         *,
         connector: EndpointConnector,
         metrics: Metrics,
-        is_closed: Callable[[str], bool],
+        guard: SendGuard,
     ) -> None:
         """Store the dependencies."""
-        self._is_closed = is_closed
+        self._guard = guard
         self._connector = connector
         self._metrics = metrics
 
@@ -65,9 +65,9 @@
                 was not sent.
 
         """
-        self._ensure_open(conn)
-        await self._apply_variables(conn, variables, deadline)
-        self._ensure_open(conn)
+        await self._guard.check(conn.conn.endpoint)
+        if await self._apply_variables(conn, variables, deadline):
+            await self._guard.check(conn.conn.endpoint)
         commands = [self._command(request)]
         preparation = self._preparation(conn, request.prepared)
         if request.requires_primary_proof:
@@ -81,26 +81,24 @@
             status = self._connector.read_status(responses[-1])
         return StatementResult(responses[len(preparation)], status)
 
-    def _ensure_open(self, conn: PooledConnection) -> None:
-        if self._is_closed(conn.conn.endpoint):
-            raise EndpointEvacuatedError(
-                ResponseLoss.NOT_SENT, 'the data centre is evacuated'
-            )
-
     async def _apply_variables(
         self,
         conn: PooledConnection,
         variables: Mapping[str, str],
         deadline: float,
-    ) -> None:
+    ) -> bool:
         """Set the variables of a connection to those of a session.
 
         No statement of the session is sent before this succeeds, so a failure
         here never runs a statement with the wrong variables.
+
+        Returns:
+            Whether anything had to be sent for it.
+
         """
         change = variable_change(conn.variables, variables)
         if change.is_empty:
-            return
+            return False
         commands = [
             self._connector.set_variable(name, text)
             for name, text in change.assignments.items()
@@ -121,6 +119,7 @@
                 ResponseLoss.NOT_SENT, 'session variables were refused'
             )
         conn.variables = dict(variables)
+        return True
 
     def _preparation(
         self, conn: PooledConnection, prepared: PreparedStatement | None
--- a/trefoilhitch/pooler/evacuation/enforcer.py
+++ b/trefoilhitch/pooler/evacuation/enforcer.py
@@ -42,6 +42,7 @@
         """Enforce evacuations until cancelled."""
         while True:
             await sleep(ENFORCE_INTERVAL_S)
+            self._evacuations.tick()
             self._evacuations.expire()
             self._close_excluded()
 
--- a/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
@@ -10,6 +10,7 @@
 
 from trefoilhitch._generated.peer import EvacuationReport
 from trefoilhitch.pooler.era_numbers import FIRST_ERA, NO_ERA
+from trefoilhitch.pooler.evacuation.missed_time import MissedTime
 
 # Fractions of the time within which the last statement has to arrive. A node
 # counts them from when it learnt of the evacuation; the rest is left for the
@@ -61,6 +62,7 @@
         self.revision = 0
         # Era of the store to which the revision belongs.
         self.era = NO_ERA
+        self.missed = MissedTime()
         self._timeout_s = timeout_s
         self._was_read = False
         self._is_shared = False
@@ -237,7 +239,8 @@
         ended = sorted(self._began_at.keys() - in_force)
         for old in ended:
             self._began_at.pop(old)
-        since = now if self._was_read else -math.inf
+        is_current = self._was_read and not self.missed.is_catching_up(now)
+        since = now if is_current else -math.inf
         self._began_at.update(dict.fromkeys(began, since))
         self._is_shared = self._is_shared or bool(in_force)
         return EvacuationChange(tuple(began), tuple(ended))
--- a/trefoilhitch/pooler/evacuation/evacuated_endpoints.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_endpoints.py
@@ -30,6 +30,11 @@
         self._find = find
         self._clock = clock
 
+    @property
+    def must_hold(self) -> bool:
+        """Whether statements have to wait, since this node was suspended."""
+        return self.data_centres.missed.must_hold(self._clock())
+
     def contains(self, endpoint: str | None) -> bool:
         """Return whether the data centre of an endpoint is evacuated.
 
--- a/trefoilhitch/pooler/evacuation/evacuations.py
+++ b/trefoilhitch/pooler/evacuation/evacuations.py
@@ -97,6 +97,19 @@
             return False
         return self._record(self._data_centres.merge(report, self._clock()))
 
+    def tick(self) -> None:
+        """Record that this process runs."""
+        self._data_centres.missed.tick(self._clock())
+
+    def confirm(self, sent_at: float) -> None:
+        """Record that another node answered.
+
+        Args:
+            sent_at: when its answer was requested.
+
+        """
+        self._data_centres.missed.confirm(sent_at)
+
     def expire(self) -> bool:
         """End what the store has lacked for too long since its restoration.
 
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -107,6 +107,8 @@
         apply_proofs(self._deps.cluster, reply.proofs, sent_at)
         apply_commit_reports(self._deps.cluster, reply.commits)
         self.follow(reply)
+        if self._deps.evacuations:
+            self._deps.evacuations.confirm(sent_at)
         return True
 
     def follow(self, exchange: Exchange) -> None:
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -8,6 +8,7 @@
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
+from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.node_state import NodeState
@@ -46,7 +47,7 @@
     runner = ConnectionRunner(
         connector=state.connector,
         metrics=runtime.metrics,
-        is_closed=state.cluster.evacuated.ends_transactions,
+        guard=SendGuard(state.cluster.evacuated),
     )
     return LocalExecutor(
         pool=state.pool,
