A node excludes all endpoints until it has listed the evacuations; tests of each check

Cause: removing a check left the tests green where another check stands behind it (entry, gateway, readiness, relay). A session that waits 1.5 s for a node that has listed endpoints but not evacuations was opened, and its statements would have run. Change: until the first listing every endpoint is excluded; a gateway declines meanwhile. The stand-in of the store can be silent about some kinds only.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -41,7 +41,9 @@
     {'name': SERVICE, 'max_connections': MAX_CONNECTIONS, 'sync_replicas': 1}
 ]
 # Nodes of which two in each region watch the store.
-MANY_NODES = 15
+MANY_NODES = 30
+SPREAD_S = 0.02
+TOLD_AT_ONCE = 27
 LONG_LIMITS = {'header_timeout_ms': 3000, 'tx_idle_ms': 30000}
 
 
@@ -288,16 +290,49 @@
 
 @with_virtual_clock
 async def test_node_is_ready_before_it_has_listed_the_evacuations() -> None:
-    async with evacuating_stack() as stack:
-        evacuate(stack, PATAN)
+    """Guards against a node that serves before it knows what is evacuated."""
+    async with evacuating_stack(under_load=False) as stack:
+        evacuate(stack, LAKESIDE)
         await sleep(BOUND_S)
         running = await stack.start_node('node-3')
-        running.store.faults.silent = True
+        running.store.faults.silent_kinds = (EVACUATION_KIND,)
+        before = received(stack, stack.group.endpoints)
         await sleep(3)
         assert not running.node.ready
-        running.store.faults.silent = False
+        assert await failover.write(stack, 'early', 'node-3') == 'BUSY'
+        assert received(stack, stack.group.endpoints) == before
+        running.store.faults.silent_kinds = ()
         await sleep(4)
         assert running.node.ready
+        assert not await failover.write(stack, 'later', 'node-3')
+
+
+@asynccontextmanager
+async def gateway_stack() -> AsyncIterator[WireStack]:
+    """Run nodes that have to share few connections."""
+    async with evacuating_stack(nodes=NODES, under_load=False) as stack:
+        for endpoint in stack.group.endpoints.values():
+            endpoint.faults.max_connections = MAX_CONNECTIONS
+        declared = make_declaration(9, services=FEW_CONNECTIONS)
+        stack.store_state.put('config', 'main', declared)
+        await sleep(BOUND_S)
+        yield stack
+
+
+@with_virtual_clock
+async def test_gateway_that_knows_no_evacuations_refuses_statements() -> None:
+    """Guards against refusals while another gateway could stand in."""
+    async with gateway_stack() as stack:
+        names = [f'node-{number}' for number in range(6)]
+        for name in names:
+            stack.kill_node(name)
+        for restarted in names[:3]:
+            running = await stack.start_node(restarted)
+            running.store.faults.silent_kinds = (EVACUATION_KIND,)
+        await sleep(BOUND_S)
+        for number in range(12):
+            name = f'node-{6 + number % 3}'
+            assert not await failover.write(stack, f'mark-{number}', name)
 
 
 @with_virtual_clock
@@ -463,20 +498,14 @@
 async def test_statements_reach_an_evacuated_endpoint_through_a_gateway() -> (
     None
 ):
-    async with evacuating_stack(nodes=NODES, under_load=False) as stack:
-        for endpoint in stack.group.endpoints.values():
-            endpoint.faults.max_connections = MAX_CONNECTIONS
-        declared = make_declaration(9, services=FEW_CONNECTIONS)
-        stack.store_state.put('config', 'main', declared)
+    async with gateway_stack() as stack, open_nursery() as nursery:
+        await Load(stack).run(nursery)
+        await sleep(2)
+        evacuate(stack, PATAN)
         await sleep(BOUND_S)
-        async with open_nursery() as nursery:
-            await Load(stack).run(nursery)
-            await sleep(2)
-            evacuate(stack, PATAN)
-            await sleep(BOUND_S)
-            await expect_nothing(stack, IN_PATAN)
-            await expect_served(stack)
-            nursery.cancel_scope.cancel()
+        await expect_nothing(stack, IN_PATAN)
+        await expect_served(stack)
+        nursery.cancel_scope.cancel()
 
 
 @with_virtual_clock
@@ -510,6 +539,9 @@
     ) as stack:
         await sleep(RECORDED_S)
         evacuate(stack, LAKESIDE)
+        # Sooner than the exchanges of each node with another one.
+        await sleep(SPREAD_S)
+        assert log.count('evacuation_began') >= TOLD_AT_ONCE
         await sleep(SOON_S)
         assert log.count('evacuation_began') == MANY_NODES
         stack.store_state.remove(EVACUATION_KIND, LAKESIDE)
--- a/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
@@ -76,6 +76,11 @@
         """Names of the evacuated data centres, sorted."""
         return tuple(sorted(self._began_at))
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the evacuations were listed, or there can be none."""
+        return self._was_read or math.isinf(self._timeout_s)
+
     def contains(self, data_centre: str) -> bool:
         """Return whether a data centre is evacuated.
 
@@ -95,7 +100,12 @@
             data_centre: name of the data centre.
             now: time in seconds.
 
+        Returns:
+            True for any before the first listing.
+
         """
+        if not self.is_known:
+            return True
         began_at = self._began_at.get(data_centre)
         if began_at is None:
             return False
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -96,9 +96,7 @@
             client=self.state.client,
         )
         executor = make_local_executor(self.state)
-        self.gateway = make_gateway_server(
-            self.state, executor, lambda: self.store_sync.evacuations_listed
-        )
+        self.gateway = make_gateway_server(self.state, executor)
         self.enforcer = make_enforcer(
             self._evacuations, self.state, executor.end_transactions
         )
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -1,7 +1,5 @@
 """Connects the components that run clients' statements on a node."""
 
-from collections.abc import Callable
-
 from trio import current_time
 
 from trefoilhitch.pooler.admission import Admission
@@ -61,17 +59,13 @@
 
 
 def make_gateway_server(
-    state: NodeState,
-    executor: LocalExecutor,
-    knows_evacuations: Callable[[], bool],
+    state: NodeState, executor: LocalExecutor
 ) -> GatewayServer:
     """Create the part of a node that serves other nodes' statements.
 
     Args:
         state: state of the node.
         executor: executor on this node's connections.
-        knows_evacuations: returns whether this node knows which data centres
-            are evacuated.
 
     Returns:
         The server.
@@ -80,7 +74,8 @@
     return GatewayServer(
         executor=executor,
         accepts=lambda endpoint: (
-            knows_evacuations() and state.gateways.holds_connections(endpoint)
+            state.cluster.evacuated.data_centres.is_known
+            and state.gateways.holds_connections(endpoint)
         ),
         idle_limit_s=lambda: state.declaration.limits.transaction_idle_s,
         log=state.runtime.log,
--- a/trefoilhitch_lab/platform_store.py
+++ b/trefoilhitch_lab/platform_store.py
@@ -32,6 +32,7 @@
             only after `late_command_delay_s`, when the client has timed out.
         late_command_delay_s: delay of a late command, in seconds.
         silent_watches: watches report no changes.
+        silent_kinds: kinds of objects about which nothing is answered.
 
     """
 
@@ -42,6 +43,7 @@
     late_commands: int = 0
     late_command_delay_s: float = 3
     silent_watches: bool = False
+    silent_kinds: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,11 +195,11 @@
     async def _respond(self, req: HttpRequest) -> HttpResponse:
         self.request_counts[req.method] += 1
         await sleep(self.faults.delay_s)
-        if self.faults.silent:
+        kind, _, name = req.path.removeprefix(_ROOT).partition('/')
+        if self.faults.silent or kind in self.faults.silent_kinds:
             await sleep_forever()
         if self.faults.outage:
             return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE)
-        kind, _, name = req.path.removeprefix(_ROOT).partition('/')
         if 'watch' in req.query:
             return await self._watch(kind, req.query)
         if req.method != 'GET':
