--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
@@ -24,13 +25,19 @@
     Args:
         connector: builds the pooler's own statements.
         metrics: counts the pooler's own statements.
+        guard: checks whether an endpoint may be sent statements.
 
     """
 
     def __init__(
-        self, *, connector: EndpointConnector, metrics: Metrics
+        self,
+        *,
+        connector: EndpointConnector,
+        metrics: Metrics,
+        guard: SendGuard,
     ) -> None:
         """Store the dependencies."""
+        self._guard = guard
         self._connector = connector
         self._metrics = metrics
 
@@ -54,9 +61,13 @@
 
         Raises:
             EndpointConnectionError: the response did not arrive completely.
+            EndpointEvacuatedError: the endpoint is evacuated; the statement
+                was not sent.
 
         """
-        await self._apply_variables(conn, variables, deadline)
+        await self._guard.check(conn.conn.endpoint)
+        if await self._apply_variables(conn, variables, deadline):
+            await self._guard.check(conn.conn.endpoint)
         commands = [self._command(request)]
         preparation = self._preparation(conn, request.prepared)
         if request.requires_primary_proof:
@@ -76,15 +87,19 @@
         conn: PooledConnection,
         variables: Mapping[str, str],
         deadline: float,
-    ) -> None:
+    ) -> bool:
         """Set the variables of a connection to those of a session.
 
         No statement of the session is sent before this succeeds, so a failure
         here never runs a statement with the wrong variables.
+
+        Returns:
+            Whether anything had to be sent for it.
+
         """
         change = variable_change(conn.variables, variables)
         if change.is_empty:
-            return
+            return False
         commands = [
             self._connector.set_variable(name, text)
             for name, text in change.assignments.items()
@@ -105,6 +120,7 @@
                 ResponseLoss.NOT_SENT, 'session variables were refused'
             )
         conn.variables = dict(variables)
+        return True
 
     def _preparation(
         self, conn: PooledConnection, prepared: PreparedStatement | None
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -107,6 +107,8 @@
         apply_proofs(self._deps.cluster, reply.proofs, sent_at)
         apply_commit_reports(self._deps.cluster, reply.commits)
         self.follow(reply)
+        if self._deps.evacuations:
+            self._deps.evacuations.confirm(sent_at)
         return True
 
     def follow(self, exchange: Exchange) -> None:
@@ -117,6 +119,9 @@
 
         """
         self._deps.store_era.observe(exchange.store_era, 'peer')
+        evacuations = self._deps.evacuations
+        if evacuations and evacuations.merge(exchange.evacuations):
+            self.start_spreading(from_store=False)
         if not exchange.beats:
             return
         sender = exchange.beats[0]
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -12,6 +12,7 @@
     GuardedBreakers,
 )
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
+from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.node_state import NodeState
@@ -52,7 +53,9 @@
         by_priority=options.scheduling.rates_by_priority,
     )
     runner = ConnectionRunner(
-        connector=state.connector, metrics=runtime.metrics
+        connector=state.connector,
+        metrics=runtime.metrics,
+        guard=SendGuard(state.cluster.evacuated),
     )
     return LocalExecutor(
         pool=state.pool,
@@ -61,6 +64,7 @@
         has_left=lambda endpoint: state.cluster.endpoints.has_left(
             endpoint, current_time()
         ),
+        evacuated=state.cluster.evacuated,
     )
 
 
@@ -79,7 +83,10 @@
     """
     return GatewayServer(
         executor=executor,
-        accepts=state.gateways.holds_connections,
+        accepts=lambda endpoint: (
+            state.cluster.evacuated.data_centres.is_known
+            and state.gateways.holds_connections(endpoint)
+        ),
         idle_limit_s=lambda: state.declaration.limits.transaction_idle_s,
         log=state.runtime.log,
     )
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -23,7 +23,7 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse, RequestHandler
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.platform.program import make_external_services
+from trefoilhitch.platform.external_services import make_external_services
 from trefoilhitch.platform.wire_server import WireServer
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.node import PoolerNode
@@ -146,11 +146,18 @@
         nursery: runs all servers and nodes.
         seed: seed of all random choices.
         log: log of the nodes.
+        evacuation_timeout_s: time after which no statement may reach an
+            evacuated data centre, in seconds; None without evacuations.
 
     """
 
     def __init__(
-        self, nursery: Nursery, *, seed: int, log: DecisionLog
+        self,
+        nursery: Nursery,
+        *,
+        seed: int,
+        log: DecisionLog,
+        evacuation_timeout_s: float | None = None,
     ) -> None:
         """Prepare the stack; `start` starts it."""
         self.store_state = StoreState()
@@ -166,6 +173,7 @@
         self._nursery = nursery
         self._random = Random(seed)
         self._log = log
+        self._evacuation_timeout_s = evacuation_timeout_s
         self._promotion_address = ''
         self._start_count = 0
         self._ports: dict[str, tuple[int, int]] = {}
@@ -338,6 +346,7 @@
             rate_rule=RATE_RULE,
             capacity=self.capacities.get(name, 0),
             options=self.options,
+            evacuation_timeout_s=self._evacuation_timeout_s,
         )
 
 
@@ -393,6 +402,7 @@
     log: DecisionLog | None = None,
     options: PoolerOptions | None = None,
     capacities: Mapping[str, int] | None = None,
+    evacuation_timeout_s: float | None = None,
 ) -> AsyncIterator[WireStack]:
     """Run a stack, and stop it at the end of the block.
 
@@ -404,13 +414,20 @@
             options file.
         capacities: capacities of VMs by node, in thousandths of a core; by
             default they are unknown.
+        evacuation_timeout_s: time after which no statement may reach an
+            evacuated data centre, in seconds; None without evacuations.
 
     Yields:
         The stack with all nodes ready.
 
     """
     async with open_nursery() as nursery:
-        stack = WireStack(nursery, seed=seed, log=log or NullLog())
+        stack = WireStack(
+            nursery,
+            seed=seed,
+            log=log or NullLog(),
+            evacuation_timeout_s=evacuation_timeout_s,
+        )
         stack.options = options or stack.options
         stack.capacities = capacities or stack.capacities
         await stack.start(nodes=nodes)
