Several nodes stand in for few strong gateways; a gateway that accepts no connections is left

Fewer gateways leave fewer on each side, and statements on open connections into the other side wait until their deadlines.

Change: with gateways by capacity, the other nodes that would be gateways without it stand in, three at least, with two connections each; organisations are divided among them. The gateways' parts shrink by as many connections. A gateway that accepts no connections is left although some are open. Up to three gateways are tried.

Measured: test_few_strong_gateways_have_several_stand_ins (fails before: three candidates of eight; parts stay below the limit).

--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -20,6 +20,8 @@
     GatewayDirectory,
 )
 from trefoilhitch.pooler.gateway_placement import (
+    BACKUP_CONNECTIONS,
+    RESERVED_CONTROL_CONNECTIONS,
     Capacity,
     choose_gateways,
     choose_strong_gateways,
@@ -227,6 +229,25 @@
         assert sum(caps) <= connections
 
 
+@pytest.mark.parametrize('connections', [70, 132])
+def test_few_strong_gateways_have_several_stand_ins(connections: int) -> None:
+    # A partition separates a node from two gateways more often than from
+    # four or more nodes.
+    chosen = choose_strong_gateways('dc-0', unequal(), connections)
+    before = choose_gateways('dc-0', nodes(20), connections)
+    ranked = chosen.rank('himal')
+    assert len(ranked) >= max(5, len(before.rank('himal')))
+    caps = [chosen.connection_cap(each.node, connections) for each in ranked]
+    assert sum(caps) <= connections - RESERVED_CONTROL_CONNECTIONS
+    assert min(caps) >= BACKUP_CONNECTIONS
+
+
+def test_stand_ins_share_the_organisations() -> None:
+    chosen = choose_strong_gateways('dc-0', unequal(), 132)
+    first = {chosen.rank(f'org-{number}')[2].node for number in range(50)}
+    assert len(first) > 1
+
+
 def test_single_strong_node_shares_with_another() -> None:
     members = [each for each in unequal() if not each.node.endswith('-1')]
     chosen = choose_strong_gateways('dc-0', members, 70)
--- a/trefoilhitch/pooler/control/gateway_breakers.py
+++ b/trefoilhitch/pooler/control/gateway_breakers.py
@@ -60,8 +60,8 @@
 class GuardedBreakers:
     """Follow what all requests of this node found out about a gateway.
 
-    A gateway that accepts no new connections goes on serving on those that it
-    has, so that its organisations keep their rate and their connections.
+    A gateway that accepts no new connections is left, even if some are open:
+    behind a partition, statements on these would wait until their deadlines.
 
     Args:
         client: sends requests to other nodes.
@@ -74,7 +74,7 @@
 
     def may_attempt(self, gateway: MemberBeat) -> bool:
         """Return whether the gateway may be tried; see `GatewayBreakers`."""
-        return self._client.may_reach(gateway.address)
+        return self._client.accepts_connections(gateway.address)
 
     def record_failure(self, gateway: MemberBeat) -> None:
         """Ignore a failure, which the client records itself."""
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -29,8 +29,9 @@
     StatementResult,
 )
 
-# A gateway that is leaving or was lost is replaced by the next one.
-MAX_GATEWAYS_TRIED = 2
+# A gateway that is leaving or was lost is replaced by the next one. Those that
+# are known to accept no connections are not counted.
+MAX_GATEWAYS_TRIED = 3
 # Time that the response of a gateway may take beyond the endpoint's deadline.
 RESPONSE_MARGIN_S = 0.1
 ABANDON_TIMEOUT_S = 0.5
--- a/trefoilhitch/pooler/gateway_placement.py
+++ b/trefoilhitch/pooler/gateway_placement.py
@@ -40,6 +40,8 @@
 # Gateways of a data centre with one VM that is stronger than all others, so
 # that another one holds connections when that is lost.
 MIN_STRONG_GATEWAYS = 2
+# Least number of nodes that stand in for few strong gateways.
+MIN_BACKUPS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +89,7 @@
 
     Args:
         gateways: the gateways.
-        backup: the node that stands in for one which does not answer, if
-            there is one.
+        backup: the nodes that stand in for one which does not answer.
         by_capacity: whether organisations are divided by capacity.
 
     """
@@ -108,7 +109,10 @@
 
         """
         rank = rank_weighted if self.by_capacity else rank_by_name
-        return (*rank(organisation, self.gateways), *self.backup)
+        return (
+            *rank(organisation, self.gateways),
+            *rank_by_name(organisation, self.backup),
+        )
 
     def connection_cap(self, node: str, connections: int) -> int:
         """Return how many connections a node may hold to one endpoint.
@@ -122,7 +126,8 @@
 
         """
         if node in {each.node for each in self.gateways}:
-            return gateway_share(connections, len(self.gateways))
+            further = max(0, len(self.backup) - 1) * BACKUP_CONNECTIONS
+            return gateway_share(connections - further, len(self.gateways))
         if node in {each.node for each in self.backup}:
             return BACKUP_CONNECTIONS
         return 0
@@ -203,13 +208,13 @@
     if not do_capacities_differ(local):
         return choose_gateways(data_centre, local, connections)
     ranked = rank_strong_first(f'gateway/{data_centre}', local)
-    count = min(
-        gateway_count(connections, len(local)),
-        max(MIN_STRONG_GATEWAYS, strong_count(local)),
-    )
+    largest_count = gateway_count(connections, len(local))
+    count = min(largest_count, max(MIN_STRONG_GATEWAYS, strong_count(local)))
+    # A partition may separate a node from all of a few gateways.
+    backup_count = max(MIN_BACKUPS, largest_count + 1 - count)
     return GatewaySet(
         tuple(ranked[:count]),
-        backup=tuple(ranked[count : count + 1]),
+        backup=tuple(ranked[count : count + backup_count]),
         by_capacity=True,
     )
 
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -9,6 +9,7 @@
     make_client,
     make_statuses,
 )
+from trefoilhitch.pooler.control.status_source import StatusSource
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.endpoint_control import EndpointControl
@@ -75,7 +76,7 @@
         self.leases = _make_lease_observer(cfg, self.state, external)
         self._evacuations = make_evacuations(cfg, self.state)
         self.store_sync = self._make_store_sync()
-        self.statuses = make_statuses(cfg, self.state, self._service_of)
+        self._statuses = make_statuses(cfg, self.state, self._service_of)
         self.confirmer = self._make_confirmer()
         self._declarations = DeclarationSync(
             declaration=self.state.declaration,
@@ -108,6 +109,11 @@
         )
         self.peer_handler = self._make_peer_handler()
 
+    @property
+    def statuses(self) -> StatusSource:
+        """Source of endpoints' statuses."""
+        return self._statuses
+
     def sync_replicas(self, service: str) -> int:
         """Return how many replicas hold a commit before it is acknowledged.
 
@@ -162,7 +168,7 @@
             leases=self.leases,
             proofs=self._proofs,
             declarations=self._declarations,
-            statuses=self.statuses,
+            statuses=self._statuses,
         )
         return PeerRequestHandler(self._peer_deps, services)
 
@@ -178,7 +184,7 @@
     def _make_confirmer(self) -> PrimaryConfirmer:
         return PrimaryConfirmer(
             cluster=self.state.cluster,
-            request_status=self.statuses.request,
+            request_status=self._statuses.request,
             sync_replicas=self.sync_replicas,
             log=self._runtime.log,
         )
--- a/trefoilhitch/pooler/peer_client.py
+++ b/trefoilhitch/pooler/peer_client.py
@@ -76,6 +76,19 @@
         """Whether requests to nodes that accept no connections fail at once."""
         return self._guard is not None
 
+    def accepts_connections(self, address: str) -> bool:
+        """Return whether a node may accept a connection.
+
+        Args:
+            address: peer address of the node.
+
+        Returns:
+            False if it is known to accept none. Those that are open may then
+            be cut off as well, which shows only when a response is missing.
+
+        """
+        return self._guard is None or self._guard.accepts(address)
+
     def may_reach(self, address: str) -> bool:
         """Return whether a request to a node may be sent at the moment.
 
@@ -87,7 +100,7 @@
             idle.
 
         """
-        if self._guard is None or self._guard.accepts(address):
+        if self.accepts_connections(address):
             return True
         return self._http_client(address).has_idle()
 
