--- a/tests/test_control_requests.py
+++ b/tests/test_control_requests.py
@@ -14,13 +14,16 @@
 from tests.test_gateways import NODES, declaration
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.options import PoolerOptions
-from trefoilhitch._generated.peer import LeaseViewReply, MemberBeat
+from trefoilhitch._generated.peer import LeaseViewReply, MemberBeat, ProofReply
+from trefoilhitch.decision_log import NullLog
+from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.control.probe_pauses import (
     UNPROVED_PAUSE_S,
     ProbePauses,
 )
 from trefoilhitch.pooler.control.relayed_status import STATUS_INTERVAL_S
+from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.lease import LeaseListing
 from trefoilhitch.pooler.lease_view_reader import LeaseViewReader
@@ -28,8 +31,9 @@
 from trefoilhitch.pooler.options import default_options
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmation import may_confirm
+from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 from trefoilhitch_lab.wire_client import wire_client
-from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
+from trefoilhitch_lab.wire_stack import SERVICE, WireStack, running_wire_stack
 
 READ_FOR_S = 4.0
 SESSIONS_PER_NODE = 4
@@ -307,17 +311,18 @@
 class Peers:
     """Other nodes, of which some do not answer."""
 
-    def __init__(self, lost: set[str]) -> None:
+    def __init__(self, lost: set[str], answer: object) -> None:
         """Start without requests."""
         self.lost = lost
+        self.answer = answer
         self.asked: list[str] = []
 
     async def request(
         self, address: str, *args: object, **kwargs: object
-    ) -> LeaseViewReply | None:
-        """Answer with a view."""
+    ) -> object:
+        """Answer without content."""
         self.asked.append(address)
-        return None if address in self.lost else LeaseViewReply(known=True)
+        return None if address in self.lost else self.answer
 
 
 class Leases:
@@ -333,12 +338,11 @@
         return LeaseListing()
 
 
-def read_views(*, enabled: bool) -> tuple[Peers, int]:
-    """Read ten views while the first reader does not answer."""
-    names = [f'edge-{number}' for number in range(8)]
+def ranked_nodes(subject: str) -> tuple[list[MemberBeat], MembershipView]:
+    """Return the nodes of a data centre, and the view of the last one."""
     beats = [
         MemberBeat(
-            node=name,
+            node=f'edge-{number}',
             address=f'10.0.0.{number}:1',
             region='region',
             data_centre='dc',
@@ -346,14 +350,20 @@
             counter=1,
             state='live',
         )
-        for number, name in enumerate(names)
+        for number in range(8)
     ]
-    ranked = rank_by_name('leases', beats)
+    ranked = rank_by_name(subject, beats)
     membership = MembershipView(
         heartbeat=ranked[-1], random=Random(0), clock=float
     )
     membership.merge(beats)
-    peers = Peers({ranked[0].address})
+    return ranked, membership
+
+
+def read_views(*, enabled: bool) -> tuple[Peers, int]:
+    """Read ten views while the first reader does not answer."""
+    ranked, membership = ranked_nodes('leases')
+    peers = Peers({ranked[0].address}, LeaseViewReply(known=True))
     store = Leases()
     client: Any = peers
     leases: Any = store
@@ -390,3 +400,45 @@
     peers, listings = read_views(enabled=False)
     assert set(peers.asked) == peers.lost
     assert listings == 10
+
+
+def fetch_proofs(*, enabled: bool) -> Counter[str]:
+    """Fetch ten proofs while the first source does not answer."""
+    ranked, membership = ranked_nodes(f'proof/{SERVICE}')
+    peers = Peers({ranked[0].address}, ProofReply(proofs=[]))
+    client: Any = peers
+
+    async def scenario() -> None:
+        cluster = ClusterState(
+            selector=EndpointSelector(
+                data_centre='dc', regions={'dc': 'region'}
+            ),
+            log=NullLog(),
+            clock=current_time,
+            drain_timeout_s=1,
+        )
+        fetcher = ProofFetcher(
+            cluster=cluster,
+            membership=membership,
+            client=client,
+            asked=AskedNodes.with_backoff(
+                Random(0), trial_s=0.3, enabled=enabled
+            ),
+        )
+        for _ in range(10):
+            await fetcher.ensure_recent(SERVICE, current_time() + 1)
+            await sleep(0.1)
+
+    run_virtual(scenario)
+    by_address = {each.address: number for number, each in enumerate(ranked)}
+    return Counter(f'source-{by_address[each]}' for each in peers.asked)
+
+
+def test_proof_comes_from_the_next_source() -> None:
+    asked = fetch_proofs(enabled=True)
+    assert set(asked) == {'source-0', 'source-1'}
+    assert asked['source-0'] <= 4
+
+
+def test_lost_source_is_asked_each_time_with_the_option_off() -> None:
+    assert fetch_proofs(enabled=False) == {'source-0': 10}
