Statements wait for their turn at an endpoint, by priority

Cause: a node sends as many statements to an endpoint as it has connections. The endpoint runs a few of them at a time and serves the others in the order of arrival, so that a flood of the least urgent kind delays the most urgent one.

Change: the package trefoilhitch/pooler/scheduling decides which statements are sent, wait or are refused. The statements in flight are limited by the node's part of the endpoint's slots at first, then by how response times compare with the usual ones of their kind. Statements wait by priority, in turns of organisations, then by deadline; one turn in eight goes to lower priorities. What cannot be answered by its deadline is refused as not sent, before a token of the rate is spent on it; less urgent statements that become too late when a more urgent one arrives are displaced. Statements of open transactions count, but never wait. Control requests precede statements in the wait for a connection, and run on any connection. StatementJob.priority comes from the route and is sent on in RunRequest.priority. `scheduling.statements_by_priority = no` turns all of it off.

--- a/trefoilhitch/fair_queue.py
+++ b/trefoilhitch/fair_queue.py
@@ -1,7 +1,8 @@
 """Fair queue: deficit round robin by organisation, bounded by deadlines."""
 
+from bisect import insort
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 QUANTUM = 1.0
@@ -14,11 +15,13 @@
     Args:
         organisation: organisation that the request is made for.
         deadline: monotonic time by which the request has to start.
+        priority: priority, of which 0 is the highest for statements.
 
     """
 
     organisation: str
     deadline: float
+    priority: int = 0
 
 
 @dataclass(slots=True)
@@ -33,11 +36,18 @@
     Args:
         weights: weight by organisation; one that is not listed gets the
             lowest weight.
+        by_deadline: whether the requests of one organisation are ordered by
+            deadline instead of arrival. An organisation of which none waited
+            then gets its first turn in the current round.
 
     """
 
-    def __init__(self, *, weights: Mapping[str, float]) -> None:
+    def __init__(
+        self, *, weights: Mapping[str, float], by_deadline: bool = False
+    ) -> None:
         """Start empty."""
+        self._by_deadline = by_deadline
+        self._first_deficit = QUANTUM if by_deadline else 0
         self._weights = dict(weights)
         self._max_weight = max(weights.values(), default=QUANTUM)
         self._min_weight = min(weights.values(), default=QUANTUM)
@@ -49,7 +59,7 @@
         return sum(len(queue.pending) for queue in self._queues.values())
 
     def push(self, req: QueuedRequest) -> None:
-        """Add a request at the end of its organisation's queue.
+        """Add a request to its organisation's queue.
 
         Args:
             req: request to add.
@@ -57,10 +67,13 @@
         """
         queue = self._queues.get(req.organisation)
         if queue is None:
-            queue = _OrganisationQueue()
+            queue = _OrganisationQueue(deficit=self._first_deficit)
             self._queues[req.organisation] = queue
             self._rotation.append(req.organisation)
-        queue.pending.append(req)
+        if self._by_deadline:
+            insort(queue.pending, req, key=_deadline)
+        else:
+            queue.pending.append(req)
 
     def discard(self, req: QueuedRequest) -> None:
         """Remove a request that no longer waits.
@@ -112,6 +125,45 @@
         self._remove_if_empty(organisation)
         return req
 
+    def pop_ready(
+        self, is_ready: Callable[[str], bool], now: float
+    ) -> QueuedRequest | None:
+        """Remove and return the next request of an organisation that is ready.
+
+        The organisation's next turn comes after those of the others.
+
+        Args:
+            is_ready: returns whether an organisation is ready.
+            now: monotonic time; requests past their deadline are discarded.
+
+        Returns:
+            The request, None if no organisation with one is ready.
+
+        """
+        ready = [name for name in self._rotation if is_ready(name)]
+        for organisation in ready:
+            req = self.pop_for(organisation, now)
+            if organisation in self._queues:
+                self._rotation.remove(organisation)
+                self._rotation.append(organisation)
+            if req is not None:
+                return req
+        return None
+
+    def last(self) -> QueuedRequest | None:
+        """Return the last request of the organisation with the most requests.
+
+        Returns:
+            The request, which stays in the queue; None if the queue is empty.
+
+        """
+        longest = max(
+            self._queues.values(),
+            key=lambda queue: len(queue.pending),
+            default=None,
+        )
+        return longest.pending[-1] if longest else None
+
     def estimate_ahead(self, organisation: str) -> float:
         """Estimate how many requests start before a new one of an organisation.
 
@@ -165,3 +217,7 @@
 def _discard_expired(queue: _OrganisationQueue, now: float) -> None:
     while queue.pending and queue.pending[0].deadline <= now:
         queue.pending.popleft()
+
+
+def _deadline(req: QueuedRequest) -> float:
+    return req.deadline
--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -1,7 +1,9 @@
 """Metrics: counters and latency histograms, in the Prometheus text format."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from operator import attrgetter
 
 from hdrh.histogram import HdrHistogram
 
@@ -14,12 +16,36 @@
 _PERCENT = 100
 
 
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is read when the metrics are requested.
+
+    Args:
+        name: name of the metric.
+        number: the value.
+        label_name: name of its label, empty for none.
+        label: value of its label.
+
+    """
+
+    name: str
+    number: float
+    label_name: str = ''
+    label: str = ''
+
+    @property
+    def labels(self) -> str:
+        """Its label in the Prometheus text format."""
+        return f'{{{self.label_name}="{self.label}"}}' if self.label else ''
+
+
 class Metrics:
     """Counts requests and measures how long they take."""
 
     def __init__(self) -> None:
         """Start from zero."""
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._gauge_sources: list[Callable[[], Iterable[Gauge]]] = []
         self._latency = HdrHistogram(
             MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS
         )
@@ -45,6 +71,15 @@
         """
         self._counters[name, label] += amount
 
+    def add_gauges(self, source: Callable[[], Iterable[Gauge]]) -> None:
+        """Add a source of gauges.
+
+        Args:
+            source: called each time the metrics are requested.
+
+        """
+        self._gauge_sources.append(source)
+
     def observe(self, seconds: float) -> None:
         """Record how long a request took.
 
@@ -102,6 +137,7 @@
                 previous_name = name
             labels = f'{{kind="{label}"}}' if label else ''
             yield f'trefoilhitch_{name}_total{labels} {count}'
+        yield from self._gauge_lines()
         yield '# TYPE trefoilhitch_request_seconds summary'
         for quantile in QUANTILES:
             seconds = self.latency_ms(quantile) / _US_PER_MS
@@ -109,3 +145,12 @@
             yield f'trefoilhitch_request_seconds{labels} {seconds}'
         total = self._latency.get_total_count()
         yield f'trefoilhitch_request_seconds_count {total}'
+
+    def _gauge_lines(self) -> Iterator[str]:
+        gauges = [gauge for source in self._gauge_sources for gauge in source()]
+        previous_name = ''
+        for gauge in sorted(gauges, key=attrgetter('name', 'label')):
+            if gauge.name != previous_name:
+                yield f'# TYPE trefoilhitch_{gauge.name} gauge'
+                previous_name = gauge.name
+            yield f'trefoilhitch_{gauge.name}{gauge.labels} {gauge.number}'
--- a/trefoilhitch/pooler/connection_caps.py
+++ b/trefoilhitch/pooler/connection_caps.py
@@ -1,5 +1,7 @@
 """Caps on the number of connections from this node to each endpoint."""
 
+from math import ceil
+
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.connection_share import (
     ConnectionHolders,
@@ -9,6 +11,7 @@
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.gateway_placement import RESERVED_CONTROL_CONNECTIONS
 from trefoilhitch.pooler.membership_view import MembershipView
+from trefoilhitch.pooler.scheduling.concurrency_limit import SlotBounds
 
 
 class ConnectionCaps:
@@ -68,6 +71,30 @@
             is_primary=self._cluster.primary(record.service) == endpoint,
         )
 
+    def slot_bounds(self, endpoint: str) -> SlotBounds:
+        """Return what this node may use of an endpoint.
+
+        Its part of the slots is that of the connections, rounded up, so that
+        all nodes together can use all slots.
+
+        Args:
+            endpoint: endpoint id.
+
+        Returns:
+            The bounds; one slot without a declared number of slots.
+
+        """
+        cap = self.cap(endpoint)
+        record = self._cluster.find(endpoint)
+        catalogue = self._declaration.catalogue
+        service = None
+        if record is not None and catalogue is not None:
+            service = catalogue.services.get(record.service)
+        if record is None or service is None or record.slots <= 0:
+            return SlotBounds(1, cap)
+        connections = max(1, service.max_connections)
+        return SlotBounds(ceil(record.slots * cap / connections), cap)
+
     def _holders(self, data_centre: str) -> ConnectionHolders:
         data_centres = [
             heartbeat.data_centre
--- a/trefoilhitch/pooler/connection_pool.py
+++ b/trefoilhitch/pooler/connection_pool.py
@@ -8,7 +8,10 @@
 
 from trefoilhitch.fair_queue import QueuedRequest
 from trefoilhitch.metrics import Metrics
-from trefoilhitch.pooler.endpoint_connection_pool import EndpointConnectionPool
+from trefoilhitch.pooler.endpoint_connection_pool import (
+    CONTROL_PRIORITY,
+    EndpointConnectionPool,
+)
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
@@ -39,6 +42,7 @@
     endpoint: str
     organisation: str
     deadline: float
+    priority: int
 
 
 @dataclass(slots=True)
@@ -54,6 +58,7 @@
         connector: opens connections.
         cap: returns how many connections this node may hold to an endpoint.
         metrics: counts opened connections.
+        by_priority: whether requests that wait are ordered by priority.
 
     """
 
@@ -63,8 +68,10 @@
         connector: EndpointConnector,
         cap: Callable[[str], int],
         metrics: Metrics,
+        by_priority: bool = False,
     ) -> None:
         """Start without connections."""
+        self._by_priority = by_priority
         self._connector = connector
         self._cap = cap
         self._metrics = metrics
@@ -78,6 +85,7 @@
         organisation: str,
         variables: Mapping[str, str],
         deadline: float,
+        priority: int = 0,
     ) -> PooledConnection:
         """Acquire a connection.
 
@@ -86,6 +94,7 @@
             organisation: organisation whose statements will run on it.
             variables: session variables that it should preferably have set.
             deadline: monotonic time.
+            priority: priority, of which 0 is the highest for statements.
 
         Returns:
             The connection; it has to be released.
@@ -99,7 +108,12 @@
         endpoint_pool = self._endpoint_pools.setdefault(
             endpoint, EndpointConnectionPool()
         )
-        request = _Request(endpoint, organisation, deadline)
+        request = _Request(
+            endpoint,
+            organisation,
+            deadline,
+            priority if self._by_priority else 0,
+        )
         conn = endpoint_pool.take_idle(organisation, variables)
         if conn is None and not endpoint_pool.reserve(
             organisation, self._cap(endpoint)
@@ -132,7 +146,25 @@
         if conn is not None:
             conn.taken_at = current_time()
             return conn
-        return await self.acquire(endpoint, CONTROL_ORGANISATION, {}, deadline)
+        return await self.acquire(
+            endpoint, CONTROL_ORGANISATION, {}, deadline, CONTROL_PRIORITY
+        )
+
+    def has_ready(self, endpoint: str, organisation: str) -> bool:
+        """Return whether an organisation needs no other one's connection.
+
+        Args:
+            endpoint: id of the endpoint.
+            organisation: name of the organisation.
+
+        Returns:
+            True if it has an idle connection or one may be opened.
+
+        """
+        endpoint_pool = self._endpoint_pools.get(endpoint)
+        return endpoint_pool is None or endpoint_pool.has_ready(
+            organisation, self._cap(endpoint)
+        )
 
     def release(self, endpoint: str, conn: PooledConnection) -> None:
         """Return a connection to the pool.
@@ -180,7 +212,9 @@
         self, endpoint_pool: EndpointConnectionPool, request: _Request
     ) -> PooledConnection | None:
         """Return a connection, or None if a new one may be opened."""
-        expected_s = endpoint_pool.expected_wait_s(request.organisation)
+        expected_s = endpoint_pool.expected_wait_s(
+            request.organisation, request.priority
+        )
         if current_time() + expected_s > request.deadline:
             # Refused at once, so that the client may go elsewhere.
             self._metrics.count('waits_refused', request.endpoint)
@@ -213,7 +247,7 @@
         deadline: float,
     ) -> QueuedRequest | None:
         """Wait to be served; return None if it takes too long."""
-        queued = QueuedRequest(request.organisation, deadline)
+        queued = QueuedRequest(request.organisation, deadline, request.priority)
         waiter = _Waiter()
         self._waiters[queued] = waiter
         endpoint_pool.enqueue(queued, current_time())
--- a/trefoilhitch/pooler/endpoint_connection_pool.py
+++ b/trefoilhitch/pooler/endpoint_connection_pool.py
@@ -5,15 +5,17 @@
 endpoint as much as running a statement. So a released connection goes to a
 waiter of the same organisation, unless it has been used often enough to repay
 the cost of opening it and other organisations have waited for too long.
+Requests of nodes themselves come first, and run on any connection.
 """
 
 from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from trefoilhitch.fair_queue import FairQueue, QueuedRequest
+from trefoilhitch.fair_queue import QueuedRequest
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.scheduling.priority_queue import PriorityQueue
 from trefoilhitch.pooler.wait_estimate import WaitEstimate
 
 # How long waiters of other organisations may be passed over in favour of the
@@ -21,6 +23,8 @@
 MAX_PASSED_OVER_S = 0.1
 # Uses after which the cost of opening a connection is repaid.
 MIN_USES_BEFORE_REASSIGNMENT = 5
+# Priority of requests that nodes send on their own behalf, before statements.
+CONTROL_PRIORITY = -1
 
 
 @dataclass(slots=True)
@@ -38,8 +42,9 @@
     in_use: Counter[str] = field(default_factory=Counter)
     estimate: WaitEstimate = field(default_factory=WaitEstimate)
     _idle: deque[PooledConnection] = field(default_factory=deque)
-    _queue: FairQueue = field(default_factory=lambda: FairQueue(weights={}))
-    _waiting_since: dict[QueuedRequest, float] = field(default_factory=dict)
+    _queue: PriorityQueue = field(
+        default_factory=lambda: PriorityQueue(by_deadline=False)
+    )
     _assigned: dict[QueuedRequest, PooledConnection | None] = field(
         default_factory=dict
     )
@@ -125,21 +130,36 @@
             now: monotonic time.
 
         """
-        self._queue.push(queued)
-        self._waiting_since[queued] = now
+        self._queue.push(queued, now)
 
-    def expected_wait_s(self, organisation: str) -> float:
+    def expected_wait_s(self, organisation: str, priority: int) -> float:
         """Return how long a further request would wait for a connection.
 
         Args:
             organisation: organisation of the request.
+            priority: its priority.
 
         Returns:
             Time in seconds.
 
         """
-        ahead = self._queue.estimate_ahead(organisation)
-        return self.estimate.expected_s(ahead, self.open_count)
+        ahead = self._queue.ahead_of(organisation, priority)
+        return self.estimate.expected_s(ahead.total, self.open_count)
+
+    def has_ready(self, organisation: str, cap: int) -> bool:
+        """Return whether an organisation needs no other one's connection.
+
+        Args:
+            organisation: name of the organisation.
+            cap: maximum number of connections.
+
+        Returns:
+            True if it has an idle connection or one may be opened.
+
+        """
+        return self.open_count < cap or any(
+            pooled.conn.organisation == organisation for pooled in self._idle
+        )
 
     def cancel_wait(self, queued: QueuedRequest) -> None:
         """Remove a waiter from the queue.
@@ -149,7 +169,6 @@
 
         """
         self._queue.discard(queued)
-        self._waiting_since.pop(queued, None)
 
     def take_assigned(self, queued: QueuedRequest) -> PooledConnection | None:
         """Take the connection that was assigned to a waiter.
@@ -187,7 +206,7 @@
         queued = self._next_queued(pooled, now)
         if queued is None:
             self._idle.append(pooled)
-        elif queued.organisation == organisation:
+        elif queued.organisation == organisation or _is_control(queued):
             self._assign(queued, pooled)
         else:
             pooled.conn.close()
@@ -212,7 +231,7 @@
         self.open_count -= 1
         if self.open_count >= cap:
             return None
-        queued = self._pop_queued(now)
+        queued = self._queue.pop(now)
         if queued is not None:
             self.open_count += 1
             self._assign(queued, None)
@@ -225,7 +244,7 @@
             The queued requests, which get no connection.
 
         """
-        waiting = list(self._waiting_since)
+        waiting = self._queue.waiting()
         for queued in waiting:
             self.cancel_wait(queued)
         return waiting
@@ -243,29 +262,29 @@
     def _next_queued(
         self, pooled: PooledConnection, now: float
     ) -> QueuedRequest | None:
-        longest_waiting_since = next(iter(self._waiting_since.values()), now)
+        waiting_s = now - self._queue.oldest_at(now)
         amortised = pooled.uses >= MIN_USES_BEFORE_REASSIGNMENT
-        if not amortised or now - longest_waiting_since < MAX_PASSED_OVER_S:
+        may_prefer = not amortised or waiting_s < MAX_PASSED_OVER_S
+        if may_prefer and CONTROL_PRIORITY not in self._queue.lengths():
             queued = self._queue.pop_for(pooled.conn.organisation, now)
             if queued is not None:
-                self._waiting_since.pop(queued)
                 return queued
-        return self._pop_queued(now)
-
-    def _pop_queued(self, now: float) -> QueuedRequest | None:
-        queued = self._queue.pop(now)
-        if queued is not None:
-            self._waiting_since.pop(queued)
-        return queued
+        return self._queue.pop(now)
 
     def _assign(
         self, queued: QueuedRequest, pooled: PooledConnection | None
     ) -> None:
-        self.in_use[queued.organisation] += 1
-        self._assigned[queued] = pooled
+        holder = queued.organisation
         if pooled is not None:
+            holder = pooled.conn.organisation
             pooled.uses += 1
+        self.in_use[holder] += 1
+        self._assigned[queued] = pooled
 
     def _close(self, pooled: PooledConnection) -> None:
         pooled.conn.close()
         self.open_count -= 1
+
+
+def _is_control(queued: QueuedRequest) -> bool:
+    return queued.priority == CONTROL_PRIORITY
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator, Mapping
 
+from msgspec.structs import replace
 from trio import current_time
 
 from trefoilhitch._generated.peer import (
@@ -147,6 +148,7 @@
             keeps_connection=job.keeps_connection,
             is_admitted=job.is_admitted,
         )
+        message = replace(message, priority=job.priority)
         for gateway in self._candidates(job):
             reply = await send_run(self._client, gateway, message, job.deadline)
             if reply is None:
--- a/trefoilhitch/pooler/gateway_server.py
+++ b/trefoilhitch/pooler/gateway_server.py
@@ -153,6 +153,7 @@
             keeps_connection=message.keeps_connection,
             is_admitted=message.admitted,
             on_admitted=lambda: admitted.append(True),
+            priority=message.priority,
         )
         try:
             started = await self._executor.start(job)
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -25,6 +25,11 @@
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 from trefoilhitch.pooler.rate_shares import RateShares
 from trefoilhitch.pooler.routed_executor import EndpointGateways, RoutedStatus
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    PriorityScheduler,
+    StatementScheduler,
+    UnlimitedScheduler,
+)
 from trefoilhitch.pooler.session_components import (
     make_gateway_server,
     make_local_executor,
@@ -221,6 +226,12 @@
         directory=directory,
     )
     connector = external.make_connector(cluster.find)
+    pool = ConnectionPool(
+        connector=connector,
+        cap=caps.cap,
+        metrics=runtime.metrics,
+        by_priority=cfg.options.scheduling.statements_by_priority,
+    )
     return NodeState(
         declaration=declaration,
         cluster=cluster,
@@ -233,15 +244,30 @@
             directory=directory,
             clock=runtime.clock,
         ),
-        pool=ConnectionPool(
-            connector=connector, cap=caps.cap, metrics=runtime.metrics
-        ),
+        pool=pool,
+        scheduler=_make_scheduler(cfg, runtime, caps, pool),
         connector=connector,
         client=PeerClient(runtime.log),
         runtime=runtime,
     )
 
 
+def _make_scheduler(
+    cfg: PoolerSettings,
+    runtime: NodeRuntime,
+    caps: ConnectionCaps,
+    pool: ConnectionPool,
+) -> StatementScheduler:
+    if not cfg.options.scheduling.statements_by_priority:
+        return UnlimitedScheduler()
+    return PriorityScheduler(
+        bounds=caps.slot_bounds,
+        is_ready=pool.has_ready,
+        log=runtime.log,
+        metrics=runtime.metrics,
+    )
+
+
 def _make_membership(
     cfg: PoolerSettings, runtime: NodeRuntime
 ) -> MembershipView:
--- a/trefoilhitch/pooler/node_state.py
+++ b/trefoilhitch/pooler/node_state.py
@@ -12,6 +12,9 @@
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.ports import EndpointConnector
 from trefoilhitch.pooler.routed_executor import EndpointGateways
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    StatementScheduler,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +29,7 @@
         gateways: finds the gateways to an endpoint.
         rates: this node's shares of rates.
         pool: this node's connections.
+        scheduler: decides when statements are sent on them.
         connector: builds the pooler's own statements.
         client: sends requests to other nodes.
         runtime: log, metrics and clock.
@@ -39,6 +43,17 @@
     gateways: EndpointGateways
     rates: HeldRates
     pool: ConnectionPool
+    scheduler: StatementScheduler
     connector: EndpointConnector
     client: PeerClient
     runtime: NodeRuntime
+
+    def reject_waiters(self, endpoint: str) -> None:
+        """Reject all statements that wait for an endpoint.
+
+        Args:
+            endpoint: id of an unreachable endpoint.
+
+        """
+        self.scheduler.reject_waiters(endpoint)
+        self.pool.reject_waiters(endpoint)
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -48,6 +48,7 @@
         pool=state.pool,
         runner=runner,
         admission=admission,
+        scheduler=state.scheduler,
         has_left=lambda endpoint: state.cluster.endpoints.has_left(
             endpoint, current_time()
         ),
@@ -101,7 +102,7 @@
     )
     failures = EndpointFailures(
         cluster=state.cluster,
-        reject_waiters=state.pool.reject_waiters,
+        reject_waiters=state.reject_waiters,
         log=runtime.log,
         metrics=runtime.metrics,
     )
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol, Self
 
 from trefoilhitch.errors import TrefoilhitchError
@@ -16,6 +17,11 @@
     EndpointUnreachableError,
 )
 from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    StatementScheduler,
+    TurnRequest,
+)
+from trefoilhitch.pooler.scheduling.turn import Turn, run_in_turn
 from trefoilhitch.pooler.statement import Verb
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
@@ -89,6 +95,7 @@
         keeps_connection: whether the connection is kept if it succeeds.
         is_admitted: whether an earlier attempt spent a token for it.
         on_admitted: called when a token was spent for it.
+        priority: priority of its route, of which 0 is the highest.
 
     """
 
@@ -100,6 +107,12 @@
     keeps_connection: bool
     is_admitted: bool
     on_admitted: Callable[[], None]
+    priority: int = 0
+
+    @property
+    def kind(self) -> str:
+        """Kind of the statement; those of a kind take about as long."""
+        return f'{self.priority}/{self.request.kind}'
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +156,8 @@
     Args:
         pool: pool that it belongs to.
         runner: runs statements on it.
-        endpoint: endpoint id.
+        scheduler: counts the statements in flight.
+        job: the first statement of the transaction.
         pooled: the connection.
 
     """
@@ -153,11 +167,14 @@
         *,
         pool: ConnectionPool,
         runner: ConnectionRunner,
-        endpoint: str,
+        scheduler: StatementScheduler,
+        job: StatementJob,
         pooled: PooledConnection,
     ) -> None:
         """Take the connection over."""
-        self.endpoint = endpoint
+        self.endpoint = job.endpoint
+        self._priority = job.priority
+        self._scheduler = scheduler
         self._pool = pool
         self._runner = runner
         self._pooled = pooled
@@ -184,9 +201,12 @@
             EndpointConnectionError: the response did not arrive completely.
 
         """
-        reply = await self._runner.run(
-            self._pooled, variables, request, deadline
+        send = partial(
+            self._runner.run, self._pooled, variables, request, deadline
         )
+        kind = f'{self._priority}/{request.kind}'
+        with self._scheduler.begin_unlimited(self.endpoint, kind) as turn:
+            reply = await run_in_turn(turn, send)
         if reply.response.state == SessionState.IDLE:
             self._end(request.statement.verb)
         return reply
@@ -217,6 +237,7 @@
         pool: pool of endpoint connections.
         runner: runs statements on them.
         admission: spends tokens of the organisations' rates.
+        scheduler: decides when statements are sent.
         has_left: returns whether an endpoint has been leaving for too long.
 
     """
@@ -227,6 +248,7 @@
         pool: ConnectionPool,
         runner: ConnectionRunner,
         admission: Admission,
+        scheduler: StatementScheduler,
         has_left: Callable[[str], bool],
     ) -> None:
         """Store the dependencies."""
@@ -234,30 +256,56 @@
         self._pool = pool
         self._runner = runner
         self._admission = admission
+        self._scheduler = scheduler
 
     async def start(self, job: StatementJob) -> StartedStatement:
         """Run a statement; see `StatementExecutor`."""
-        if self._has_left(job.endpoint):
-            raise ConnectionNotOpenedError('the endpoint has left')
+        self._check_in_service(job)
+        # No token is spent on a statement that could not run in time.
+        self._check_wait(job)
         await self._admit(job)
+        with await self._wait_for_turn(job) as turn:
+            # The endpoint may have left during the wait.
+            self._check_in_service(job)
+            return await self._run(job, turn)
+
+    async def _run(self, job: StatementJob, turn: Turn) -> StartedStatement:
         pooled = await self._acquire(job)
         conn = LocalConnection(
             pool=self._pool,
             runner=self._runner,
-            endpoint=job.endpoint,
+            scheduler=self._scheduler,
+            job=job,
             pooled=pooled,
         )
+        send = partial(
+            self._runner.run, pooled, job.variables, job.request, job.deadline
+        )
         is_kept = False
         try:
-            reply = await self._runner.run(
-                pooled, job.variables, job.request, job.deadline
-            )
+            reply = await run_in_turn(turn, send)
             is_kept = job.keeps_connection and reply.response.ok
         finally:
             if not is_kept:
                 self._pool.release(job.endpoint, pooled)
         return StartedStatement(reply, conn if is_kept else None)
 
+    def _check_in_service(self, job: StatementJob) -> None:
+        if self._has_left(job.endpoint):
+            raise ConnectionNotOpenedError('the endpoint has left')
+
+    def _check_wait(self, job: StatementJob) -> None:
+        try:
+            self._scheduler.check(_turn_request(job))
+        except EndpointConnectionError as exc:
+            raise ConnectionNotOpenedError.from_failure(exc) from exc
+
+    async def _wait_for_turn(self, job: StatementJob) -> Turn:
+        try:
+            return await self._scheduler.acquire(_turn_request(job))
+        except EndpointConnectionError as exc:
+            raise ConnectionNotOpenedError.from_failure(exc) from exc
+
     async def _admit(self, job: StatementJob) -> None:
         if job.is_admitted:
             return
@@ -268,7 +316,17 @@
     async def _acquire(self, job: StatementJob) -> PooledConnection:
         try:
             return await self._pool.acquire(
-                job.endpoint, job.organisation, job.variables, job.deadline
+                job.endpoint,
+                job.organisation,
+                job.variables,
+                job.deadline,
+                job.priority,
             )
         except (EndpointRefusedError, EndpointConnectionError) as exc:
             raise ConnectionNotOpenedError.from_failure(exc) from exc
+
+
+def _turn_request(job: StatementJob) -> TurnRequest:
+    return TurnRequest(
+        job.endpoint, job.organisation, job.priority, job.kind, job.deadline
+    )
--- a/trefoilhitch/pooler/statement_request.py
+++ b/trefoilhitch/pooler/statement_request.py
@@ -27,6 +27,13 @@
     minimum_position: LogPosition | None = None
     requires_primary_proof: bool = False
 
+    @property
+    def kind(self) -> str:
+        """Kind of the statement; those of a kind take about as long."""
+        access = self.prepared.access if self.prepared else ''
+        proof = 'proof' if self.requires_primary_proof else ''
+        return f'{self.statement.verb.value}/{access}/{proof}'
+
 
 @dataclass(frozen=True, slots=True)
 class StatementResult:
