--- a/tests/test_statement_scheduler.py
+++ b/tests/test_statement_scheduler.py
@@ -148,7 +148,7 @@
         if is_scheduled:
             self.scheduler = PriorityScheduler(
                 bounds=lambda _: SlotBounds(SLOTS, connections),
-                is_ready=self.pool.has_ready,
+                readiness=self.pool.readiness,
                 log=NullLog(),
                 metrics=self.metrics,
             )
@@ -431,7 +431,7 @@
     assert served[0] == 'control'
     assert len(node.connector.connections) == 2
     node.pool.release(ENDPOINT, held[1])
-    assert node.pool.has_ready(ENDPOINT, 'a')
+    assert node.pool.readiness(ENDPOINT)('a')
 
 
 async def _connections_of_many(node: Node) -> int:
--- a/trefoilhitch/fair_queue.py
+++ b/trefoilhitch/fair_queue.py
@@ -140,8 +140,9 @@
             The request, None if no organisation with one is ready.
 
         """
-        ready = [name for name in self._rotation if is_ready(name)]
-        for organisation in ready:
+        for organisation in tuple(self._rotation):
+            if not is_ready(organisation):
+                continue
             req = self.pop_for(organisation, now)
             if organisation in self._queues:
                 self._rotation.remove(organisation)
--- a/trefoilhitch/pooler/connection_pool.py
+++ b/trefoilhitch/pooler/connection_pool.py
@@ -150,21 +150,21 @@
             endpoint, CONTROL_ORGANISATION, {}, deadline, CONTROL_PRIORITY
         )
 
-    def has_ready(self, endpoint: str, organisation: str) -> bool:
-        """Return whether an organisation needs no other one's connection.
+    def readiness(self, endpoint: str) -> Callable[[str], bool]:
+        """Return which organisations need no other one's connection.
 
         Args:
             endpoint: id of the endpoint.
-            organisation: name of the organisation.
 
         Returns:
-            True if it has an idle connection or one may be opened.
+            A function that returns whether an organisation, by its name, has an
+            idle connection or one may be opened.
 
         """
-        endpoint_pool = self._endpoint_pools.get(endpoint)
-        return endpoint_pool is None or endpoint_pool.has_ready(
-            organisation, self._cap(endpoint)
+        endpoint_pool = self._endpoint_pools.setdefault(
+            endpoint, EndpointConnectionPool()
         )
+        return endpoint_pool.readiness(self._cap(endpoint))
 
     def release(self, endpoint: str, conn: PooledConnection) -> None:
         """Return a connection to the pool.
--- a/trefoilhitch/pooler/endpoint_connection_pool.py
+++ b/trefoilhitch/pooler/endpoint_connection_pool.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter, deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from trefoilhitch.fair_queue import QueuedRequest
@@ -146,20 +146,21 @@
         ahead = self._queue.ahead_of(organisation, priority)
         return self.estimate.expected_s(ahead.total, self.open_count)
 
-    def has_ready(self, organisation: str, cap: int) -> bool:
-        """Return whether an organisation needs no other one's connection.
+    def readiness(self, cap: int) -> Callable[[str], bool]:
+        """Return which organisations need no other one's connection.
 
         Args:
-            organisation: name of the organisation.
             cap: maximum number of connections.
 
         Returns:
-            True if it has an idle connection or one may be opened.
+            A function that returns whether an organisation, by its name, has an
+            idle connection or one may be opened.
 
         """
-        return self.open_count < cap or any(
-            pooled.conn.organisation == organisation for pooled in self._idle
-        )
+        if self.open_count < cap:
+            return lambda _organisation: True
+        idle = {pooled.conn.organisation for pooled in self._idle}
+        return idle.__contains__
 
     def cancel_wait(self, queued: QueuedRequest) -> None:
         """Remove a waiter from the queue.
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -262,7 +262,7 @@
         return UnlimitedScheduler()
     return PriorityScheduler(
         bounds=caps.slot_bounds,
-        is_ready=pool.has_ready,
+        readiness=pool.readiness,
         log=runtime.log,
         metrics=runtime.metrics,
     )
--- a/trefoilhitch/pooler/scheduling/endpoint_turns.py
+++ b/trefoilhitch/pooler/scheduling/endpoint_turns.py
@@ -71,12 +71,12 @@
         limit: limits the statements in flight.
         in_flight: number of turns that have begun and not ended.
         unlimited: those of them that belong to open transactions.
-        is_ready: returns whether an organisation has an idle connection, None
-            if that does not matter.
+        readiness: returns which organisations have an idle connection, None if
+            that does not matter.
 
     """
 
-    is_ready: Callable[[str], bool] | None = None
+    readiness: Callable[[], Callable[[str], bool]] | None = None
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     in_flight: int = 0
     unlimited: int = 0
@@ -188,8 +188,9 @@
 
         """
         started = []
-        while self.in_flight < self.limit.current(bounds):
-            queued = self._queue.pop(now, self.is_ready)
+        while self._queue and self.in_flight < self.limit.current(bounds):
+            is_ready = self.readiness() if self.readiness else None
+            queued = self._queue.pop(now, is_ready)
             if queued is None:
                 break
             self.in_flight += 1
--- a/trefoilhitch/pooler/scheduling/statement_scheduler.py
+++ b/trefoilhitch/pooler/scheduling/statement_scheduler.py
@@ -146,8 +146,8 @@
 
     Args:
         bounds: returns what this node may use of an endpoint.
-        is_ready: returns whether an endpoint has an idle connection of an
-            organisation.
+        readiness: returns which organisations have an idle connection to an
+            endpoint.
         log: records displaced statements.
         metrics: counts refused and displaced statements.
 
@@ -157,13 +157,13 @@
         self,
         *,
         bounds: Callable[[str], SlotBounds],
-        is_ready: Callable[[str, str], bool],
+        readiness: Callable[[str], Callable[[str], bool]],
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
         """Start without turns."""
         self._bounds = bounds
-        self._is_ready = is_ready
+        self._readiness = readiness
         self._log = log
         self._metrics = metrics
         self._turns: dict[str, EndpointTurns] = {}
@@ -265,7 +265,7 @@
     def _turns_of(self, endpoint: str) -> EndpointTurns:
         turns = self._turns.get(endpoint)
         if turns is None:
-            turns = EndpointTurns(is_ready=partial(self._is_ready, endpoint))
+            turns = EndpointTurns(readiness=partial(self._readiness, endpoint))
             self._turns[endpoint] = turns
         return turns
 
