Statements that overloaded endpoints refuse are refused at once

Cause: a read that is refused before it is sent, because an endpoint is overloaded, tries the others and then the primary again and again, up to eight attempts without a pause. Each may cost a message to a gateway and a request that confirms the primary. Refusals are more frequent with the limit of statements in flight.

Change: when no other endpoint may run the read, it is refused as busy. This also holds with the option off, where the pool refuses.

--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -170,7 +170,7 @@
                 run, target, keeps_connection=take_over is not None
             )
         except ConnectionNotOpenedError as exc:
-            if exc.overloaded and not run.reads:
+            if exc.overloaded and not self._has_alternative(run, target):
                 return refusal_response(Refusal.BUSY, str(exc))
             if self._failures.record_not_opened(run, target.endpoint, exc):
                 await sleep(BUSY_PAUSE_S)
@@ -195,6 +195,18 @@
             self._finish(started, response, take_over)
         return response
 
+    def _has_alternative(self, run: StatementRun, target: Target) -> bool:
+        """Return whether another endpoint may run the statement.
+
+        Asking an overloaded endpoint again would be refused again, and could
+        cost a request to confirm the primary each time.
+        """
+        if not run.reads:
+            return False
+        run.failed_endpoints.add(target.endpoint)
+        other = self._choose_target(run)
+        return other is not None and other.endpoint not in run.failed_endpoints
+
     def _finish(
         self,
         started: StartedStatement,
