The limit of statements in flight follows the share of the slots; only refusals because of load change it

Cause: a limit that was learnt while a node could hold one connection stayed below its part of the slots afterwards. A refusal such as "too old" comes at once, and made usual response times seem shorter than they are.

Change: the limit is at least the present part of the slots. Refusals other than BUSY are not measured.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -314,6 +314,16 @@
     assert limit.current(bounds) == max(1, connections)
 
 
+def test_limit_follows_the_share_of_the_slots() -> None:
+    """A gateway was lost, or the node's connections were unknown at first."""
+    limit = ConcurrencyLimit()
+    response = MeasuredResponse('read', 0.01, 1)
+    limit.record(response, SlotBounds(1, 1), reached=True)
+    assert limit.current(SlotBounds(4, 31)) == 4
+    limit.record(response, SlotBounds(4, 31), reached=True)
+    assert limit.current(SlotBounds(2, 20)) == 4
+
+
 def test_unused_limit_does_not_grow() -> None:
     limit, bounds = ConcurrencyLimit(), SlotBounds(2, 20)
     for _ in range(500):
--- a/tests/test_statement_scheduler.py
+++ b/tests/test_statement_scheduler.py
@@ -86,6 +86,7 @@
     most_in_flight: int = 0
     in_flight: int = 0
     failure: EndpointConnectionError | None = None
+    refusal: Refusal | None = None
 
     async def run(
         self,
@@ -106,6 +107,8 @@
         if self.failure is not None:
             pooled.conn.close()
             raise self.failure
+        if self.refusal is not None:
+            return StatementResult(Response(refusal=self.refusal))
         state = SessionState.IDLE
         if request.statement.verb == Verb.BEGIN:
             state = SessionState.TRANSACTION
@@ -313,6 +316,29 @@
     assert await node.has_all_turns()
 
 
+async def _limits_before_and_after(refusal: Refusal) -> list[str]:
+    """Return the limit before and after statements that are refused."""
+    node = Node()
+    await _warm_up(node)
+    async with open_nursery() as nursery:
+        await _flood(node, nursery, 1, 100)
+    limits = [node.gauge('trefoilhitch_concurrency_limit')]
+    node.endpoint.refusal = refusal
+    node.endpoint.work_s = 0.001
+    for _ in range(50):
+        await node.run(1)
+    return [*limits, node.gauge('trefoilhitch_concurrency_limit')]
+
+
+@with_virtual_clock
+async def test_only_refusals_because_of_load_lower_the_limit() -> None:
+    before, after = await _limits_before_and_after(Refusal.BUSY)
+    assert not before.endswith(f' {SLOTS}')
+    assert after.endswith(f' {SLOTS}')
+    before, after = await _limits_before_and_after(Refusal.TOO_OLD)
+    assert before == after
+
+
 @with_virtual_clock
 async def test_failed_connection_returns_its_turn() -> None:
     node = Node()
--- a/trefoilhitch/pooler/scheduling/concurrency_limit.py
+++ b/trefoilhitch/pooler/scheduling/concurrency_limit.py
@@ -110,8 +110,8 @@
     """Adaptive limit of the statements in flight from this node.
 
     Args:
-        wanted: the limit before it is bounded by the node's connections, 0
-            before the first statement.
+        wanted: the limit before it is bounded by the node's part of the slots
+            and by its connections.
 
     """
 
@@ -138,9 +138,8 @@
             The number, at least 1.
 
         """
-        if not self.wanted:
-            self.wanted = max(1, bounds.share)
-        return max(1, min(int(self.wanted), bounds.connections))
+        wanted = max(self.wanted, bounds.share)
+        return max(1, min(int(wanted), bounds.connections))
 
     def expected_latency_s(self, kind: str) -> float:
         """Return how long a statement is expected to take once it is sent.
@@ -174,8 +173,9 @@
         if self.ratio > SLOW_RATIO:
             self._decrease(SLOW_RATIO / self.ratio, bounds)
         elif self.ratio < FAST_RATIO and reached:
-            grown = self.wanted + 1 / self.current(bounds)
-            self.wanted = min(grown, max(1, bounds.connections))
+            current = self.current(bounds)
+            grown = max(self.wanted, current) + 1 / current
+            self.wanted = min(grown, max(current, bounds.connections))
 
     def _average(self, response: MeasuredResponse, bounds: SlotBounds) -> None:
         kind = self._kinds.get(response.kind)
@@ -193,5 +193,4 @@
             return
         current = self.current(bounds)
         self._until_decrease = max(MIN_RESPONSES_BETWEEN_DECREASES, current)
-        decreased = current * max(MIN_DECREASE, factor)
-        self.wanted = max(1, bounds.share, decreased)
+        self.wanted = current * max(MIN_DECREASE, factor)
--- a/trefoilhitch/pooler/scheduling/turn.py
+++ b/trefoilhitch/pooler/scheduling/turn.py
@@ -113,10 +113,12 @@
         """Record that the response has arrived.
 
         Args:
-            response: the response.
+            response: the response; a refusal for another reason than load says
+                nothing about how long the endpoint takes.
 
         """
-        self._measure(failed=response.refusal == Refusal.BUSY)
+        if response.ok or response.refusal == Refusal.BUSY:
+            self._measure(failed=not response.ok)
 
     def record_loss(self, exc: EndpointConnectionError) -> None:
         """Record that the response was lost.
