--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -279,6 +279,18 @@
     assert turns.arrive(soon, bounds, 0).started == (soon,)
 
 
+def test_failed_connections_do_not_make_waits_seem_long() -> None:
+    """An endpoint that was out of reach returns; nothing may be refused."""
+    turns, bounds = saturated_turns()
+    for _ in range(50):
+        turns.begin_unlimited()
+        turns.end(EndedTurn(is_limited=False, duration_s=9), bounds, 0)
+        turns.end(EndedTurn(is_limited=True, duration_s=9), bounds, 0)
+        turns.arrive(QueuedRequest('a', FOREVER, 2), bounds, 0)
+    turns.arrive(QueuedRequest('a', FOREVER, 2), bounds, 0)
+    assert not turns.would_refuse(QueuedRequest('a', 0.5, 2), bounds, 0)
+
+
 def test_transactions_are_not_held_but_count() -> None:
     turns, bounds = EndpointTurns(), SlotBounds(2, 20)
     for _ in range(5):
@@ -352,8 +364,9 @@
 def saturated_turns() -> tuple[EndpointTurns, SlotBounds]:
     """Return turns with one in flight of one, each of which takes 0.1 s."""
     turns, bounds = EndpointTurns(), SlotBounds(1, 1)
+    response = MeasuredResponse('read', 0.1, 1)
     for _ in range(2):
         turns.arrive(QueuedRequest('a', FOREVER, 2), bounds, 0)
-        turns.end(EndedTurn(is_limited=True, duration_s=0.1), bounds, 0)
+        turns.end(EndedTurn(True, 0.1, response), bounds, 0)
     turns.arrive(QueuedRequest('a', FOREVER, 2), bounds, 0)
     return turns, bounds
--- a/trefoilhitch/pooler/scheduling/endpoint_turns.py
+++ b/trefoilhitch/pooler/scheduling/endpoint_turns.py
@@ -52,14 +52,13 @@
 
     Args:
         is_limited: whether it was subject to the limit.
-        duration_s: time since it began, in seconds, None if its statement was
-            cancelled before.
+        duration_s: time since it began, in seconds.
         response: the response of the endpoint, None if there was none.
 
     """
 
     is_limited: bool
-    duration_s: float | None
+    duration_s: float
     response: MeasuredResponse | None = None
 
 
@@ -168,12 +167,13 @@
         """
         reached = self.in_flight >= self.limit.current(bounds)
         self.in_flight -= 1
-        if turn.response is not None:
-            self.limit.record(turn.response, bounds, reached=reached)
         if not turn.is_limited:
             self.unlimited -= 1
-        elif turn.duration_s is not None:
-            self._estimate.use.record_use(turn.duration_s)
+        # How long a failed connection held a turn says nothing about others.
+        if turn.response is not None:
+            self.limit.record(turn.response, bounds, reached=reached)
+            if turn.is_limited:
+                self._estimate.use.record_use(turn.duration_s)
         return self.start_next(bounds, now)
 
     def start_next(self, bounds: SlotBounds, now: float) -> list[QueuedRequest]:
--- a/trefoilhitch/pooler/scheduling/statement_scheduler.py
+++ b/trefoilhitch/pooler/scheduling/statement_scheduler.py
@@ -28,7 +28,7 @@
 )
 
 # The turn of a statement that was cancelled before it was sent.
-UNUSED_TURN = EndedTurn(is_limited=True, duration_s=None)
+UNUSED_TURN = EndedTurn(is_limited=True, duration_s=0)
 
 
 @dataclass(frozen=True, slots=True)
