--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -1,8 +1,9 @@
 """Runs statements on endpoints, from this node or through another one."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
-from typing import Protocol, Self
+from functools import partial
+from typing import Protocol, Self, TypeVar
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.pooler.admission import Admission, AdmittedOperation
@@ -21,6 +22,11 @@
     EndpointUnreachableError,
 )
 from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    StatementScheduler,
+    TurnRequest,
+)
+from trefoilhitch.pooler.scheduling.turn import Turn, run_in_turn
 from trefoilhitch.pooler.statement import Verb
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
@@ -28,6 +34,8 @@
 )
 from trefoilhitch.pooler.transaction_connection import TransactionConnection
 
+StepT = TypeVar('StepT')
+
 
 class RateExceededError(TrefoilhitchError):
     """The rate of the organisation is used up; nothing was sent."""
@@ -119,6 +127,11 @@
     on_admitted: Callable[[], None]
     priority: int = 0
 
+    @property
+    def kind(self) -> str:
+        """Kind of the statement; those of a kind take about as long."""
+        return f'{self.priority}/{self.request.kind}'
+
 
 @dataclass(frozen=True, slots=True)
 class StartedStatement:
@@ -161,7 +174,8 @@
     Args:
         pool: pool that it belongs to.
         runner: runs statements on it.
-        endpoint: endpoint id.
+        scheduler: counts the statements in flight.
+        job: the first statement of the transaction.
         pooled: the connection.
         on_end: called when the transaction has ended.
 
@@ -172,14 +186,17 @@
         *,
         pool: ConnectionPool,
         runner: ConnectionRunner,
-        endpoint: str,
+        scheduler: StatementScheduler,
+        job: StatementJob,
         pooled: PooledConnection,
         on_end: Callable[['LocalConnection'], None],
     ) -> None:
         """Take the connection over."""
-        self.endpoint = endpoint
+        self.endpoint = job.endpoint
         self.is_running = False
         self._on_end = on_end
+        self._priority = job.priority
+        self._scheduler = scheduler
         self._pool = pool
         self._runner = runner
         self._pooled = pooled
@@ -210,11 +227,14 @@
             raise EndpointConnectionError(
                 ResponseLoss.NOT_SENT, 'the transaction was rolled back'
             )
+        send = partial(
+            self._runner.run, self._pooled, variables, request, deadline
+        )
+        kind = f'{self._priority}/{request.kind}'
         self.is_running = True
         try:
-            reply = await self._runner.run(
-                self._pooled, variables, request, deadline
-            )
+            with self._scheduler.begin_unlimited(self.endpoint, kind) as turn:
+                reply = await run_in_turn(turn, send)
         finally:
             self.is_running = False
         if reply.response.state == SessionState.IDLE:
@@ -248,6 +268,7 @@
         pool: pool of endpoint connections.
         runner: runs statements on them.
         admission: spends tokens of the organisations' rates.
+        scheduler: decides when statements are sent.
         has_left: returns whether an endpoint has been leaving for too long.
         evacuated: tells which endpoints are evacuated.
 
@@ -259,6 +280,7 @@
         pool: ConnectionPool,
         runner: ConnectionRunner,
         admission: Admission,
+        scheduler: StatementScheduler,
         has_left: Callable[[str], bool],
         evacuated: EvacuatedEndpoints,
     ) -> None:
@@ -269,26 +291,48 @@
         self._pool = pool
         self._runner = runner
         self._admission = admission
+        self._scheduler = scheduler
 
     async def start(self, job: StatementJob) -> StartedStatement:
         """Run a statement; see `StatementExecutor`."""
-        if self._has_left(job.endpoint):
-            raise ConnectionNotOpenedError('the endpoint has left')
-        self._ensure_not_excluded(job.endpoint)
+        self._check_in_service(job)
+        # No token is spent on a statement that could not run in time.
+        self._check_wait(job)
         admitted = await self._admit(job)
-        pooled = await self._acquire_or_refund(job, admitted)
+        turn = await self._refund_unless_done(
+            job, admitted, partial(self._wait_for_turn, job)
+        )
+        with turn:
+            # The endpoint may have left during the wait.
+            self._check_in_service(job)
+            return await self._run(job, admitted, turn)
+
+    def end_transactions(self) -> None:
+        """Roll back idle transactions on endpoints that may have none."""
+        for conn in list(self._open):
+            is_ended = self._evacuated.ends_transactions(conn.endpoint)
+            if is_ended and not conn.is_running:
+                conn.discard()
+
+    async def _run(
+        self, job: StatementJob, admitted: AdmittedOperation, turn: Turn
+    ) -> StartedStatement:
+        pooled = await self._refund_unless_done(
+            job, admitted, partial(self._acquire, job)
+        )
         if not job.is_admitted:
             job.on_admitted()
         conn = LocalConnection(
             pool=self._pool,
             runner=self._runner,
-            endpoint=job.endpoint,
+            scheduler=self._scheduler,
+            job=job,
             pooled=pooled,
             on_end=self._open.discard,
         )
         is_kept = False
         try:
-            reply = await self._run(job, pooled)
+            reply = await self._send(job, pooled, turn)
             is_kept = job.keeps_connection and reply.response.ok
         finally:
             if not is_kept:
@@ -298,29 +342,37 @@
         self._open.add(conn)
         return StartedStatement(reply, conn)
 
-    def end_transactions(self) -> None:
-        """Roll back idle transactions on endpoints that may have none."""
-        for conn in list(self._open):
-            is_ended = self._evacuated.ends_transactions(conn.endpoint)
-            if is_ended and not conn.is_running:
-                conn.discard()
+    async def _send(
+        self, job: StatementJob, pooled: PooledConnection, turn: Turn
+    ) -> StatementResult:
+        # The wait for the connection may have been long.
+        self._check_in_service(job)
+        send = partial(
+            self._runner.run, pooled, job.variables, job.request, job.deadline
+        )
+        try:
+            return await run_in_turn(turn, send)
+        except EndpointEvacuatedError as exc:
+            raise ConnectionNotOpenedError.from_failure(exc) from exc
 
-    def _ensure_not_excluded(self, endpoint: str) -> None:
-        if self._evacuated.excludes(endpoint):
+    def _check_in_service(self, job: StatementJob) -> None:
+        if self._has_left(job.endpoint):
+            raise ConnectionNotOpenedError('the endpoint has left')
+        if self._evacuated.excludes(job.endpoint):
             raise ConnectionNotOpenedError(
                 'the data centre is evacuated', overloaded=True
             )
 
-    async def _run(
-        self, job: StatementJob, pooled: PooledConnection
-    ) -> StatementResult:
-        # The wait for the connection may have been long.
-        self._ensure_not_excluded(job.endpoint)
+    def _check_wait(self, job: StatementJob) -> None:
         try:
-            return await self._runner.run(
-                pooled, job.variables, job.request, job.deadline
-            )
-        except EndpointEvacuatedError as exc:
+            self._scheduler.check(_turn_request(job))
+        except EndpointConnectionError as exc:
+            raise ConnectionNotOpenedError.from_failure(exc) from exc
+
+    async def _wait_for_turn(self, job: StatementJob) -> Turn:
+        try:
+            return await self._scheduler.acquire(_turn_request(job))
+        except EndpointConnectionError as exc:
             raise ConnectionNotOpenedError.from_failure(exc) from exc
 
     async def _admit(self, job: StatementJob) -> AdmittedOperation:
@@ -331,12 +383,15 @@
             raise RateExceededError(job.organisation)
         return admitted
 
-    async def _acquire_or_refund(
-        self, job: StatementJob, admitted: AdmittedOperation
-    ) -> PooledConnection:
-        """Acquire a connection; a statement that is refused costs no token."""
+    async def _refund_unless_done(
+        self,
+        job: StatementJob,
+        admitted: AdmittedOperation,
+        step: Callable[[], Awaitable[StepT]],
+    ) -> StepT:
+        """Run a step; a statement that is refused in it costs no token."""
         try:
-            return await self._acquire(job)
+            return await step()
         except ConnectionNotOpenedError as exc:
             if exc.overloaded:
                 admitted.refund()
@@ -347,7 +402,17 @@
     async def _acquire(self, job: StatementJob) -> PooledConnection:
         try:
             return await self._pool.acquire(
-                job.endpoint, job.organisation, job.variables, job.deadline
+                job.endpoint,
+                job.organisation,
+                job.variables,
+                job.deadline,
+                job.priority,
             )
         except (EndpointRefusedError, EndpointConnectionError) as exc:
             raise ConnectionNotOpenedError.from_failure(exc) from exc
+
+
+def _turn_request(job: StatementJob) -> TurnRequest:
+    return TurnRequest(
+        job.endpoint, job.organisation, job.priority, job.kind, job.deadline
+    )
