Tests: a flood without priorities, whatever the order of tasks

All statements wait again 0.06 s after they arrived, in the order in which their tasks wake up, and the urgent one arrived at the same time.

--- a/tests/test_statement_scheduler.py
+++ b/tests/test_statement_scheduler.py
@@ -235,6 +235,8 @@
     await _warm_up(node)
     async with open_nursery() as nursery:
         await _flood(node, nursery, 2, 200)
+        # Otherwise the order in which tasks wake up decides without the option.
+        await sleep(WORK_S / 2)
         nursery.start_soon(node.try_run, 0)
     return node.endpoint.order.index('0')
 
@@ -248,7 +250,7 @@
 @with_virtual_clock
 async def test_without_the_option_the_flood_goes_first() -> None:
     node = Node(is_scheduled=False)
-    assert await _position_of_urgent(node) >= 3 * CONNECTIONS
+    assert await _position_of_urgent(node) >= 100
     assert node.endpoint.most_in_flight == CONNECTIONS
 
 
