Reads are divided by observed load; retries have pauses that grow, and budgets

Cause: all nodes of a data centre chose the same endpoint for a read, by recent failure, lag, distance and id. What they know of load is outdated, so choosing the least loaded one would overrun endpoints in turns. Refused statements returned after a fixed 0.03 s, up to eight times, and kept a full endpoint full. A trial of an unreachable endpoint takes up to 0.7 s, but another one began each 0.4 s, and reads that had chosen it waited.

Change: pooler/balancing estimates the delay of each endpoint from this node's reads (wait and response time), statements in flight, refusals, and reports of gateways (RunReply.load) and of nodes of the data centre (Exchange.loads), all of which age out. Each read draws its endpoint by these estimates; a farther one only while the near one's delay exceeds the additional distance. pooler/retrying has the pauses and budgets; a breaker awaits the outcome of its trial, and reads pass over an endpoint that another one tries. [balancing] reads_by_load and [retries] with_backoff turn both off.

--- /dev/null
+++ b/trefoilhitch/pooler/balancing/read_balancer.py
@@ -0,0 +1,116 @@
+"""Ranks the endpoints that may run a read, by what is known of their load.
+
+Load pattern: the endpoint that all nodes would choose by distance is full,
+while others are idle.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.network_distance import round_trip_s
+from trefoilhitch.pooler.balancing.read_choice import (
+    ReadCandidate,
+    draw_endpoint,
+    read_shares,
+)
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
+from trefoilhitch.pooler.endpoint_selection import (
+    ChoiceKind,
+    EndpointSelector,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRanking:
+    """Endpoints in order of preference.
+
+    Args:
+        records: the endpoints.
+        kind: how the first one was chosen.
+
+    """
+
+    records: Sequence[EndpointRecord]
+    kind: ChoiceKind
+
+
+class ReadBalancer:
+    """Ranks endpoints for reads.
+
+    Args:
+        selector: knows recent failures, lag and distance.
+        loads: knows the load of the endpoints.
+
+    """
+
+    def __init__(self, selector: EndpointSelector, loads: LoadBook) -> None:
+        """Store the dependencies."""
+        self._selector = selector
+        self._loads = loads
+
+    def rank(
+        self,
+        records: Sequence[EndpointRecord],
+        primary: str | None,
+        now: float,
+        drawn: float | None,
+    ) -> ReadRanking:
+        """Rank endpoints for one read.
+
+        Args:
+            records: usable endpoints.
+            primary: id of the known primary, None if there is none.
+            now: monotonic time.
+            drawn: random number from 0 to 1, None to ignore the load.
+
+        Returns:
+            Endpoints without recent failures first, among these the ones that
+            are not known to lag; the first of these is drawn by distance and
+            load, the others follow by the same.
+
+        """
+        ranked = self._selector.rank(records, now)
+        if len(ranked) < 2:
+            return ReadRanking(ranked, 'only')
+        if drawn is None:
+            return ReadRanking(ranked, 'nearest')
+        setback = self._selector.setback(ranked[0], now)
+        equal = [
+            record
+            for record in ranked
+            if self._selector.setback(record, now) == setback
+        ]
+        if len(equal) == 1:
+            return ReadRanking(ranked, 'only')
+        candidates = [self._candidate(record, primary, now) for record in equal]
+        chosen = draw_endpoint(read_shares(candidates), drawn)
+        costs = {each.endpoint: each.cost_s for each in candidates}
+        equal.sort(
+            key=lambda each: (each.endpoint != chosen, costs[each.endpoint])
+        )
+        return ReadRanking(
+            [*equal, *ranked[len(equal) :]], _kind(candidates, chosen)
+        )
+
+    def _candidate(
+        self, record: EndpointRecord, primary: str | None, now: float
+    ) -> ReadCandidate:
+        delay_s = self._loads.expected_delay_s(
+            record.service, record.endpoint, record.slots, now
+        )
+        return ReadCandidate(
+            record.endpoint,
+            round_trip_s(self._selector, record.data_centre),
+            delay_s,
+            record.slots,
+            record.endpoint == primary,
+        )
+
+
+def _kind(candidates: Sequence[ReadCandidate], chosen: str) -> ChoiceKind:
+    nearest_s = min(each.distance_s for each in candidates)
+    nearest = [
+        each.endpoint for each in candidates if each.distance_s == nearest_s
+    ]
+    return 'nearest' if nearest == [chosen] else 'weighted'
--- a/trefoilhitch/pooler/circuit_breakers.py
+++ b/trefoilhitch/pooler/circuit_breakers.py
@@ -11,6 +11,9 @@
 FAILURES_TO_OPEN = 2
 # Interval at which one statement may try an unreachable endpoint.
 TRIAL_INTERVAL_S = 0.4
+# How long a trial may take before another one is allowed. Longer than a pool
+# takes to open a connection, so that trials do not overlap.
+TRIAL_TIMEOUT_S = 1.0
 
 
 @dataclass(slots=True)
@@ -20,10 +23,17 @@
 
 
 class CircuitBreakers:
-    """Counts consecutive connection failures of each endpoint."""
+    """Counts consecutive connection failures of each endpoint.
 
-    def __init__(self) -> None:
+    Args:
+        trial_timeout_s: how long the outcome of a trial is awaited before
+            another statement may try, in seconds.
+
+    """
+
+    def __init__(self, trial_timeout_s: float = TRIAL_INTERVAL_S) -> None:
         """Create closed circuit breakers for all endpoints."""
+        self._trial_timeout_s = trial_timeout_s
         self._circuits: dict[str, _Circuit] = {}
 
     def record_failure(self, endpoint: str, now: float) -> bool:
@@ -65,11 +75,26 @@
         Returns:
             True if the endpoint is reachable or a trial is due.
 
+        """
+        if self.is_blocked(endpoint, now):
+            return False
+        circuit = self._circuits.get(endpoint)
+        if circuit is not None:
+            circuit.next_trial_at = now + self._trial_timeout_s
+        return True
+
+    def is_blocked(self, endpoint: str, now: float) -> bool:
+        """Return whether no statement may be sent, without starting a trial.
+
+        Args:
+            endpoint: endpoint id.
+            now: monotonic time.
+
+        Returns:
+            True if the endpoint is unreachable and no trial is due.
+
         """
         circuit = self._circuits.get(endpoint)
         if circuit is None or circuit.failures < FAILURES_TO_OPEN:
-            return True
-        if now < circuit.next_trial_at:
             return False
-        circuit.next_trial_at = now + TRIAL_INTERVAL_S
-        return True
+        return now < circuit.next_trial_at
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -1,11 +1,16 @@
 """State of the endpoints and primaries, as one node knows it."""
 
 from collections.abc import Callable, Collection
+from dataclasses import replace
 
 from trio import Event
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.read_balancer import (
+    ReadBalancer,
+)
 from trefoilhitch.pooler.circuit_breakers import CircuitBreakers
 from trefoilhitch.pooler.commit_tracker import CommitTracker
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
@@ -46,6 +51,9 @@
         log: receives changes of primaries.
         clock: returns seconds on a clock that includes suspended time.
         drain_timeout_s: how long a leaving endpoint serves, in seconds.
+        draw: returns a random number from 0 to 1, by which reads are divided
+            among endpoints; None to send all to the nearest one.
+        breakers: circuit breakers of the endpoints, None for new ones.
 
     """
 
@@ -56,15 +64,20 @@
         log: DecisionLog,
         clock: Callable[[], float],
         drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S,
+        draw: Callable[[], float] | None = None,
+        breakers: CircuitBreakers | None = None,
     ) -> None:
         """Create an empty state."""
         self.endpoints = EndpointRegistry(drain_timeout_s)
         self.observations = ObservationHistory()
         self.commits = CommitTracker()
         self.selector = selector
-        self.breakers = CircuitBreakers()
+        self.loads = LoadBook()
+        self.breakers = breakers or CircuitBreakers()
         self.clock = clock
         self._primaries = PrimaryTracker()
+        self._balancer = ReadBalancer(selector, self.loads)
+        self._draw = draw
         self._log = log
         self._changed = Event()
         self._unanswered: dict[str, float] = {}
@@ -286,14 +299,20 @@
 
         """
         service = requirements.route.service
-        usable = self.endpoints.usable(service)
-        return choose_read_target(
-            requirements,
-            self.selector.rank(usable, now),
-            self.primary(service),
-            self.observations,
-            tried,
+        primary = self.primary(service)
+        untried = [
+            record
+            for record in self.endpoints.usable(service)
+            if record.endpoint not in tried
+        ]
+        drawn = None if self._draw is None else self._draw()
+        ranking = self._balancer.rank(untried, primary, now, drawn)
+        target = choose_read_target(
+            requirements, ranking.records, primary, self.observations, tried
         )
+        if target is None or target.requires_primary_proof:
+            return target
+        return replace(target, choice=ranking.kind)
 
     def choose_begin_target(
         self, requirements: ReadRequirements
--- a/trefoilhitch/pooler/endpoint_failures.py
+++ b/trefoilhitch/pooler/endpoint_failures.py
@@ -6,6 +6,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.cluster_state import (
     AVOID_CLOSED_S,
     AVOID_LAGGING_S,
@@ -28,6 +29,7 @@
 
     Args:
         cluster: known endpoints and primaries.
+        loads: takes refusals into account in the choice of endpoints.
         reject_waiters: rejects the requests that wait for a connection to an
             unreachable endpoint.
         log: records the failures.
@@ -39,12 +41,14 @@
         self,
         *,
         cluster: ClusterState,
+        loads: LoadObserver,
         reject_waiters: Callable[[str], None],
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
         """Store the dependencies."""
         self._cluster = cluster
+        self._loads = loads
         self._reject_waiters = reject_waiters
         self._log = log
         self._metrics = metrics
@@ -74,7 +78,9 @@
         )
         now = current_time()
         self._metrics.count('connections_not_opened', endpoint)
-        run.failed_endpoints.add(endpoint)
+        if exc.refused:
+            self._metrics.count('endpoint_refusals', 'connection_refused')
+        self._record_failed_attempt(run, endpoint)
         if exc.overloaded:
             return False
         # An earlier failure of any statement counts as well: the primary is
@@ -118,7 +124,7 @@
         closed = exc.loss == ResponseLoss.CONNECTION_LOST
         avoid_s = AVOID_CLOSED_S if closed else AVOID_SILENT_S
         self._cluster.selector.avoid(endpoint, now + avoid_s)
-        run.failed_endpoints.add(endpoint)
+        self._record_failed_attempt(run, endpoint)
         service = run.route.service
         if endpoint != self._cluster.primary(service):
             return
@@ -141,6 +147,8 @@
 
         """
         run.failed_endpoints.add(endpoint)
+        if response.refusal == Refusal.BUSY:
+            self._record_failed_attempt(run, endpoint)
         if response.refusal == Refusal.TOO_OLD:
             until = current_time() + AVOID_LAGGING_S
             self._cluster.selector.mark_lagging(endpoint, until)
@@ -149,6 +157,12 @@
                 run.route.service, endpoint, 'statement'
             )
 
+    def _record_failed_attempt(self, run: StatementRun, endpoint: str) -> None:
+        """Let the failure count in the next choice of all statements."""
+        run.failed_endpoints.add(endpoint)
+        run.is_retry = True
+        self._loads.record_refusal(endpoint)
+
     def _mark_unreachable(self, endpoint: str, now: float) -> None:
         if self._cluster.breakers.record_failure(endpoint, now):
             self._log.event('endpoint_out_of_reach', endpoint=endpoint)
--- a/trefoilhitch/pooler/endpoint_selection.py
+++ b/trefoilhitch/pooler/endpoint_selection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Literal
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.catalogue import Freshness, Route
@@ -16,6 +17,12 @@
 SAME_REGION = 1
 OTHER_REGION = 2
 
+# How an endpoint was chosen: no other could run the statement, the nearest one,
+# drawn by the load of several, or after an attempt that failed.
+ChoiceKind = Literal['only', 'nearest', 'weighted', 'retry']
+# Whether an endpoint failed recently, and whether it is known to lag.
+Setback = tuple[bool, bool]
+
 
 @dataclass(frozen=True, slots=True)
 class Target:
@@ -30,6 +37,7 @@
             the response.
         requires_primary_proof: whether the response counts only with proof
             that the endpoint was the primary after it received the statement.
+        choice: how the endpoint was chosen.
 
     """
 
@@ -37,6 +45,7 @@
     minimum_position: LogPosition | None
     proof_sent_at: float | None
     requires_primary_proof: bool
+    choice: ChoiceKind = 'only'
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,12 +163,27 @@
         """
         return sorted(records, key=lambda record: self._rank_key(record, now))
 
-    def _rank_key(
-        self, record: EndpointRecord, now: float
-    ) -> tuple[bool, bool, int, str]:
+    def setback(self, record: EndpointRecord, now: float) -> Setback:
+        """Return what ranks an endpoint behind others, wherever they are.
+
+        Args:
+            record: the endpoint.
+            now: monotonic time.
+
+        Returns:
+            Whether it failed recently, and whether it is known to lag.
+
+        """
         return (
             self.is_avoided(record.endpoint, now),
             self._lagging_until.get(record.endpoint, 0) > now,
+        )
+
+    def _rank_key(
+        self, record: EndpointRecord, now: float
+    ) -> tuple[Setback, int, str]:
+        return (
+            self.setback(record, now),
             self.distance(record.data_centre),
             record.endpoint,
         )
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -7,6 +7,7 @@
 from trefoilhitch._generated.peer import (
     AbandonReply,
     AbandonRequest,
+    EndpointLoad,
     MemberBeat,
     RunReply,
     RunRequest,
@@ -122,6 +123,8 @@
         client: sends requests to other nodes.
         rank: returns the gateways of an organisation to an endpoint, the first
             choice first.
+        apply_load: applies what a gateway, whose name comes first, observed of
+            an endpoint's load.
 
     """
 
@@ -130,8 +133,10 @@
         *,
         client: PeerClient,
         rank: Callable[[str, str], tuple[MemberBeat, ...]],
+        apply_load: Callable[[str, EndpointLoad], None],
     ) -> None:
         """Start without known failures of gateways."""
+        self._apply_load = apply_load
         self._client = client
         self._rank = rank
         self._breakers = CircuitBreakers()
@@ -171,6 +176,8 @@
     ) -> StartedStatement:
         if reply.admitted:
             job.on_admitted()
+        if reply.load is not None:
+            self._apply_load(gateway.node, reply.load)
         match reply.outcome:
             case 'answered':
                 return self._read_answer(job, gateway, reply)
--- a/trefoilhitch/pooler/gateway_server.py
+++ b/trefoilhitch/pooler/gateway_server.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from itertools import count
 
+from msgspec import structs
 from trio import current_time
 
 from trefoilhitch._generated.peer import (
@@ -14,10 +15,11 @@
     RunRequest,
 )
 from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.gateway_messages import read_statement, write_reply
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import EndpointConnectionError
-from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.response import Refusal, SessionState
 from trefoilhitch.pooler.statement_executor import (
     ConnectionNotOpenedError,
     RateExceededError,
@@ -33,6 +35,8 @@
 # Length of the part of transaction ids that tells processes apart.
 PROCESS_ID_BYTES = 8
 _MS_PER_S = 1000
+# Outcomes of statements that did not get as far as the endpoint's queue.
+_NOT_TRIED = frozenset(('declined', 'rate_exceeded'))
 
 
 @dataclass(slots=True)
@@ -60,6 +64,8 @@
         accepts: returns whether this node is a gateway to an endpoint.
         idle_limit_s: returns how long a transaction may be idle.
         log: records transactions that were rolled back.
+        loads: observes the load of endpoints, which replies state; None to
+            state nothing.
 
     """
 
@@ -70,6 +76,7 @@
         accepts: Callable[[str], bool],
         idle_limit_s: Callable[[], float],
         log: DecisionLog,
+        loads: LoadObserver | None = None,
     ) -> None:
         """Start without transactions."""
         self.is_draining = False
@@ -77,6 +84,7 @@
         self._accepts = accepts
         self._idle_limit_s = idle_limit_s
         self._log = log
+        self._loads = loads
         self._transactions: dict[str, _HeldTransaction] = {}
         # A process that took this one's place must not know its transactions.
         self._process_id = secrets.token_hex(PROCESS_ID_BYTES)
@@ -105,7 +113,7 @@
         try:
             if message.transaction:
                 return await self._run_in_transaction(message)
-            return await self._start(message)
+            return await self._start_observed(message)
         finally:
             self._running -= 1
 
@@ -140,6 +148,15 @@
                 self._transactions.pop(name)
                 held.conn.discard()
 
+    async def _start_observed(self, message: RunRequest) -> RunReply:
+        """Run a first statement; the reply states the endpoint's load."""
+        reply = await self._start(message)
+        if self._loads is None or reply.outcome in _NOT_TRIED:
+            return reply
+        if _shows_refusal(reply):
+            self._loads.record_refusal(message.endpoint)
+        return structs.replace(reply, load=self._loads.report(message.endpoint))
+
     async def _start(self, message: RunRequest) -> RunReply:
         if self.is_draining or not self._accepts(message.endpoint):
             return RunReply(outcome='declined')
@@ -212,6 +229,10 @@
     return current_time() + message.timeout_ms / _MS_PER_S
 
 
+def _shows_refusal(reply: RunReply) -> bool:
+    return reply.outcome != 'answered' or reply.refusal == Refusal.BUSY.value
+
+
 def _not_opened(exc: ConnectionNotOpenedError, *, admitted: bool) -> RunReply:
     if exc.unreachable:
         return RunReply(
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -1,6 +1,12 @@
 """Creates the parts of a node and connects them."""
 
 from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.circuit_breakers import (
+    TRIAL_INTERVAL_S,
+    TRIAL_TIMEOUT_S,
+    CircuitBreakers,
+)
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.connection_caps import ConnectionCaps
 from trefoilhitch.pooler.connection_pool import ConnectionPool
@@ -139,6 +145,7 @@
             store_era=self._external.era,
             random=self._runtime.random,
             log=self._runtime.log,
+            shares_loads=cfg.options.balancing.reads_by_load,
         )
 
     def _make_peer_handler(self) -> PeerRequestHandler:
@@ -196,14 +203,7 @@
     cfg: PoolerSettings, external: ExternalServices, runtime: NodeRuntime
 ) -> NodeState:
     declaration = CurrentDeclaration()
-    cluster = ClusterState(
-        selector=EndpointSelector(
-            data_centre=cfg.data_centre, regions=cfg.regions
-        ),
-        log=runtime.log,
-        clock=runtime.clock,
-        drain_timeout_s=cfg.drain_timeout_s,
-    )
+    cluster = _make_cluster(cfg, runtime)
     declaration.add_listener(
         lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
     )
@@ -239,6 +239,25 @@
         connector=connector,
         client=PeerClient(runtime.log),
         runtime=runtime,
+        loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
+        options=cfg.options,
+    )
+
+
+def _make_cluster(cfg: PoolerSettings, runtime: NodeRuntime) -> ClusterState:
+    options = cfg.options
+    single_trial = options.retries.with_backoff
+    return ClusterState(
+        selector=EndpointSelector(
+            data_centre=cfg.data_centre, regions=cfg.regions
+        ),
+        log=runtime.log,
+        clock=runtime.clock,
+        drain_timeout_s=cfg.drain_timeout_s,
+        draw=runtime.random.random if options.balancing.reads_by_load else None,
+        breakers=CircuitBreakers(
+            TRIAL_TIMEOUT_S if single_trial else TRIAL_INTERVAL_S
+        ),
     )
 
 
--- a/trefoilhitch/pooler/node_state.py
+++ b/trefoilhitch/pooler/node_state.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from trefoilhitch._generated.options import PoolerOptions
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
@@ -29,6 +31,8 @@
         connector: builds the pooler's own statements.
         client: sends requests to other nodes.
         runtime: log, metrics and clock.
+        loads: observes the load of endpoints.
+        options: parts of the node that are turned on.
 
     """
 
@@ -42,3 +46,5 @@
     connector: EndpointConnector
     client: PeerClient
     runtime: NodeRuntime
+    loads: LoadObserver
+    options: PoolerOptions
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import Exchange
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.cluster_state import ClusterState
@@ -33,6 +35,7 @@
         store_era: era of the store.
         random: chooses the order of nodes.
         log: records probes by peers.
+        shares_loads: whether nodes tell each other the load of endpoints.
 
     """
 
@@ -46,6 +49,22 @@
     store_era: StoreEra
     random: Random
     log: DecisionLog
+    shares_loads: bool = False
+
+    def takes_loads(self, address: str) -> bool:
+        """Return whether a node shares the load of endpoints with this one.
+
+        Nodes of other data centres see other network times, and bytes between
+        data centres have a price.
+
+        Args:
+            address: peer address of the node, empty if it is unknown.
+
+        """
+        return self.shares_loads and any(
+            member.address == address and self.membership.is_near(member)
+            for member in self.membership.live()
+        )
 
 
 def make_exchange(
@@ -66,6 +85,9 @@
 
     """
     deps.membership.update_revision(deps.declaration.revision)
+    loads = []
+    if deps.takes_loads(address):
+        loads = deps.cluster.loads.reports(current_time())
     return Exchange(
         beats=[
             *deps.membership.heartbeats_to_send(),
@@ -76,4 +98,5 @@
         store_era=deps.store_era.current,
         proofs=primary_proofs(deps.cluster) if include_proofs else [],
         commits=commit_reports(deps.cluster),
+        loads=loads,
     )
--- a/trefoilhitch/pooler/peer_messages.py
+++ b/trefoilhitch/pooler/peer_messages.py
@@ -1,7 +1,8 @@
 """Builds the state that nodes send to peers, and applies received state."""
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch._generated.peer import CommitReport, LeadProof
+from trefoilhitch._generated.peer import CommitReport, EndpointLoad, LeadProof
+from trefoilhitch.pooler.balancing.load_book import MAX_REPORTS
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.commit_tracker import CommitProgress
 from trefoilhitch.pooler.observations import PrimaryObservation
@@ -145,5 +146,22 @@
             )
 
 
+def apply_load_reports(
+    cluster: ClusterState, reports: list[EndpointLoad], sent_at: float
+) -> None:
+    """Apply what another node of the data centre observed of endpoints.
+
+    Args:
+        cluster: state of this node.
+        reports: reports that the other node sent; those of unknown endpoints
+            are ignored.
+        sent_at: monotonic time from which their ages count back.
+
+    """
+    for report in reports[:MAX_REPORTS]:
+        if cluster.find(report.endpoint) is not None:
+            cluster.loads.apply_peer_report(report, sent_at)
+
+
 def _age_ms(moment: float | None, now: float) -> int | None:
     return None if moment is None else int((now - moment) * _MS_PER_S)
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -1,5 +1,7 @@
 """Answers other nodes' requests for the state of this node."""
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import (
     DeclarationReply,
     DeclarationRequest,
@@ -23,7 +25,11 @@
     PeerDependencies,
     make_exchange,
 )
-from trefoilhitch.pooler.peer_messages import apply_commit_reports, apply_proofs
+from trefoilhitch.pooler.peer_messages import (
+    apply_commit_reports,
+    apply_load_reports,
+    apply_proofs,
+)
 from trefoilhitch.pooler.peer_services import (
     PeerCallHandler,
     PeerServices,
@@ -69,6 +75,10 @@
         sender = exchange.beats[0]
         # Between data centres, proofs are sent when a read needs one.
         is_near = membership.is_near(sender)
+        if self._deps.takes_loads(sender.address):
+            apply_load_reports(
+                self._deps.cluster, exchange.loads, current_time()
+            )
         self._services.sync.follow(exchange)
         return make_exchange(
             self._deps, include_proofs=is_near, address=sender.address
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from functools import partial
 
-from trio import Nursery, open_nursery, sleep
+from trio import Nursery, current_time, open_nursery, sleep
 
 from trefoilhitch._generated.peer import (
     CheckReply,
@@ -21,7 +21,11 @@
     PeerDependencies,
     make_exchange,
 )
-from trefoilhitch.pooler.peer_messages import apply_commit_reports, apply_proofs
+from trefoilhitch.pooler.peer_messages import (
+    apply_commit_reports,
+    apply_load_reports,
+    apply_proofs,
+)
 from trefoilhitch.pooler.reported_call import run_reported
 
 # Number of nodes that probe a silent primary before it is replaced.
@@ -94,6 +98,7 @@
 
         """
         sent_at = self._deps.cluster.clock()
+        loads_sent_at = current_time()
         request = make_exchange(
             self._deps, include_proofs=primary_changed, address=address
         )
@@ -106,6 +111,8 @@
         self._deps.membership.merge(reply.beats)
         apply_proofs(self._deps.cluster, reply.proofs, sent_at)
         apply_commit_reports(self._deps.cluster, reply.commits)
+        if self._deps.takes_loads(address):
+            apply_load_reports(self._deps.cluster, reply.loads, loads_sent_at)
         self.follow(reply)
         return True
 
--- /dev/null
+++ b/trefoilhitch/pooler/retrying/__init__.py
@@ -0,0 +1,1 @@
+"""Further attempts at statements: pauses and budgets."""
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -5,6 +5,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.catalogue import Route
+from trefoilhitch.pooler.endpoint_selection import ChoiceKind
 from trefoilhitch.pooler.observations import later_position
 from trefoilhitch.pooler.response import SessionState
 from trefoilhitch.pooler.statement import (
@@ -26,6 +27,7 @@
         term: term of the known primary.
         proof_age_ms: age of the observation that a read relied on, None if
             the proof came with the response or none was needed.
+        choice: how the endpoint was chosen.
 
     """
 
@@ -33,6 +35,7 @@
     attempts: int = 0
     term: int = 0
     proof_age_ms: int | None = None
+    choice: ChoiceKind = 'only'
 
 
 @dataclass(slots=True)
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -11,6 +11,11 @@
 from trefoilhitch.pooler.node_state import NodeState
 from trefoilhitch.pooler.primary_proof import PrimaryProver
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
+from trefoilhitch.pooler.retrying.retry_policy import (
+    BudgetedBackoff,
+    FixedPause,
+    RetryPolicy,
+)
 from trefoilhitch.pooler.routed_executor import RoutedExecutor
 from trefoilhitch.pooler.statement_executor import LocalExecutor
 from trefoilhitch.pooler.statement_runner import StatementRunner
@@ -48,6 +53,7 @@
         pool=state.pool,
         runner=runner,
         admission=admission,
+        loads=state.loads,
         has_left=lambda endpoint: state.cluster.endpoints.has_left(
             endpoint, current_time()
         ),
@@ -72,6 +78,7 @@
         accepts=state.gateways.holds_connections,
         idle_limit_s=lambda: state.declaration.limits.transaction_idle_s,
         log=state.runtime.log,
+        loads=(state.loads if state.options.balancing.reads_by_load else None),
     )
 
 
@@ -97,10 +104,15 @@
     executor = RoutedExecutor(
         gateways=state.gateways,
         local=local,
-        remote=GatewayExecutor(client=state.client, rank=state.gateways.rank),
+        remote=GatewayExecutor(
+            client=state.client,
+            rank=state.gateways.rank,
+            apply_load=state.loads.apply_gateway_report,
+        ),
     )
     failures = EndpointFailures(
         cluster=state.cluster,
+        loads=state.loads,
         reject_waiters=state.pool.reject_waiters,
         log=runtime.log,
         metrics=runtime.metrics,
@@ -108,11 +120,15 @@
     statements = StatementRunner(
         cluster=state.cluster,
         sender=StatementSender(
-            cluster=state.cluster, executor=executor, prover=prover
+            cluster=state.cluster,
+            executor=executor,
+            prover=prover,
+            loads=state.loads,
         ),
         prover=prover,
         proofs=proofs,
         failures=failures,
+        retries=_make_retry_policy(state),
         log=runtime.log,
         metrics=runtime.metrics,
     )
@@ -130,3 +146,9 @@
         log=runtime.log,
         metrics=runtime.metrics,
     )
+
+
+def _make_retry_policy(state: NodeState) -> RetryPolicy:
+    if state.options.retries.with_backoff:
+        return BudgetedBackoff(state.runtime.random.random)
+    return FixedPause()
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -6,6 +6,10 @@
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.pooler.admission import Admission
+from trefoilhitch.pooler.balancing.load_observer import (
+    LoadObserver,
+    StatementTimes,
+)
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.pooled_connection import PooledConnection
@@ -143,6 +147,7 @@
     Args:
         pool: pool that it belongs to.
         runner: runs statements on it.
+        loads: observes the load of the endpoint.
         endpoint: endpoint id.
         pooled: the connection.
 
@@ -153,6 +158,7 @@
         *,
         pool: ConnectionPool,
         runner: ConnectionRunner,
+        loads: LoadObserver,
         endpoint: str,
         pooled: PooledConnection,
     ) -> None:
@@ -160,6 +166,7 @@
         self.endpoint = endpoint
         self._pool = pool
         self._runner = runner
+        self._loads = loads
         self._pooled = pooled
         self._initial_variables = dict(pooled.variables)
         self._is_released = False
@@ -184,9 +191,10 @@
             EndpointConnectionError: the response did not arrive completely.
 
         """
-        reply = await self._runner.run(
-            self._pooled, variables, request, deadline
-        )
+        with self._loads.running(self.endpoint):
+            reply = await self._runner.run(
+                self._pooled, variables, request, deadline
+            )
         if reply.response.state == SessionState.IDLE:
             self._end(request.statement.verb)
         return reply
@@ -217,6 +225,7 @@
         pool: pool of endpoint connections.
         runner: runs statements on them.
         admission: spends tokens of the organisations' rates.
+        loads: observes the load of the endpoints.
         has_left: returns whether an endpoint has been leaving for too long.
 
     """
@@ -227,6 +236,7 @@
         pool: ConnectionPool,
         runner: ConnectionRunner,
         admission: Admission,
+        loads: LoadObserver,
         has_left: Callable[[str], bool],
     ) -> None:
         """Store the dependencies."""
@@ -234,16 +244,25 @@
         self._pool = pool
         self._runner = runner
         self._admission = admission
+        self._loads = loads
 
     async def start(self, job: StatementJob) -> StartedStatement:
         """Run a statement; see `StatementExecutor`."""
         if self._has_left(job.endpoint):
             raise ConnectionNotOpenedError('the endpoint has left')
         await self._admit(job)
+        with self._loads.running(job.endpoint) as times:
+            return await self._run(job, times)
+
+    async def _run(
+        self, job: StatementJob, times: StatementTimes
+    ) -> StartedStatement:
         pooled = await self._acquire(job)
+        times.mark_sent()
         conn = LocalConnection(
             pool=self._pool,
             runner=self._runner,
+            loads=self._loads,
             endpoint=job.endpoint,
             pooled=pooled,
         )
@@ -256,6 +275,8 @@
         finally:
             if not is_kept:
                 self._pool.release(job.endpoint, pooled)
+        if reply.response.ok:
+            self._loads.record_answer(job.endpoint, job.request, times)
         return StartedStatement(reply, conn if is_kept else None)
 
     async def _admit(self, job: StatementJob) -> None:
--- a/trefoilhitch/pooler/statement_run.py
+++ b/trefoilhitch/pooler/statement_run.py
@@ -39,6 +39,8 @@
         loss: how the last attempt was lost.
         primary_failures: how often the primary could not be reached.
         is_admitted: whether a token was spent for its operation.
+        pauses: number of pauses between its attempts so far.
+        is_retry: whether an endpoint refused or lost an earlier attempt.
 
     """
 
@@ -54,6 +56,8 @@
     loss: ResponseLoss = ResponseLoss.NOT_SENT
     primary_failures: int = 0
     is_admitted: bool = False
+    pauses: int = 0
+    is_retry: bool = False
 
     @classmethod
     def from_statement(
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from trio import current_time, move_on_at, sleep
+from trio import current_time, move_on_at, sleep_until
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.catalogue import Freshness
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
-from trefoilhitch.pooler.endpoint_selection import Target
+from trefoilhitch.pooler.endpoint_selection import ChoiceKind, Target
 from trefoilhitch.pooler.outcome import (
     FailedAttempt,
     ResponseLoss,
@@ -20,6 +20,11 @@
 from trefoilhitch.pooler.primary_proof import PrimaryProof, PrimaryProver
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 from trefoilhitch.pooler.response import Refusal, Response, refusal_response
+from trefoilhitch.pooler.retrying.read_target_finder import (
+    ReadTargetFinder,
+    RetryBudgetError,
+)
+from trefoilhitch.pooler.retrying.retry_policy import RetryPolicy
 from trefoilhitch.pooler.session import StatementTrace
 from trefoilhitch.pooler.statement import Verb
 from trefoilhitch.pooler.statement_executor import (
@@ -38,8 +43,6 @@
 MAX_ATTEMPTS = 8
 # A single failure to reach the primary may be due to a lost packet.
 MAX_PRIMARY_FAILURES = 2
-# Pause before the next attempt after an endpoint was busy.
-BUSY_PAUSE_S = 0.03
 _MS_PER_S = 1000
 
 TakeOver = Callable[[TransactionConnection], None]
@@ -54,6 +57,7 @@
         prover: applies what statements prove.
         proofs: fetches proofs that reads need.
         failures: applies failures of endpoints.
+        retries: decides when and where statements are repeated.
         log: records failed attempts.
         metrics: counts targets and refusals.
 
@@ -67,6 +71,7 @@
         prover: PrimaryProver,
         proofs: ProofFetcher,
         failures: EndpointFailures,
+        retries: RetryPolicy,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -76,6 +81,8 @@
         self._prover = prover
         self._proofs = proofs
         self._failures = failures
+        self._retries = retries
+        self._read_targets = ReadTargetFinder(cluster, retries)
         self._log = log
         self._metrics = metrics
 
@@ -100,6 +107,9 @@
             return refusal_response(
                 Refusal.BUSY, 'the rate of the organisation is used up'
             )
+        except RetryBudgetError:
+            self._metrics.count('retries_refused')
+            return _refuse_retry(run)
 
     async def _run_attempts(
         self, run: StatementRun, take_over: TakeOver | None
@@ -145,11 +155,9 @@
         return breakers.may_attempt(target.endpoint, current_time())
 
     def _choose_target(self, run: StatementRun) -> Target | None:
-        requirements = run.read_requirements(self._cluster.clock())
         if run.reads:
-            return self._cluster.choose_read_target(
-                requirements, current_time(), run.failed_endpoints
-            )
+            return self._read_targets.choose(run)
+        requirements = run.read_requirements(self._cluster.clock())
         if run.statement.verb == Verb.BEGIN:
             return self._cluster.choose_begin_target(requirements)
         primary = self._cluster.primary(run.route.service)
@@ -159,30 +167,40 @@
             else None
         )
 
+    async def _pause(self, run: StatementRun) -> Response | None:
+        """Pause before the next attempt, unless another endpoint is left.
+
+        Returns:
+            The response for the client if no time is left for an attempt.
+
+        """
+        if self._retries.seeks_others and self._read_targets.has_other(run):
+            return None
+        pause_s = self._retries.pause_s(run.pauses)
+        run.pauses += 1
+        ends_at = current_time() + pause_s
+        if self._retries.seeks_others and ends_at >= run.deadline:
+            return lost_statement_response(FailedAttempt(run.writes, run.loss))
+        await sleep_until(ends_at)
+        return None
+
     async def _attempt(
         self, run: StatementRun, target: Target, take_over: TakeOver | None
     ) -> Response | None:
         run.loss = ResponseLoss.NOT_SENT
         self._record_target(run, target)
+        self._retries.record_sent(
+            target.endpoint, current_time(), is_retry=run.is_retry
+        )
         sent_at = self._cluster.clock()
         try:
             started, proof = await self._sender.send(
                 run, target, keeps_connection=take_over is not None
             )
         except ConnectionNotOpenedError as exc:
-            if exc.overloaded and not run.reads:
-                return refusal_response(Refusal.BUSY, str(exc))
-            if self._failures.record_not_opened(run, target.endpoint, exc):
-                await sleep(BUSY_PAUSE_S)
-            return None
+            return await self._on_not_opened(run, target, exc)
         except GatewayUnavailableError as exc:
-            self._log.event(
-                'gateway_unavailable',
-                request=run.statement.request_id,
-                detail=str(exc),
-            )
-            await sleep(BUSY_PAUSE_S)
-            return None
+            return await self._on_gateway_unavailable(run, target, exc)
         except EndpointConnectionError as exc:
             return self._on_connection_lost(run, target, exc, sent_at)
         self._cluster.record_reached(target.endpoint)
@@ -214,18 +232,44 @@
         if target.proof_sent_at is not None:
             age_s = self._cluster.clock() - target.proof_sent_at
             age_ms = int(age_s * _MS_PER_S)
+        choice: ChoiceKind = 'retry' if run.attempts > 1 else target.choice
         run.session.trace = StatementTrace(
             target.endpoint,
             run.attempts,
             self._cluster.proved_term(run.route.service),
             age_ms,
+            choice,
         )
+        sent = 'reads_sent' if run.reads else 'writes_sent'
+        self._metrics.count(sent, target.endpoint)
         if run.reads:
+            self._metrics.count('read_choices', choice)
             proof = (
                 'lead' if target.requires_primary_proof else 'proved_position'
             )
             self._metrics.count('read_targets', proof)
 
+    async def _on_not_opened(
+        self, run: StatementRun, target: Target, exc: ConnectionNotOpenedError
+    ) -> Response | None:
+        if exc.overloaded and not run.reads:
+            return refusal_response(Refusal.BUSY, str(exc))
+        if self._failures.record_not_opened(run, target.endpoint, exc):
+            return await self._pause(run)
+        return None
+
+    async def _on_gateway_unavailable(
+        self, run: StatementRun, target: Target, exc: GatewayUnavailableError
+    ) -> Response | None:
+        self._log.event(
+            'gateway_unavailable',
+            request=run.statement.request_id,
+            detail=str(exc),
+        )
+        if self._retries.seeks_others:
+            run.failed_endpoints.add(target.endpoint)
+        return await self._pause(run)
+
     def _on_connection_lost(
         self,
         run: StatementRun,
@@ -252,8 +296,7 @@
             return await self._on_refusal(run, target, reply.response)
         if target.requires_primary_proof and not proved:
             self._metrics.count('reads_unproved')
-            await sleep(BUSY_PAUSE_S)
-            return None
+            return await self._pause(run)
         if not self._is_still_fresh(run, target.proof_sent_at):
             self._metrics.count('reads_outdated')
             return None
@@ -279,5 +322,14 @@
             return response
         self._failures.record_refusal(run, target.endpoint, response)
         if response.refusal == Refusal.BUSY:
-            await sleep(BUSY_PAUSE_S)
+            return await self._pause(run)
         return None
+
+
+def _refuse_retry(run: StatementRun) -> Response:
+    """Refuse a read, as not run unless its last attempt may have run."""
+    if run.loss == ResponseLoss.NOT_SENT:
+        return refusal_response(
+            Refusal.BUSY, 'the budget for retries is used up'
+        )
+    return lost_statement_response(FailedAttempt(run.writes, run.loss))
--- a/trefoilhitch/pooler/statement_sender.py
+++ b/trefoilhitch/pooler/statement_sender.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_selection import Target
 from trefoilhitch.pooler.primary_confirmer import ReplicaStatuses
@@ -23,6 +24,7 @@
         cluster: known endpoints and primaries.
         executor: runs statements on endpoints.
         prover: proves that an endpoint is the primary.
+        loads: counts the statements in flight to each endpoint.
 
     """
 
@@ -32,11 +34,13 @@
         cluster: ClusterState,
         executor: StatementExecutor,
         prover: PrimaryProver,
+        loads: LoadObserver,
     ) -> None:
         """Store the dependencies."""
         self._cluster = cluster
         self._executor = executor
         self._prover = prover
+        self._loads = loads
 
     async def send(
         self, run: StatementRun, target: Target, *, keeps_connection: bool
@@ -66,7 +70,8 @@
             keeps_connection=keeps_connection,
             needs_status=target.requires_primary_proof and not permitted,
         )
-        started, replicas = await self._start(job, primary)
+        with self._loads.attempting(target.endpoint):
+            started, replicas = await self._start(job, primary)
         return started, PrimaryProof(primary, permitted, replicas, sent_at)
 
     def _primary(self, run: StatementRun, target: Target) -> Primary:
--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -43,6 +43,7 @@
             closes after they ran, instead of a response.
         busy: each statement is refused with BUSY.
         max_connections: maximum number of open connections.
+        read_delay_s: time that each read takes, in seconds.
 
     """
 
@@ -53,6 +54,7 @@
     drop_responses: int = 0
     busy: bool = False
     max_connections: int = MAX_CONNECTIONS
+    read_delay_s: float = 0
 
 
 @dataclass(slots=True)
--- a/trefoilhitch_lab/wire_session.py
+++ b/trefoilhitch_lab/wire_session.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from trio import sleep
+
 from trefoilhitch_lab.wire_log import (
     ExecutedStatement,
     decode_position,
@@ -82,6 +84,7 @@
         )
         if verb == 'WRITE':
             return await self._write(request_id, words)
+        await sleep(self._endpoint.faults.read_delay_s)
         row = self._endpoint.applied_rows().get(words[0], 'none')
         return (f'DATAROW {row}', f'COMPLETE receipt-{request_id}')
 
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -18,6 +18,7 @@
     sleep_forever,
 )
 
+from trefoilhitch._generated.options import PoolerOptions
 from trefoilhitch.decision_log import DecisionLog, NullLog
 from trefoilhitch.http_message import HttpRequest, HttpResponse, RequestHandler
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
@@ -27,6 +28,7 @@
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
+from trefoilhitch.pooler.options import default_options
 from trefoilhitch.pooler.ports import EndpointConnector
 from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
@@ -144,11 +146,17 @@
         nursery: runs all servers and nodes.
         seed: seed of all random choices.
         log: log of the nodes.
+        options: options of the nodes.
 
     """
 
     def __init__(
-        self, nursery: Nursery, *, seed: int, log: DecisionLog
+        self,
+        nursery: Nursery,
+        *,
+        seed: int,
+        log: DecisionLog,
+        options: PoolerOptions,
     ) -> None:
         """Prepare the stack; `start` starts it."""
         self.store_state = StoreState()
@@ -160,6 +168,7 @@
         self._nursery = nursery
         self._random = Random(seed)
         self._log = log
+        self._options = options
         self._promotion_address = ''
         self._start_count = 0
         self._ports: dict[str, tuple[int, int]] = {}
@@ -330,6 +339,7 @@
             drain_timeout_s=DRAIN_TIMEOUT_S,
             max_sockets=1000,
             rate_rule=RATE_RULE,
+            options=self._options,
         )
 
 
@@ -379,7 +389,11 @@
 
 @asynccontextmanager
 async def running_wire_stack(
-    *, seed: int = 1, nodes: int = 3, log: DecisionLog | None = None
+    *,
+    seed: int = 1,
+    nodes: int = 3,
+    log: DecisionLog | None = None,
+    options: PoolerOptions | None = None,
 ) -> AsyncIterator[WireStack]:
     """Run a stack, and stop it at the end of the block.
 
@@ -387,13 +401,19 @@
         seed: seed of all random choices.
         nodes: number of nodes.
         log: log of the nodes; by default nothing is logged.
+        options: options of the nodes; by default all parts are turned on.
 
     Yields:
         The stack with all nodes ready.
 
     """
     async with open_nursery() as nursery:
-        stack = WireStack(nursery, seed=seed, log=log or NullLog())
+        stack = WireStack(
+            nursery,
+            seed=seed,
+            log=log or NullLog(),
+            options=options or default_options(),
+        )
         await stack.start(nodes=nodes)
         yield stack
         nursery.cancel_scope.cancel()
