--- a/tests/test_wire_balancing.py
+++ b/tests/test_wire_balancing.py
@@ -255,6 +255,36 @@
     run_virtual(scenario)
 
 
+@with_virtual_clock
+async def test_one_read_tries_an_unreachable_endpoint_and_no_other_waits() -> (
+    None
+):
+    """While one read tries it, the others go elsewhere at once.
+
+    They chose it as well and were refused when it did not answer.
+    """
+    async with running_wire_stack() as stack:
+        await sleep(2)
+        node = stack.nodes['node-1']
+        node.cut_endpoints.add(replica_near(stack, 'node-1').endpoint)
+        # Reads find out twice; the endpoint is avoided for two seconds then.
+        for _ in range(3):
+            await read_often(stack, 'node-1', count=3)
+            await sleep(4)
+        before = counter(stack, 'node-1', 'connections_not_opened')
+        codes: list[Counter[str]] = []
+
+        async def read() -> None:
+            codes.append(await read_often(stack, 'node-1', count=1))
+
+        async with open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(read)
+        failures = counter(stack, 'node-1', 'connections_not_opened') - before
+    assert codes == [{'': 1} for _ in range(20)]
+    assert failures == 1
+
+
 # Between nodes
 
 
--- a/trefoilhitch/pooler/balancing/load_book.py
+++ b/trefoilhitch/pooler/balancing/load_book.py
@@ -5,6 +5,7 @@
 anyway.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -52,6 +53,11 @@
     refusals: RefusalLevel = field(default_factory=RefusalLevel)
     queues: dict[str, LoadEstimate] = field(default_factory=dict)
 
+    @property
+    def newest_at(self) -> float:
+        """Monotonic time of this node's newest observation."""
+        return max(self.observed.observed_at, self.refusals.recorded_at)
+
     def in_flight(self, now: float) -> float:
         """Return how many statements at least are in flight.
 
@@ -175,15 +181,15 @@
 
         """
         load = self._loads.get(endpoint)
-        if load is None or not self._is_reported(load, now):
+        age_s = math.inf if load is None else now - load.newest_at
+        if load is None or age_s >= REPORT_VALID_S:
             return None
-        observed = load.observed
         return EndpointLoad(
             endpoint=endpoint,
-            wait_ms=_ms(observed.wait_s + load.refusals.cost_s(now)),
-            response_ms=_ms(observed.response_s),
+            wait_ms=_ms(load.observed.wait_s + load.refusals.cost_s(now)),
+            response_ms=_ms(load.observed.response_s),
             in_flight=self.running[endpoint],
-            age_ms=_ms(now - observed.observed_at),
+            age_ms=_ms(age_s),
         )
 
     def reports(self, now: float) -> list[EndpointLoad]:
@@ -231,9 +237,6 @@
         delay_s = max(load.delay_s(usual_s, now), queue_s)
         return delay_s + own_s + load.refusals.cost_s(now)
 
-    def _is_reported(self, load: _Load, now: float) -> bool:
-        return now - load.observed.observed_at < REPORT_VALID_S
-
     def _known_in_flight(self, endpoint: str, now: float) -> int:
         known = self._load(endpoint).in_flight(now)
         return max(self.running[endpoint], round(known))
--- a/trefoilhitch/pooler/balancing/load_estimate.py
+++ b/trefoilhitch/pooler/balancing/load_estimate.py
@@ -105,10 +105,15 @@
 
 @dataclass(slots=True)
 class RefusalLevel:
-    """Level of recent refusals of an endpoint, from 0 to 1."""
+    """Level of recent refusals of an endpoint, from 0 to 1.
 
+    Args:
+        recorded_at: monotonic time of the newest refusal.
+
+    """
+
+    recorded_at: float = -math.inf
     _level: float = 0
-    _changed_at: float = 0
 
     def record(self, now: float) -> None:
         """Record that the endpoint refused a statement or lost one.
@@ -119,7 +124,7 @@
         """
         level = self._at(now)
         self._level = level + REFUSAL_WEIGHT * (1 - level)
-        self._changed_at = now
+        self.recorded_at = now
 
     def cost_s(self, now: float) -> float:
         """Return the expected time that a refusal costs a statement.
@@ -134,4 +139,4 @@
         return self._at(now) * REFUSAL_COST_S
 
     def _at(self, now: float) -> float:
-        return self._level * math.exp((self._changed_at - now) / RECOVERY_S)
+        return self._level * math.exp((self.recorded_at - now) / RECOVERY_S)
