--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -254,7 +254,8 @@
     ) -> Response | None:
         if exc.overloaded and not run.reads:
             return refusal_response(Refusal.BUSY, str(exc))
-        if self._failures.record_not_opened(run, target.endpoint, exc):
+        pauses = self._failures.record_not_opened(run, target.endpoint, exc)
+        if pauses or self._retries.seeks_others:
             return await self._pause(run)
         return None
 
