Outdated reports of former gateways are dropped

Cause: a node kept the last report of each gateway that it had ever used.

Change: the report of a new gateway drops those that do not count any more.

After it: the modules that use it pass.

--- a/trefoilhitch/pooler/balancing/load_book.py
+++ b/trefoilhitch/pooler/balancing/load_book.py
@@ -58,6 +58,25 @@
         """Monotonic time of this node's newest observation."""
         return max(self.observed.observed_at, self.refusals.recorded_at)
 
+    def record_queue(
+        self, gateway: str, reported: LoadEstimate, now: float
+    ) -> None:
+        """Store a gateway's report, and drop those that are outdated.
+
+        Args:
+            gateway: name of the gateway.
+            reported: its report.
+            now: monotonic time.
+
+        """
+        if gateway not in self.queues:
+            self.queues = {
+                name: each
+                for name, each in self.queues.items()
+                if each.freshness(now)
+            }
+        self.queues[gateway] = reported
+
     def in_flight(self, now: float) -> float:
         """Return how many statements at least are in flight.
 
@@ -154,7 +173,7 @@
         """
         reported = _read_report(report, now)
         load = self._load(report.endpoint)
-        load.queues[gateway] = reported
+        load.record_queue(gateway, reported, now)
         if load.observed.merge(reported):
             self._usual_of(service).observe(reported.delay_s, now)
 
