--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -8,6 +8,7 @@
 from trefoilhitch._generated.peer import (
     AbandonReply,
     AbandonRequest,
+    EndpointLoad,
     MemberBeat,
     RunReply,
     RunRequest,
@@ -125,6 +126,8 @@
         rank: returns the gateways of an organisation to an endpoint, the first
             choice first.
         breakers: tell which gateways may be tried.
+        apply_load: applies what a gateway, whose name comes first, observed of
+            an endpoint's load.
 
     """
 
@@ -134,8 +137,10 @@
         client: PeerClient,
         rank: Callable[[str, str], tuple[MemberBeat, ...]],
         breakers: GatewayBreakers,
+        apply_load: Callable[[str, EndpointLoad], None],
     ) -> None:
-        """Store the dependencies."""
+        """Start without known failures of gateways."""
+        self._apply_load = apply_load
         self._client = client
         self._rank = rank
         self._breakers = breakers
@@ -176,6 +181,8 @@
     ) -> StartedStatement:
         if reply.admitted:
             job.on_admitted()
+        if reply.load is not None:
+            self._apply_load(gateway.node, reply.load)
         match reply.outcome:
             case 'answered':
                 return self._read_answer(job, gateway, reply)
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -1,33 +1,26 @@
 """Creates the parts of a node and connects them."""
 
-from trefoilhitch._generated.peer import MemberBeat
-from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.connection_caps import ConnectionCaps
-from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.control.components import (
     make_asked_nodes,
-    make_client,
     make_statuses,
 )
 from trefoilhitch.pooler.control.status_source import StatusSource
-from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.endpoint_control import EndpointControl
-from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch.pooler.evacuation.components import (
     make_enforcer,
     make_evacuations,
     make_feed,
 )
-from trefoilhitch.pooler.gateway_directory import GatewayDirectory
-from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.lease_view_reader import (
     PEER_TIMEOUT_S,
     LeaseViewReader,
 )
-from trefoilhitch.pooler.membership_view import MembershipView
-from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
+from trefoilhitch.pooler.node_environment import (
+    ExternalServices,
+    NodeRuntime,
+)
 from trefoilhitch.pooler.node_state import NodeState
 from trefoilhitch.pooler.peer_dependencies import PeerDependencies
 from trefoilhitch.pooler.peer_request_handler import PeerRequestHandler
@@ -35,13 +28,9 @@
 from trefoilhitch.pooler.peer_sync import PeerSync
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
 from trefoilhitch.pooler.primary_proof import PrimaryProver
-from trefoilhitch.pooler.proof_fetcher import PROOF_TIMEOUT_S, ProofFetcher
-from trefoilhitch.pooler.rate_shares import RateShares
-from trefoilhitch.pooler.routed_executor import EndpointGateways
-from trefoilhitch.pooler.scheduling.statement_scheduler import (
-    PriorityScheduler,
-    StatementScheduler,
-    UnlimitedScheduler,
+from trefoilhitch.pooler.proof_fetcher import (
+    PROOF_TIMEOUT_S,
+    ProofFetcher,
 )
 from trefoilhitch.pooler.session_components import (
     make_gateway_server,
@@ -49,7 +38,11 @@
     make_session_dependencies,
 )
 from trefoilhitch.pooler.settings import PoolerSettings
-from trefoilhitch.pooler.store_sync import StoreSync, StoreSyncDependencies
+from trefoilhitch.pooler.state_components import make_state
+from trefoilhitch.pooler.store_sync import (
+    StoreSync,
+    StoreSyncDependencies,
+)
 from trefoilhitch.pooler.store_watchers import watches_store
 
 
@@ -72,7 +65,7 @@
         """Create and connect the parts."""
         self._external = external
         self._runtime = runtime
-        self.state = _make_state(cfg, external, runtime)
+        self.state = make_state(cfg, external, runtime)
         self.control = EndpointControl(
             connector=self.state.connector,
             log=runtime.log,
@@ -164,6 +157,7 @@
             random=self._runtime.random,
             log=self._runtime.log,
             evacuations=self._evacuations,
+            shares_loads=cfg.options.balancing.reads_by_load,
         )
 
     def _make_peer_handler(self) -> PeerRequestHandler:
@@ -217,97 +211,6 @@
         )
 
 
-def _make_state(
-    cfg: PoolerSettings, external: ExternalServices, runtime: NodeRuntime
-) -> NodeState:
-    declaration = CurrentDeclaration()
-    cluster = ClusterState(
-        selector=EndpointSelector(
-            data_centre=cfg.data_centre, regions=cfg.regions
-        ),
-        log=runtime.log,
-        clock=runtime.clock,
-        drain_timeout_s=cfg.drain_timeout_s,
-        evacuation_timeout_s=cfg.evacuation_timeout_s,
-    )
-    declaration.add_listener(
-        lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
-    )
-    membership = _make_membership(cfg, runtime)
-    directory = GatewayDirectory(
-        membership=membership,
-        declaration=declaration,
-        data_centres=tuple(sorted(cfg.regions)),
-        window_s=cfg.rate_rule.window_s,
-        clock=runtime.clock,
-    )
-    caps = ConnectionCaps(
-        declaration=declaration,
-        cluster=cluster,
-        membership=membership,
-        directory=directory,
-    )
-    connector = external.make_connector(cluster.find)
-    pool = ConnectionPool(
-        connector=connector,
-        cap=caps.cap,
-        metrics=runtime.metrics,
-        by_priority=cfg.options.scheduling.statements_by_priority,
-    )
-    return NodeState(
-        declaration=declaration,
-        cluster=cluster,
-        membership=membership,
-        directory=directory,
-        gateways=EndpointGateways(cluster, directory, cfg.node),
-        rates=HeldRates(
-            shares=RateShares(cfg.rate_rule, runtime.clock()),
-            membership=membership,
-            directory=directory,
-            clock=runtime.clock,
-        ),
-        pool=pool,
-        scheduler=_make_scheduler(cfg, runtime, caps, pool),
-        connector=connector,
-        client=make_client(cfg, runtime),
-        runtime=runtime,
-    )
-
-
-def _make_scheduler(
-    cfg: PoolerSettings,
-    runtime: NodeRuntime,
-    caps: ConnectionCaps,
-    pool: ConnectionPool,
-) -> StatementScheduler:
-    if not cfg.options.scheduling.statements_by_priority:
-        return UnlimitedScheduler()
-    return PriorityScheduler(
-        bounds=caps.slot_bounds,
-        readiness=pool.readiness,
-        log=runtime.log,
-        metrics=runtime.metrics,
-    )
-
-
-def _make_membership(
-    cfg: PoolerSettings, runtime: NodeRuntime
-) -> MembershipView:
-    heartbeat = MemberBeat(
-        node=cfg.node,
-        address=cfg.peer_address,
-        region=cfg.region,
-        data_centre=cfg.data_centre,
-        incarnation=runtime.incarnation,
-        counter=1,
-        state='live',
-        capacity=cfg.capacity if cfg.options.gateways.by_capacity else 0,
-    )
-    return MembershipView(
-        heartbeat=heartbeat, random=runtime.random, clock=runtime.clock
-    )
-
-
 def _make_lease_observer(
     cfg: PoolerSettings, state: NodeState, external: ExternalServices
 ) -> LeaseObserver:
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import Exchange
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.cluster_state import ClusterState
@@ -36,6 +38,7 @@
         random: chooses the order of nodes.
         log: records probes by peers.
         evacuations: the evacuations in force, None if none are kept.
+        shares_loads: whether nodes tell each other the load of endpoints.
 
     """
 
@@ -51,6 +54,22 @@
     random: Random
     log: DecisionLog
     evacuations: Evacuations | None = None
+    shares_loads: bool = False
+
+    def takes_loads(self, address: str) -> bool:
+        """Return whether a node shares the load of endpoints with this one.
+
+        Nodes of other data centres see other network times, and bytes between
+        data centres have a price.
+
+        Args:
+            address: peer address of the node, empty if it is unknown.
+
+        """
+        return self.shares_loads and any(
+            member.address == address and self.membership.is_near(member)
+            for member in self.membership.live()
+        )
 
 
 def make_exchange(
@@ -71,6 +90,9 @@
 
     """
     deps.membership.update_revision(deps.declaration.revision)
+    loads = []
+    if deps.takes_loads(address):
+        loads = deps.cluster.loads.reports(current_time())
     return Exchange(
         beats=[
             *deps.membership.heartbeats_to_send(),
@@ -82,4 +104,5 @@
         proofs=primary_proofs(deps.cluster) if include_proofs else [],
         commits=commit_reports(deps.cluster),
         evacuations=deps.evacuations.report() if deps.evacuations else None,
+        loads=loads,
     )
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -18,6 +18,11 @@
 from trefoilhitch.pooler.node_state import NodeState
 from trefoilhitch.pooler.primary_proof import PrimaryProver
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
+from trefoilhitch.pooler.retrying.retry_policy import (
+    BudgetedBackoff,
+    FixedPause,
+    RetryPolicy,
+)
 from trefoilhitch.pooler.routed_executor import RoutedExecutor
 from trefoilhitch.pooler.statement_executor import LocalExecutor
 from trefoilhitch.pooler.statement_runner import StatementRunner
@@ -62,6 +67,7 @@
         runner=runner,
         admission=admission,
         scheduler=state.scheduler,
+        loads=state.loads,
         has_left=lambda endpoint: state.cluster.endpoints.has_left(
             endpoint, current_time()
         ),
@@ -90,6 +96,7 @@
         ),
         idle_limit_s=lambda: state.declaration.limits.transaction_idle_s,
         log=state.runtime.log,
+        loads=(state.loads if state.options.balancing.reads_by_load else None),
     )
 
 
@@ -119,22 +126,28 @@
             client=state.client,
             rank=state.gateways.rank,
             breakers=_make_breakers(state),
+            apply_load=state.loads.apply_gateway_report,
         ),
     )
     failures = EndpointFailures(
         cluster=state.cluster,
         reject_waiters=state.reject_waiters,
+        loads=state.loads,
         log=runtime.log,
         metrics=runtime.metrics,
     )
     statements = StatementRunner(
         cluster=state.cluster,
         sender=StatementSender(
-            cluster=state.cluster, executor=executor, prover=prover
+            cluster=state.cluster,
+            executor=executor,
+            prover=prover,
+            loads=state.loads,
         ),
         prover=prover,
         proofs=proofs,
         failures=failures,
+        retries=_make_retry_policy(state),
         log=runtime.log,
         metrics=runtime.metrics,
     )
@@ -158,3 +171,9 @@
     if state.client.is_guarded:
         return GuardedBreakers(state.client)
     return CountingBreakers()
+
+
+def _make_retry_policy(state: NodeState) -> RetryPolicy:
+    if state.options.retries.with_backoff:
+        return BudgetedBackoff(state.runtime.random.random)
+    return FixedPause()
--- /dev/null
+++ b/trefoilhitch/pooler/state_components.py
@@ -0,0 +1,145 @@
+"""Creates the state that the parts of a node share."""
+
+from trefoilhitch._generated.peer import MemberBeat
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.circuit_breakers import (
+    TRIAL_INTERVAL_S,
+    TRIAL_TIMEOUT_S,
+    CircuitBreakers,
+)
+from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.connection_caps import ConnectionCaps
+from trefoilhitch.pooler.connection_pool import ConnectionPool
+from trefoilhitch.pooler.control.components import make_client
+from trefoilhitch.pooler.current_declaration import CurrentDeclaration
+from trefoilhitch.pooler.endpoint_selection import EndpointSelector
+from trefoilhitch.pooler.gateway_directory import GatewayDirectory
+from trefoilhitch.pooler.held_rates import HeldRates
+from trefoilhitch.pooler.membership_view import MembershipView
+from trefoilhitch.pooler.node_environment import (
+    ExternalServices,
+    NodeRuntime,
+)
+from trefoilhitch.pooler.node_state import NodeState
+from trefoilhitch.pooler.rate_shares import RateShares
+from trefoilhitch.pooler.routed_executor import EndpointGateways
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    PriorityScheduler,
+    StatementScheduler,
+    UnlimitedScheduler,
+)
+from trefoilhitch.pooler.settings import PoolerSettings
+
+
+def make_state(
+    cfg: PoolerSettings, external: ExternalServices, runtime: NodeRuntime
+) -> NodeState:
+    """Create the state of a node.
+
+    Args:
+        cfg: settings of the node.
+        external: access to systems outside the process.
+        runtime: log, metrics, clock and random source.
+
+    Returns:
+        The state.
+
+    """
+    declaration = CurrentDeclaration()
+    cluster = _make_cluster(cfg, runtime)
+    declaration.add_listener(
+        lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
+    )
+    membership = _make_membership(cfg, runtime)
+    directory = GatewayDirectory(
+        membership=membership,
+        declaration=declaration,
+        data_centres=tuple(sorted(cfg.regions)),
+        window_s=cfg.rate_rule.window_s,
+        clock=runtime.clock,
+    )
+    caps = ConnectionCaps(
+        declaration=declaration,
+        cluster=cluster,
+        membership=membership,
+        directory=directory,
+    )
+    connector = external.make_connector(cluster.find)
+    pool = ConnectionPool(
+        connector=connector,
+        cap=caps.cap,
+        metrics=runtime.metrics,
+        by_priority=cfg.options.scheduling.statements_by_priority,
+    )
+    return NodeState(
+        declaration=declaration,
+        cluster=cluster,
+        membership=membership,
+        directory=directory,
+        gateways=EndpointGateways(cluster, directory, cfg.node),
+        rates=HeldRates(
+            shares=RateShares(cfg.rate_rule, runtime.clock()),
+            membership=membership,
+            directory=directory,
+            clock=runtime.clock,
+        ),
+        pool=pool,
+        scheduler=_make_scheduler(cfg, runtime, caps, pool),
+        connector=connector,
+        client=make_client(cfg, runtime),
+        runtime=runtime,
+        loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
+        options=cfg.options,
+    )
+
+
+def _make_cluster(cfg: PoolerSettings, runtime: NodeRuntime) -> ClusterState:
+    options = cfg.options
+    single_trial = options.retries.with_backoff
+    return ClusterState(
+        selector=EndpointSelector(
+            data_centre=cfg.data_centre, regions=cfg.regions
+        ),
+        log=runtime.log,
+        clock=runtime.clock,
+        drain_timeout_s=cfg.drain_timeout_s,
+        evacuation_timeout_s=cfg.evacuation_timeout_s,
+        draw=runtime.random.random if options.balancing.reads_by_load else None,
+        breakers=CircuitBreakers(
+            TRIAL_TIMEOUT_S if single_trial else TRIAL_INTERVAL_S
+        ),
+    )
+
+
+def _make_scheduler(
+    cfg: PoolerSettings,
+    runtime: NodeRuntime,
+    caps: ConnectionCaps,
+    pool: ConnectionPool,
+) -> StatementScheduler:
+    if not cfg.options.scheduling.statements_by_priority:
+        return UnlimitedScheduler()
+    return PriorityScheduler(
+        bounds=caps.slot_bounds,
+        readiness=pool.readiness,
+        log=runtime.log,
+        metrics=runtime.metrics,
+    )
+
+
+def _make_membership(
+    cfg: PoolerSettings, runtime: NodeRuntime
+) -> MembershipView:
+    heartbeat = MemberBeat(
+        node=cfg.node,
+        address=cfg.peer_address,
+        region=cfg.region,
+        data_centre=cfg.data_centre,
+        incarnation=runtime.incarnation,
+        counter=1,
+        state='live',
+        capacity=cfg.capacity if cfg.options.gateways.by_capacity else 0,
+    )
+    return MembershipView(
+        heartbeat=heartbeat, random=runtime.random, clock=runtime.clock
+    )
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -7,6 +7,10 @@
 
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.pooler.admission import Admission, AdmittedOperation
+from trefoilhitch.pooler.balancing.load_observer import (
+    LoadObserver,
+    StatementTimes,
+)
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.evacuation.evacuated_endpoints import (
@@ -175,6 +179,7 @@
         pool: pool that it belongs to.
         runner: runs statements on it.
         scheduler: counts the statements in flight.
+        loads: observes the load of the endpoint.
         job: the first statement of the transaction.
         pooled: the connection.
         on_end: called when the transaction has ended.
@@ -187,6 +192,7 @@
         pool: ConnectionPool,
         runner: ConnectionRunner,
         scheduler: StatementScheduler,
+        loads: LoadObserver,
         job: StatementJob,
         pooled: PooledConnection,
         on_end: Callable[['LocalConnection'], None],
@@ -195,6 +201,7 @@
         self.endpoint = job.endpoint
         self.is_running = False
         self._on_end = on_end
+        self._loads = loads
         self._priority = job.priority
         self._scheduler = scheduler
         self._pool = pool
@@ -233,8 +240,8 @@
         kind = f'{self._priority}/{request.kind}'
         self.is_running = True
         try:
-            with self._scheduler.begin_unlimited(self.endpoint, kind) as turn:
-                reply = await run_in_turn(turn, send)
+            with self._loads.running(self.endpoint):
+                reply = await self._run_unlimited(kind, send)
         finally:
             self.is_running = False
         if reply.response.state == SessionState.IDLE:
@@ -246,6 +253,12 @@
         self._pooled.conn.close()
         self._release()
 
+    async def _run_unlimited(
+        self, kind: str, send: Callable[[], Awaitable[StatementResult]]
+    ) -> StatementResult:
+        with self._scheduler.begin_unlimited(self.endpoint, kind) as turn:
+            return await run_in_turn(turn, send)
+
     def _end(self, verb: Verb) -> None:
         changed = self._pooled.variables != self._initial_variables
         if changed and verb == Verb.ROLLBACK:
@@ -269,6 +282,7 @@
         runner: runs statements on them.
         admission: spends tokens of the organisations' rates.
         scheduler: decides when statements are sent.
+        loads: observes the load of the endpoints.
         has_left: returns whether an endpoint has been leaving for too long.
         evacuated: tells which endpoints are evacuated.
 
@@ -281,6 +295,7 @@
         runner: ConnectionRunner,
         admission: Admission,
         scheduler: StatementScheduler,
+        loads: LoadObserver,
         has_left: Callable[[str], bool],
         evacuated: EvacuatedEndpoints,
     ) -> None:
@@ -292,6 +307,7 @@
         self._runner = runner
         self._admission = admission
         self._scheduler = scheduler
+        self._loads = loads
 
     async def start(self, job: StatementJob) -> StartedStatement:
         """Run a statement; see `StatementExecutor`."""
@@ -299,13 +315,11 @@
         # No token is spent on a statement that could not run in time.
         self._check_wait(job)
         admitted = await self._admit(job)
-        turn = await self._refund_unless_done(
-            job, admitted, partial(self._wait_for_turn, job)
-        )
-        with turn:
-            # The endpoint may have left during the wait.
-            self._check_in_service(job)
-            return await self._run(job, admitted, turn)
+        with self._loads.running(job.endpoint) as times:
+            started = await self._start_admitted(job, admitted, times)
+            if started.reply.response.ok:
+                self._loads.record_answer(job.endpoint, job.request, times)
+            return started
 
     def end_transactions(self) -> None:
         """Roll back idle transactions on endpoints that may have none."""
@@ -314,18 +328,34 @@
             if is_ended and not conn.is_running:
                 conn.discard()
 
-    async def _run(
-        self, job: StatementJob, admitted: AdmittedOperation, turn: Turn
+    async def _start_admitted(
+        self,
+        job: StatementJob,
+        admitted: AdmittedOperation,
+        times: StatementTimes,
     ) -> StartedStatement:
-        pooled = await self._refund_unless_done(
-            job, admitted, partial(self._acquire, job)
+        turn = await self._refund_unless_done(
+            job, admitted, partial(self._wait_for_turn, job)
         )
-        if not job.is_admitted:
-            job.on_admitted()
+        with turn:
+            # The endpoint may have left during the wait.
+            self._check_in_service(job)
+            pooled = await self._refund_unless_done(
+                job, admitted, partial(self._acquire, job)
+            )
+            times.mark_sent()
+            if not job.is_admitted:
+                job.on_admitted()
+            return await self._run(job, pooled, turn)
+
+    async def _run(
+        self, job: StatementJob, pooled: PooledConnection, turn: Turn
+    ) -> StartedStatement:
         conn = LocalConnection(
             pool=self._pool,
             runner=self._runner,
             scheduler=self._scheduler,
+            loads=self._loads,
             job=job,
             pooled=pooled,
             on_end=self._open.discard,
