Tests of the merged parts; the state of a node is created in a module of its own

Cause: the parts were built side by side; their tests create executors without what the other parts need.

Change: the tests pass these.

--- a/tests/support.py
+++ b/tests/support.py
@@ -5,9 +5,13 @@
 from random import Random
 from typing import Any, TypeVar
 
-from trio import run
+from trio import current_time, run
 from trio.testing import MockClock
 
+from trefoilhitch.decision_log import NullLog
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch_lab.endpoint_server import EndpointServer
 from trefoilhitch_lab.session_client import SessionClient
 from trefoilhitch_lab.stack import Stack
@@ -89,3 +93,18 @@
 def stored_count(stack: Stack, mark: str) -> int:
     """Return how often the primary stores an order."""
     return int(primary_of(stack).database.read(COUNT, [mark]).rows[0][0])
+
+
+def make_cluster() -> ClusterState:
+    """Return the state of a node that knows no endpoints."""
+    return ClusterState(
+        selector=EndpointSelector(data_centre='patan', regions={}),
+        log=NullLog(),
+        clock=current_time,
+    )
+
+
+def make_loads() -> LoadObserver:
+    """Return an observer of the load of endpoints that are not known."""
+    cluster = make_cluster()
+    return LoadObserver(cluster.loads, cluster.selector, cluster.find)
--- a/tests/test_evacuated_statements.py
+++ b/tests/test_evacuated_statements.py
@@ -9,6 +9,7 @@
 from tests.support import with_virtual_clock
 from tests.test_leaving_endpoints import READY
 from trefoilhitch.decision_log import NullLog
+from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.catalogue import Freshness, Route
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_selection import (
@@ -17,6 +18,9 @@
 )
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.response import Refusal, SessionState
+from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    UnlimitedScheduler,
+)
 from trefoilhitch.pooler.session import OpenTransaction, SessionData
 from trefoilhitch.pooler.statement import Statement, Verb
 from trefoilhitch.pooler.statement_executor import (
@@ -102,6 +106,8 @@
         pool=cast('Any', parts),
         runner=cast('Any', parts),
         admission=cast('Any', parts),
+        scheduler=UnlimitedScheduler(),
+        loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
         has_left=lambda endpoint: False,
         evacuated=cluster.evacuated,
     )
