--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -169,8 +169,11 @@
             primary.service, primary.endpoint, primary.term, position, sent_at
         )
         if primary.term >= self.proved_term(primary.service):
+            is_first = self.observations.newest(primary.service) is None
             self.observations.add(observation)
             self.record_answered(primary.service, sent_at)
+            if is_first:
+                self.notify_change()
         self.record_primary(primary, source)
 
     def record_answered(self, service: str, sent_at: float) -> None:
--- a/trefoilhitch/pooler/gateway_placement.py
+++ b/trefoilhitch/pooler/gateway_placement.py
@@ -11,7 +11,6 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from statistics import median
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch._generated.record import PlacementNode
@@ -69,7 +68,7 @@
             each.rate_per_s * window_s + each.burst
             for each in catalogue.organisations.values()
         ]
-        return cls(connections, median(operations) if operations else 0)
+        return cls(connections, _median(operations))
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,3 +203,15 @@
     """
     available = connections - GATEWAY_CONTROL_CONNECTIONS
     return max(1, available // max(1, gateways))
+
+
+def _median(amounts: Iterable[float]) -> float:
+    """Return the median, 0 of nothing.
+
+    The module `statistics` would load those of fractions and decimals too.
+    """
+    ordered = sorted(amounts)
+    if not ordered:
+        return 0
+    middle = len(ordered) // 2
+    return (ordered[middle] + ordered[~middle]) / 2
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -5,7 +5,7 @@
 from functools import partial
 from itertools import count
 
-from trio import Nursery, current_time, open_nursery, sleep
+from trio import Nursery, current_time, move_on_after, open_nursery, sleep
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError
@@ -53,6 +53,7 @@
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries have not been replaced.
         restorer: writes leases again that the store has lost.
+        has_listings: returns whether the endpoints and the nodes are known.
         live_nodes: returns the heartbeats of the nodes that may monitor.
         members_version: returns a number that changes with these nodes.
         confirm_silence: has other nodes probe a primary; returns False if
@@ -67,6 +68,7 @@
     confirmer: PrimaryConfirmer
     leases: LeaseObserver
     restorer: LeaseRestorer
+    has_listings: Callable[[], bool]
     live_nodes: Callable[[], list[MemberBeat]]
     members_version: Callable[[], int]
     confirm_silence: Callable[[str, str], Awaitable[bool]]
@@ -99,10 +101,15 @@
 
     async def run(self) -> None:
         """Monitor all services until cancelled."""
+        # Reads with a bound wait for the first proof. Without the other nodes,
+        # each one would take itself for the first monitor of all services.
+        with move_on_after(CHECK_INTERVAL_S):
+            while not self._deps.has_listings():
+                await self._cluster.wait_for_change()
         async with open_nursery() as nursery:
             while True:
-                await sleep(CHECK_INTERVAL_S)
                 self._start_tasks(nursery)
+                await sleep(CHECK_INTERVAL_S)
 
     @property
     def _cluster(self) -> ClusterState:
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -60,6 +60,7 @@
             rates=self._parts.state.rates,
             store_era=external.era,
             random=runtime.random,
+            on_listed=self._parts.state.cluster.notify_change,
             log=runtime.log,
         )
         self.sessions = SessionManager(
@@ -150,9 +151,12 @@
 
     @property
     def _can_serve(self) -> bool:
+        # No tokens are spent, and it is unknown which nodes are gateways,
+        # before the registered nodes have been listed.
         return (
             self._parts.state.declaration.catalogue is not None
             and self._parts.store_sync.endpoints_listed
+            and self._membership.nodes_listed
         )
 
     async def _run_housekeeping(self) -> None:
@@ -213,6 +217,7 @@
                 confirmer=parts.confirmer,
                 leases=parts.leases,
                 restorer=self._make_lease_restorer(failover),
+                has_listings=lambda: self._can_serve,
                 live_nodes=self._membership.live,
                 members_version=lambda: self._membership.version,
                 confirm_silence=parts.peer_sync.confirm_silence,
--- a/trefoilhitch/pooler/node_registration.py
+++ b/trefoilhitch/pooler/node_registration.py
@@ -32,6 +32,7 @@
         rates: follow the number of nodes.
         store_era: era of the store.
         random: spreads the writes of many nodes.
+        on_listed: called when the registered nodes have been read.
         log: records failures.
 
     """
@@ -44,6 +45,7 @@
         rates: HeldRates,
         store_era: StoreEra,
         random: Random,
+        on_listed: Callable[[], None],
         log: DecisionLog,
     ) -> None:
         """Start without an entry."""
@@ -52,6 +54,7 @@
         self._rates = rates
         self._store_era = store_era
         self._random = random
+        self._on_listed = on_listed
         self._log = log
         # Era in which the entry was written.
         self._era = NO_ERA
@@ -119,3 +122,4 @@
                 )
         self._membership.nodes_listed = True
         self._rates.refresh()
+        self._on_listed()
--- a/trefoilhitch/pooler/proof_fetcher.py
+++ b/trefoilhitch/pooler/proof_fetcher.py
@@ -81,6 +81,9 @@
         return newest is not None and newest.sent_at >= not_before
 
     async def _fetch(self, service: str) -> None:
+        if self._obtains_first_proof(service):
+            await self._wait_for_first_proof(service)
+            return
         pending = self._pending.get(service)
         if pending is not None:
             await pending.wait()
@@ -96,6 +99,21 @@
             self._pending.pop(service)
             finished.set()
 
+    def _obtains_first_proof(self, service: str) -> bool:
+        """Return whether this node's monitor is to obtain the first proof.
+
+        Another node would ask this one in turn, so that both would wait.
+        """
+        if self._cluster.observations.newest(service) is not None:
+            return False
+        monitors = self._rank_monitors(service, self._membership.live())
+        return monitors[:1] == [self._membership.heartbeat.node]
+
+    async def _wait_for_first_proof(self, service: str) -> None:
+        with move_on_after(MAX_WAIT_S):
+            while self._cluster.observations.newest(service) is None:
+                await self._cluster.wait_for_change()
+
     async def _request(self, service: str, source: MemberBeat) -> None:
         sent_at = self._cluster.clock()
         request = ProofRequest(
@@ -119,10 +137,13 @@
         ranked = rank_by_name(f'proof/{service}', local)
         if ranked and ranked[0].node != own.node:
             return ranked[0]
-        monitors = rank_monitors(
-            service, self._cluster.primary_data_centre(service), live
-        )
+        monitors = self._rank_monitors(service, live)
         by_name = {node.node: node for node in live}
         if not monitors or monitors[0] == own.node:
             return None
         return by_name[monitors[0]]
+
+    def _rank_monitors(self, service: str, live: list[MemberBeat]) -> list[str]:
+        return rank_monitors(
+            service, self._cluster.primary_data_centre(service), live
+        )
--- a/trefoilhitch_lab/platform_store.py
+++ b/trefoilhitch_lab/platform_store.py
@@ -26,6 +26,7 @@
         outage: respond with 503 and execute nothing.
         silent: never respond.
         delay_s: delay of each response, in seconds.
+        delayed_kind: kind of objects whose requests are delayed, empty for all.
         drop_responses: number of coming writes or promotion commands that
             take effect and get a 503 instead of a response.
         late_commands: number of coming promotion commands that are executed
@@ -38,6 +39,7 @@
     outage: bool = False
     silent: bool = False
     delay_s: float = 0
+    delayed_kind: str = ''
     drop_responses: int = 0
     late_commands: int = 0
     late_command_delay_s: float = 3
@@ -192,12 +194,13 @@
 
     async def _respond(self, req: HttpRequest) -> HttpResponse:
         self.request_counts[req.method] += 1
-        await sleep(self.faults.delay_s)
+        kind, _, name = req.path.removeprefix(_ROOT).partition('/')
+        if self.faults.delayed_kind in {'', kind}:
+            await sleep(self.faults.delay_s)
         if self.faults.silent:
             await sleep_forever()
         if self.faults.outage:
             return HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE)
-        kind, _, name = req.path.removeprefix(_ROOT).partition('/')
         if 'watch' in req.query:
             return await self._watch(kind, req.query)
         if req.method != 'GET':
