--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -5,7 +5,14 @@
 from functools import partial
 from itertools import count
 
-from trio import Nursery, current_time, move_on_after, open_nursery, sleep
+from trio import (
+    Nursery,
+    current_time,
+    move_on_after,
+    open_nursery,
+    sleep,
+    sleep_forever,
+)
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError
@@ -101,14 +108,16 @@
 
     async def run(self) -> None:
         """Monitor all services until cancelled."""
-        # Reads with a bound wait for the first proof. Without the other nodes,
-        # each one would take itself for the first monitor of all services.
-        with move_on_after(CHECK_INTERVAL_S):
-            while not self._deps.has_listings():
-                await self._cluster.wait_for_change()
         async with open_nursery() as nursery:
+            with move_on_after(CHECK_INTERVAL_S):
+                while not self._deps.has_listings():
+                    await self._cluster.wait_for_change()
+                # Reads with a bound wait for the first proof, which standbys
+                # leave to the first monitor.
+                self._start_tasks(nursery, 1)
+                await sleep_forever()
             while True:
-                self._start_tasks(nursery)
+                self._start_tasks(nursery, MONITORS_PER_SERVICE)
                 await sleep(CHECK_INTERVAL_S)
 
     @property
@@ -119,10 +128,10 @@
     def _control(self) -> EndpointControl:
         return self._deps.failover.control
 
-    def _start_tasks(self, nursery: Nursery) -> None:
+    def _start_tasks(self, nursery: Nursery, monitors: int) -> None:
         for service in self._cluster.endpoints.services():
             rank = self._rank(service)
-            if rank >= MONITORS_PER_SERVICE:
+            if rank >= monitors:
                 continue
             # Separate tasks, so that a probe without an answer does not delay
             # the evaluation.
