Connections are opened gradually to an endpoint that refuses some (connections.gradual_opening)

Cause: after a restart of all nodes, an endpoint still counts the connections of earlier processes, for up to 3 s. Each gateway tried all of its share at once, again after each pause of 0.2 s, and without any pause where the endpoint resets a connection instead of answering with CONNLIMIT.

Change: OpeningRamp (pure) limits how many connections to an endpoint may be open or being opened. A process that is younger than 3 s begins with one, an older one without a limit, as before. A refusal reduces the openings to one, after a pause of 25 ms that doubles up to REFUSED_PAUSE_S; each success doubles them, up to the node's share. In the first 3 s, a node that was refused and has connections opens no further ones: the rest may be held by earlier processes. An opening without an answer keeps others from being tried for 0.25 s only. Requests that may not open one wait in the pool's queue, and so get connections that are released meanwhile; one whose deadline ends within the pause is refused at once, as not sent. A reset while opening is a failure of its own type, EndpointResetError. With the option off, UnlimitedOpenings does what the pool did. REFUSED_PAUSE_S moved to opening_ramp, with its comment; test_connection_pool imports it from there, otherwise unchanged. Metric: connections_deferred_total.

--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -10,7 +10,6 @@
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.connection_pool import (
     CONNECT_TIMEOUT_S,
-    REFUSED_PAUSE_S,
     SAME_ORGANISATION_WAIT_S,
     ConnectionPool,
 )
@@ -22,6 +21,7 @@
     MAX_PASSED_OVER_S,
     MIN_USES_BEFORE_REASSIGNMENT,
 )
+from trefoilhitch.pooler.opening.opening_ramp import REFUSED_PAUSE_S
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import (
     EndpointConnection,
--- a/trefoilhitch/platform/endpoint_connection.py
+++ b/trefoilhitch/platform/endpoint_connection.py
@@ -26,6 +26,7 @@
     EndpointConnectionError,
     EndpointOverloadedError,
     EndpointRefusedError,
+    EndpointResetError,
     EndpointStatus,
     EndpointUnreachableError,
 )
@@ -205,6 +206,7 @@
         Raises:
             EndpointUnreachableError: the endpoint did not accept in time.
             EndpointOverloadedError: the names cannot be sent.
+            EndpointResetError: the endpoint reset the connection.
             EndpointConnectionError: no connection for another reason.
             EndpointRefusedError: the endpoint refused.
 
@@ -220,7 +222,7 @@
                 stream = await _open_endpoint_stream(record, connect_by)
                 conn = WireConnection(stream, endpoint, organisation)
                 return await _start(conn, message)
-        except (ByteStreamError, WireError) as exc:
+        except WireError as exc:
             raise EndpointConnectionError(
                 ResponseLoss.NOT_SENT, f'{endpoint}: {exc}'
             ) from exc
@@ -319,6 +321,10 @@
     try:
         await conn.start(message)
         started = True
+    except ByteStreamError as exc:
+        raise EndpointResetError(
+            ResponseLoss.NOT_SENT, f'{conn.endpoint}: {exc}'
+        ) from exc
     finally:
         if not started:
             conn.close()
--- a/trefoilhitch/pooler/connection_pool.py
+++ b/trefoilhitch/pooler/connection_pool.py
@@ -1,6 +1,5 @@
 """Pool of endpoint connections, each bound to one organisation."""
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -9,6 +8,8 @@
 from trefoilhitch.fair_queue import QueuedRequest
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.endpoint_connection_pool import EndpointConnectionPool
+from trefoilhitch.pooler.opening.opening_ramp import Opening
+from trefoilhitch.pooler.opening.openings import Openings, UnlimitedOpenings
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
@@ -26,9 +27,6 @@
 # Longest time to open a connection. A busy endpoint accepts at once, but runs
 # its statements first; giving up makes it repeat the work of the handshake.
 OPEN_TIMEOUT_S = 0.7
-# Pause after an endpoint refused a connection: it still holds those of an
-# earlier process, and each further refusal would occupy one of its slots.
-REFUSED_PAUSE_S = 0.2
 # How long a request waits for a connection of its own organisation that is in
 # use, before one of another organisation is closed for it.
 SAME_ORGANISATION_WAIT_S = 0.06
@@ -53,7 +51,9 @@
     Args:
         connector: opens connections.
         cap: returns how many connections this node may hold to an endpoint.
-        metrics: counts opened connections.
+        metrics: counts opened and deferred connections.
+        openings: decides when connections are opened, and how many at a time;
+            by default they are limited only by the cap.
 
     """
 
@@ -63,6 +63,7 @@
         connector: EndpointConnector,
         cap: Callable[[str], int],
         metrics: Metrics,
+        openings: Openings | None = None,
     ) -> None:
         """Start without connections."""
         self._connector = connector
@@ -70,7 +71,7 @@
         self._metrics = metrics
         self._endpoint_pools: dict[str, EndpointConnectionPool] = {}
         self._waiters: dict[QueuedRequest, _Waiter] = {}
-        self._open_after: dict[str, float] = {}
+        self._openings = openings or UnlimitedOpenings()
 
     async def acquire(
         self,
@@ -102,7 +103,7 @@
         request = _Request(endpoint, organisation, deadline)
         conn = endpoint_pool.take_idle(organisation, variables)
         if conn is None and not endpoint_pool.reserve(
-            organisation, self._cap(endpoint)
+            organisation, self._opening_limit(endpoint)
         ):
             conn = await self._wait_or_evict(endpoint_pool, request)
         conn = conn or await self._open(endpoint_pool, request)
@@ -180,7 +181,12 @@
         self, endpoint_pool: EndpointConnectionPool, request: _Request
     ) -> PooledConnection | None:
         """Return a connection, or None if a new one may be opened."""
-        expected_s = endpoint_pool.expected_wait_s(request.organisation)
+        if endpoint_pool.open_count < self._cap(request.endpoint):
+            self._metrics.count('connections_deferred', request.endpoint)
+        expected_s = max(
+            endpoint_pool.expected_wait_s(request.organisation),
+            self._openings.trial_wait_s(request.endpoint, current_time()),
+        )
         if current_time() + expected_s > request.deadline:
             # Refused at once, so that the client may go elsewhere.
             self._metrics.count('waits_refused', request.endpoint)
@@ -194,9 +200,9 @@
             )
             queued = await self._wait(endpoint_pool, request, wait_until)
         if queued is None:
-            cap = self._cap(request.endpoint)
             if endpoint_pool.evict_idle() and endpoint_pool.reserve(
-                request.organisation, cap
+                request.organisation,
+                self._opening_limit(request.endpoint),
             ):
                 return None
             queued = await self._wait(endpoint_pool, request, request.deadline)
@@ -236,25 +242,51 @@
     async def _open(
         self, endpoint_pool: EndpointConnectionPool, request: _Request
     ) -> PooledConnection:
+        endpoint = request.endpoint
         conn = None
+        opening = self._openings.begin(endpoint, current_time())
         try:
-            opened = await self._connect(request)
-            conn = PooledConnection(opened, uses=1)
-        except EndpointRefusedError:
-            self._open_after[request.endpoint] = (
-                current_time() + REFUSED_PAUSE_S
-            )
-            raise
+            conn = await self._try_open(endpoint_pool, request, opening)
         finally:
+            self._openings.end(endpoint, opening)
             if conn is None:
                 self._cancel_reservation(
-                    endpoint_pool, request.endpoint, request.organisation
+                    endpoint_pool, endpoint, request.organisation
                 )
-        self._metrics.count('endpoint_connections_opened', request.endpoint)
+        self._metrics.count('endpoint_connections_opened', endpoint)
+        if self._openings.grows:
+            self._grant_slots(endpoint_pool, endpoint)
         return conn
 
+    async def _try_open(
+        self,
+        endpoint_pool: EndpointConnectionPool,
+        request: _Request,
+        opening: Opening,
+    ) -> PooledConnection:
+        endpoint = request.endpoint
+        try:
+            opened = await self._connect(request)
+        except (EndpointRefusedError, EndpointConnectionError) as exc:
+            self._openings.record_failed(
+                endpoint,
+                opening,
+                exc,
+                open_count=endpoint_pool.open_count,
+                now=current_time(),
+            )
+            raise
+        self._openings.record_opened(
+            endpoint,
+            opening,
+            open_count=endpoint_pool.open_count,
+            share=self._cap(endpoint),
+            now=current_time(),
+        )
+        return PooledConnection(opened, uses=1)
+
     async def _connect(self, request: _Request) -> EndpointConnection:
-        await sleep_until(self._open_after.get(request.endpoint, -math.inf))
+        await self._wait_to_connect(request)
         now = current_time()
         return await self._connector.connect(
             request.endpoint,
@@ -263,6 +295,34 @@
             deadline=min(request.deadline, now + OPEN_TIMEOUT_S),
         )
 
+    async def _wait_to_connect(self, request: _Request) -> None:
+        """Wait until the endpoint may be tried again after a refusal."""
+        resumes_at = self._openings.resumes_at(request.endpoint)
+        while resumes_at > current_time():
+            if self._openings.grows and resumes_at > request.deadline:
+                raise EndpointOverloadedError(
+                    ResponseLoss.NOT_SENT, 'the pause exceeds the deadline'
+                )
+            await sleep_until(resumes_at)
+            if not self._openings.grows:
+                return
+            resumes_at = self._openings.resumes_at(request.endpoint)
+
+    def _opening_limit(self, endpoint: str) -> int:
+        return self._openings.limit(
+            endpoint, self._cap(endpoint), current_time()
+        )
+
+    def _grant_slots(
+        self, endpoint_pool: EndpointConnectionPool, endpoint: str
+    ) -> None:
+        """Let waiters open the further connections that are allowed now."""
+        limit = self._opening_limit(endpoint)
+        queued = endpoint_pool.grant_slot(limit, current_time())
+        while queued is not None:
+            self._wake(queued)
+            queued = endpoint_pool.grant_slot(limit, current_time())
+
     def _pass_on(
         self,
         endpoint_pool: EndpointConnectionPool,
@@ -284,10 +344,12 @@
         endpoint: str,
         organisation: str,
     ) -> None:
-        cap = self._cap(endpoint)
+        limit = self._opening_limit(endpoint)
         self._wake(
-            endpoint_pool.release_slot(organisation, cap, current_time())
+            endpoint_pool.release_slot(organisation, limit, current_time())
         )
+        if self._openings.grows:
+            self._grant_slots(endpoint_pool, endpoint)
 
     def _wake(self, queued: QueuedRequest | None) -> None:
         if queued is not None:
--- a/trefoilhitch/pooler/endpoint_connection_pool.py
+++ b/trefoilhitch/pooler/endpoint_connection_pool.py
@@ -210,6 +210,19 @@
         """
         self.in_use[organisation] -= 1
         self.open_count -= 1
+        return self.grant_slot(cap, now)
+
+    def grant_slot(self, cap: int, now: float) -> QueuedRequest | None:
+        """Reserve a slot for the next waiter.
+
+        Args:
+            cap: maximum number of connections.
+            now: monotonic time.
+
+        Returns:
+            Queued request to wake, None if there is none or no slot.
+
+        """
         if self.open_count >= cap:
             return None
         queued = self._pop_queued(now)
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -1,5 +1,7 @@
 """Creates the parts of a node and connects them."""
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.connection_caps import ConnectionCaps
@@ -15,6 +17,7 @@
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.node_state import NodeState
+from trefoilhitch.pooler.opening.openings import make_openings
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.peer_dependencies import PeerDependencies
 from trefoilhitch.pooler.peer_request_handler import PeerRequestHandler
@@ -234,7 +237,10 @@
             clock=runtime.clock,
         ),
         pool=ConnectionPool(
-            connector=connector, cap=caps.cap, metrics=runtime.metrics
+            connector=connector,
+            cap=caps.cap,
+            metrics=runtime.metrics,
+            openings=make_openings(cfg.options, current_time()),
         ),
         connector=connector,
         client=PeerClient(runtime.log),
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -71,6 +71,13 @@
     """The endpoint accepted no connection; nothing was sent."""
 
 
+class EndpointResetError(EndpointConnectionError):
+    """The endpoint reset the connection while it was opened.
+
+    An endpoint may do so with connections beyond its limit.
+    """
+
+
 class EndpointOverloadedError(EndpointConnectionError):
     """Too many requests wait for a connection; nothing was sent."""
 
