--- a/tests/test_gradual_opening.py
+++ b/tests/test_gradual_opening.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 
@@ -34,7 +35,9 @@
     GradualOpenings,
     Openings,
     UnlimitedOpenings,
+    make_openings,
 )
+from trefoilhitch.pooler.options import load_options
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import (
     EndpointConnectionError,
@@ -486,3 +489,16 @@
     assert ramp.limit(16, NOW + TRIAL_TIMEOUT_S) == 2
     ramp.end(opening)
     assert ramp.limit(16, NOW + TRIAL_TIMEOUT_S) == 1
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [('yes', GradualOpenings), ('no', UnlimitedOpenings)],
+)
+def test_option_turns_gradual_opening_on_or_off(
+    text: str, expected: type[Openings], tmp_path: Path
+) -> None:
+    # Guards against an option that has no effect.
+    path = tmp_path / 'node.ini'
+    path.write_text(f'[connections]\ngradual_opening = {text}\n')
+    assert isinstance(make_openings(load_options(path), NOW), expected)
