--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -5,7 +5,14 @@
 from functools import partial
 from itertools import count
 
-from trio import Nursery, current_time, open_nursery, sleep
+from trio import (
+    Nursery,
+    current_time,
+    move_on_after,
+    open_nursery,
+    sleep,
+    sleep_forever,
+)
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError
@@ -60,6 +67,7 @@
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries have not been replaced.
         restorer: writes leases again that the store has lost.
+        has_listings: returns whether the endpoints and the nodes are known.
         live_nodes: returns the heartbeats of the nodes that may monitor.
         members_version: returns a number that changes with these nodes.
         confirm_silence: has other nodes probe a primary; returns False if
@@ -75,6 +83,7 @@
     confirmer: PrimaryConfirmer
     leases: LeaseObserver
     restorer: LeaseRestorer
+    has_listings: Callable[[], bool]
     live_nodes: Callable[[], list[MemberBeat]]
     members_version: Callable[[], int]
     confirm_silence: Callable[[str, str], Awaitable[bool]]
@@ -109,9 +118,16 @@
     async def run(self) -> None:
         """Monitor all services until cancelled."""
         async with open_nursery() as nursery:
+            with move_on_after(CHECK_INTERVAL_S):
+                while not self._deps.has_listings():
+                    await self._cluster.wait_for_change()
+                # Reads with a bound wait for the first proof, which standbys
+                # leave to the first monitor.
+                self._start_tasks(nursery, 1)
+                await sleep_forever()
             while True:
+                self._start_tasks(nursery, MONITORS_PER_SERVICE)
                 await sleep(CHECK_INTERVAL_S)
-                self._start_tasks(nursery)
 
     @property
     def _cluster(self) -> ClusterState:
@@ -121,10 +137,10 @@
     def _control(self) -> EndpointControl:
         return self._deps.failover.control
 
-    def _start_tasks(self, nursery: Nursery) -> None:
+    def _start_tasks(self, nursery: Nursery, monitors: int) -> None:
         for service in self._cluster.endpoints.services():
             rank = self._rank(service)
-            if rank >= MONITORS_PER_SERVICE:
+            if rank >= monitors:
                 continue
             # Separate tasks, so that a probe without an answer does not delay
             # the evaluation.
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -75,6 +75,13 @@
     """The data centre of the endpoint is evacuated; nothing was sent."""
 
 
+class EndpointResetError(EndpointConnectionError):
+    """The endpoint reset the connection while it was opened.
+
+    An endpoint may do so with connections beyond its limit.
+    """
+
+
 class EndpointOverloadedError(EndpointConnectionError):
     """Too many requests wait for a connection; nothing was sent."""
 
--- a/trefoilhitch/pooler/proof_fetcher.py
+++ b/trefoilhitch/pooler/proof_fetcher.py
@@ -87,6 +87,9 @@
         return newest is not None and newest.sent_at >= not_before
 
     async def _fetch(self, service: str) -> None:
+        if self._obtains_first_proof(service):
+            await self._wait_for_first_proof(service)
+            return
         pending = self._pending.get(service)
         if pending is not None:
             await pending.wait()
@@ -102,6 +105,21 @@
             self._pending.pop(service)
             finished.set()
 
+    def _obtains_first_proof(self, service: str) -> bool:
+        """Return whether this node's monitor is to obtain the first proof.
+
+        Another node would ask this one in turn, so that both would wait.
+        """
+        if self._cluster.observations.newest(service) is not None:
+            return False
+        monitors = self._rank_monitors(service, self._membership.live())
+        return monitors[:1] == [self._membership.heartbeat.node]
+
+    async def _wait_for_first_proof(self, service: str) -> None:
+        with move_on_after(MAX_WAIT_S):
+            while self._cluster.observations.newest(service) is None:
+                await self._cluster.wait_for_change()
+
     async def _request(self, service: str, source: MemberBeat) -> None:
         sent_at = self._cluster.clock()
         request = ProofRequest(
@@ -134,12 +152,17 @@
         self, service: str, live: Sequence[MemberBeat]
     ) -> MemberBeat | None:
         """Return the monitor, None if it is this node or did not answer."""
-        names = rank_monitors(
-            service, self._cluster.primary_data_centre(service), live
-        )
+        names = self._rank_monitors(service, live)
         first = names[0] if names else ''
         if first in {'', self._membership.heartbeat.node}:
             return None
         if not self._asked.may_ask(first):
             return None
         return next(node for node in live if node.node == first)
+
+    def _rank_monitors(
+        self, service: str, live: Sequence[MemberBeat]
+    ) -> list[str]:
+        return rank_monitors(
+            service, self._cluster.primary_data_centre(service), live
+        )
--- a/trefoilhitch/pooler/state_components.py
+++ b/trefoilhitch/pooler/state_components.py
@@ -1,5 +1,7 @@
 """Creates the state that the parts of a node share."""
 
+from trio import current_time
+
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.circuit_breakers import (
@@ -21,6 +23,7 @@
     NodeRuntime,
 )
 from trefoilhitch.pooler.node_state import NodeState
+from trefoilhitch.pooler.opening.openings import make_openings
 from trefoilhitch.pooler.rate_shares import RateShares
 from trefoilhitch.pooler.routed_executor import EndpointGateways
 from trefoilhitch.pooler.scheduling.statement_scheduler import (
@@ -70,6 +73,7 @@
         cap=caps.cap,
         metrics=runtime.metrics,
         by_priority=cfg.options.scheduling.statements_by_priority,
+        openings=make_openings(cfg.options, current_time()),
     )
     return NodeState(
         declaration=declaration,
