Tests: what the enforcer of evacuations ends

Cause: removing the tick, the end of waits or the closing of idle connections left the tests green. Change: one test of EvacuationEnforcer, which fails without each of the three.

--- a/tests/test_evacuated_statements.py
+++ b/tests/test_evacuated_statements.py
@@ -4,17 +4,23 @@
 from typing import Any, cast
 
 import pytest
-from trio import current_time
+from trio import current_time, move_on_after
 
 from tests.support import with_virtual_clock
 from tests.test_leaving_endpoints import READY
 from trefoilhitch.decision_log import NullLog
+from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.catalogue import Freshness, Route
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_selection import (
     EndpointSelector,
     ReadRequirements,
 )
+from trefoilhitch.pooler.evacuation.enforcer import (
+    ENFORCE_INTERVAL_S,
+    EvacuationEnforcer,
+)
+from trefoilhitch.pooler.evacuation.evacuations import Evacuations
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.response import Refusal, SessionState
 from trefoilhitch.pooler.session import OpenTransaction, SessionData
@@ -145,6 +151,48 @@
     assert parts.calls == ['admit', 'acquire', 'release']
 
 
+class Pool:
+    """Records for which endpoints waits end and connections are closed."""
+
+    def __init__(self) -> None:
+        """Start without calls."""
+        self.calls: list[tuple[str, str]] = []
+
+    def reject_waiters(self, endpoint: str) -> None:
+        """End all waits for a connection."""
+        self.calls.append(('reject', endpoint))
+
+    def close_idle(self, endpoint: str) -> None:
+        """Close idle connections."""
+        self.calls.append(('close', endpoint))
+
+
+@with_virtual_clock
+async def test_waits_and_connections_outlast_an_evacuation() -> None:
+    """Guards against them, and against a node that seems to be suspended."""
+    cluster = cluster_state('patan')
+    cluster.endpoints.declare_services(['ledger'])
+    pool = Pool()
+    enforcer = EvacuationEnforcer(
+        evacuations=Evacuations(
+            data_centres=cluster.evacuated.data_centres,
+            clock=current_time,
+            notify_change=cluster.notify_change,
+            log=NullLog(),
+            metrics=Metrics(),
+        ),
+        cluster=cluster,
+        pool=cast('Any', pool),
+        end_transactions=lambda: None,
+    )
+    with move_on_after(20 * ENFORCE_INTERVAL_S + 0.01):
+        await enforcer.run()
+    assert pool.calls == [('reject', ENDPOINT), ('close', ENDPOINT)]
+    assert not cluster.evacuated.must_hold
+    missed = cluster.evacuated.data_centres.missed
+    assert missed.must_hold(current_time() + BOUND_S)
+
+
 @pytest.mark.parametrize('evacuated', [True, False])
 def test_evacuated_primary_is_no_target(*, evacuated: bool) -> None:
     @with_virtual_clock
