--- a/tests/test_evacuated_data_centres.py
+++ b/tests/test_evacuated_data_centres.py
@@ -22,7 +22,7 @@
 )
 from trefoilhitch.pooler.evacuation.handover import has_caught_up
 from trefoilhitch.pooler.evacuation.missed_time import (
-    CATCH_UP_S,
+    LATE_REPORT_S,
     MAX_GAP_S,
     MAX_HOLD_S,
     MissedTime,
@@ -246,7 +246,7 @@
     assert known.excludes('patan', NOW + 4)
     known.missed.tick(NOW + 4.1)
     received = report('patan', 'lakeside', revision=12)
-    known.merge(received, NOW + 4.1 + CATCH_UP_S - 0.01)
+    known.merge(received, NOW + 4.1 + LATE_REPORT_S - 0.01)
     assert known.excludes('lakeside', NOW + 6.1)
     for number in range(30):
         known.missed.tick(NOW + 4.2 + number / 10)
--- a/trefoilhitch/pooler/evacuation/missed_time.py
+++ b/trefoilhitch/pooler/evacuation/missed_time.py
@@ -12,7 +12,7 @@
 # How long a node holds statements back until another node has answered it.
 MAX_HOLD_S = 0.5
 # How long after the gap it may learn of evacuations that began during it.
-CATCH_UP_S = 2.0
+LATE_REPORT_S = 2.0
 
 
 class MissedTime:
@@ -64,7 +64,7 @@
             now: time in seconds on the same clock.
 
         """
-        return self._is_late(now) or now < self._woke_at + CATCH_UP_S
+        return self._is_late(now) or now < self._woke_at + LATE_REPORT_S
 
     def _is_late(self, now: float) -> bool:
         return now - self._ticked_at > MAX_GAP_S
