--- a/tests/balancing_model.py
+++ b/tests/balancing_model.py
@@ -12,7 +12,7 @@
 from itertools import count
 from random import Random
 
-from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.network_distance import round_trip_s
 from trefoilhitch.pooler.balancing.read_balancer import ReadBalancer
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
@@ -37,7 +37,9 @@
     record: EndpointRecord
     work_s: float
     max_waiting: int = 10_000
-    gateways: list[LoadBook] = field(default_factory=lambda: [LoadBook()])
+    gateways: list[EndpointLoads] = field(
+        default_factory=lambda: [EndpointLoads()]
+    )
     running: int = 0
     waiting: deque['ModelRead'] = field(default_factory=deque)
     arrivals: list[float] = field(default_factory=list)
@@ -49,7 +51,7 @@
 
     data_centre: str
     selector: EndpointSelector
-    loads: LoadBook = field(default_factory=LoadBook)
+    loads: EndpointLoads = field(default_factory=EndpointLoads)
 
 
 @dataclass(slots=True, eq=False)
@@ -63,7 +65,7 @@
     arrived_at: float = 0
 
     @property
-    def observer(self) -> LoadBook:
+    def observer(self) -> EndpointLoads:
         """What its gateway observes."""
         return self.endpoint.gateways[self.gateway]
 
--- a/tests/test_connection_guard.py
+++ b/tests/test_connection_guard.py
@@ -29,7 +29,7 @@
 from trefoilhitch.pooler.control.gateway_breakers import (
     CountingBreakers,
     GatewayBreakers,
-    GuardedBreakers,
+    SharedBreakers,
 )
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.peer_client import (
@@ -136,7 +136,7 @@
         self.failures = 0
         breakers: GatewayBreakers = CountingBreakers()
         if guarded:
-            breakers = GuardedBreakers(self.client)
+            breakers = SharedBreakers(self.client)
         self._executor = GatewayExecutor(
             client=self.client,
             rank=lambda endpoint, organisation: (beat(FIRST), beat(SECOND)),
--- a/tests/test_control_requests.py
+++ b/tests/test_control_requests.py
@@ -17,7 +17,7 @@
 from trefoilhitch._generated.peer import LeaseViewReply, MemberBeat, ProofReply
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.control.asked_nodes import AskedNodes
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.control.probe_pauses import (
     UNPROVED_PAUSE_S,
     ProbePauses,
@@ -374,7 +374,7 @@
             membership=membership,
             client=client,
             clock=current_time,
-            asked=AskedNodes.with_backoff(
+            asked=PeerBackoff.with_backoff(
                 Random(0), trial_s=0.3, enabled=enabled
             ),
         )
@@ -421,7 +421,7 @@
             cluster=cluster,
             membership=membership,
             client=client,
-            asked=AskedNodes.with_backoff(
+            asked=PeerBackoff.with_backoff(
                 Random(0), trial_s=0.3, enabled=enabled
             ),
         )
--- a/tests/test_evacuated_data_centres.py
+++ b/tests/test_evacuated_data_centres.py
@@ -21,13 +21,13 @@
     EvacuatedEndpoints,
 )
 from trefoilhitch.pooler.evacuation.handover import has_caught_up
-from trefoilhitch.pooler.evacuation.missed_time import (
+from trefoilhitch.pooler.evacuation.send_guard import SendGuard
+from trefoilhitch.pooler.evacuation.suspension_detector import (
     LATE_REPORT_S,
     MAX_GAP_S,
     MAX_HOLD_S,
-    MissedTime,
+    SuspensionDetector,
 )
-from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.failover_decision import (
     FailoverReason,
     FencedEndpoint,
@@ -240,16 +240,16 @@
 def test_suspended_node_counts_from_its_gap() -> None:
     """Guards against a frozen VM that takes an old evacuation for a new one."""
     known = evacuated()
-    known.missed.tick(NOW)
+    known.suspension.tick(NOW)
     # It reads the report before it notices that it was suspended.
     known.merge(report('patan'), NOW + 4)
     assert known.excludes('patan', NOW + 4)
-    known.missed.tick(NOW + 4.1)
+    known.suspension.tick(NOW + 4.1)
     received = report('patan', 'lakeside', revision=12)
     known.merge(received, NOW + 4.1 + LATE_REPORT_S - 0.01)
     assert known.excludes('lakeside', NOW + 6.1)
     for number in range(30):
-        known.missed.tick(NOW + 4.2 + number / 10)
+        known.suspension.tick(NOW + 4.2 + number / 10)
     received = report('biratnagar', revision=13)
     known.merge(received, NOW + 7.2)
     assert not known.excludes('biratnagar', NOW + 7.2)
@@ -257,26 +257,26 @@
 
 def test_suspended_node_holds_statements_until_a_node_answered() -> None:
     """Guards against statements that a frozen VM still held."""
-    missed = MissedTime()
-    assert not missed.must_hold(NOW)
+    missed = SuspensionDetector()
+    assert not missed.must_delay_statements(NOW)
     missed.tick(NOW)
-    assert not missed.must_hold(NOW + MAX_GAP_S)
+    assert not missed.must_delay_statements(NOW + MAX_GAP_S)
     woke_at = NOW + 4
-    assert missed.must_hold(woke_at)
+    assert missed.must_delay_statements(woke_at)
     missed.tick(woke_at)
-    assert missed.must_hold(woke_at + 0.1)
+    assert missed.must_delay_statements(woke_at + 0.1)
     # The answer to a request that was sent before says nothing.
     missed.confirm(NOW)
-    assert missed.must_hold(woke_at + 0.1)
+    assert missed.must_delay_statements(woke_at + 0.1)
     missed.confirm(woke_at)
-    assert not missed.must_hold(woke_at + 0.1)
+    assert not missed.must_delay_statements(woke_at + 0.1)
 
 
 def test_suspended_node_without_others_goes_on_soon() -> None:
-    missed = MissedTime()
+    missed = SuspensionDetector()
     missed.tick(NOW)
     missed.tick(NOW + 4)
-    assert not missed.must_hold(NOW + 4 + MAX_HOLD_S)
+    assert not missed.must_delay_statements(NOW + 4 + MAX_HOLD_S)
 
 
 @with_virtual_clock
@@ -291,14 +291,14 @@
         )
     )
     await guard.check('i-1')
-    known.missed.tick(current_time())
+    known.suspension.tick(current_time())
     await sleep(4)
 
     async def learn() -> None:
         await sleep(0.2)
-        known.missed.tick(current_time())
+        known.suspension.tick(current_time())
         known.merge(report('patan'), current_time())
-        known.missed.confirm(current_time())
+        known.suspension.confirm(current_time())
 
     started_at = current_time()
     async with open_nursery() as nursery:
--- a/tests/test_evacuated_statements.py
+++ b/tests/test_evacuated_statements.py
@@ -25,7 +25,7 @@
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.response import Refusal, SessionState
 from trefoilhitch.pooler.scheduling.statement_scheduler import (
-    UnlimitedScheduler,
+    PassThroughScheduler,
 )
 from trefoilhitch.pooler.session import OpenTransaction, SessionData
 from trefoilhitch.pooler.statement import Statement, Verb
@@ -112,7 +112,7 @@
         pool=cast('Any', parts),
         runner=cast('Any', parts),
         admission=cast('Any', parts),
-        scheduler=UnlimitedScheduler(),
+        scheduler=PassThroughScheduler(),
         loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
         has_left=lambda endpoint: False,
         evacuated=cluster.evacuated,
@@ -189,14 +189,15 @@
         ),
         cluster=cluster,
         pool=cast('Any', pool),
+        reject_waiters=pool.reject_waiters,
         end_transactions=lambda: None,
     )
     with move_on_after(20 * ENFORCE_INTERVAL_S + 0.01):
         await enforcer.run()
     assert pool.calls == [('reject', ENDPOINT), ('close', ENDPOINT)]
-    assert not cluster.evacuated.must_hold
-    missed = cluster.evacuated.data_centres.missed
-    assert missed.must_hold(current_time() + BOUND_S)
+    assert not cluster.evacuated.must_delay_statements
+    suspension = cluster.evacuated.data_centres.suspension
+    assert suspension.must_delay_statements(current_time() + BOUND_S)
 
 
 @pytest.mark.parametrize('evacuated', [True, False])
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -11,7 +11,7 @@
     RunRequest,
 )
 from trefoilhitch.decision_log import NullLog
-from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.control.gateway_breakers import CountingBreakers
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
@@ -68,7 +68,7 @@
         return StartedStatement(StatementResult(self._response, None))
 
 
-def make_observer(loads: LoadBook) -> LoadObserver:
+def make_observer(loads: EndpointLoads) -> LoadObserver:
     """Return an observer that knows one endpoint."""
     selector = EndpointSelector(data_centre='patan', regions={'patan': 'east'})
     return LoadObserver(loads, selector, {ENDPOINT: RECORD}.get)
@@ -78,7 +78,7 @@
     response: Response | None, *, verb: str = 'read', shares: bool = True
 ) -> RunReply:
     """Return the reply of a gateway to one statement."""
-    observer = make_observer(LoadBook())
+    observer = make_observer(EndpointLoads())
     server = GatewayServer(
         executor=ObservedExecutor(observer, response),
         accepts=lambda _endpoint: True,
@@ -153,7 +153,7 @@
 @with_virtual_clock
 async def test_node_applies_the_load_that_its_gateway_states() -> None:
     """Between data centres, replies are the only source."""
-    loads = LoadBook()
+    loads = EndpointLoads()
     observer = make_observer(loads)
     gateway = MemberBeat(
         node='node-1',
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -16,7 +16,7 @@
     Declaration,
 )
 from trefoilhitch.pooler.gateway_directory import (
-    HANDOVER_S,
+    TRANSITION_S,
     GatewayDirectory,
 )
 from trefoilhitch.pooler.gateway_placement import (
@@ -393,9 +393,9 @@
         assert len(holders) <= len(DATA_CENTRES)
     for view in views[1::2]:
         view.merge([unknown])
-    assert all(each.is_handing_over for each in directories)
-    clock.now += HANDOVER_S
-    assert not any(each.is_handing_over for each in directories)
+    assert all(each.is_in_transition for each in directories)
+    clock.now += TRANSITION_S
+    assert not any(each.is_in_transition for each in directories)
     for name in ORGANISATIONS:
         holders = [each for each in directories if each.holds_rate(name)]
         # The node that joined may hold the part of its data centre.
--- a/tests/test_overloaded_endpoints.py
+++ b/tests/test_overloaded_endpoints.py
@@ -58,7 +58,7 @@
         ),
         endpoints=SimpleNamespace(usable=lambda _: []),
         evacuated=SimpleNamespace(
-            excludes=lambda _: False, permitted=lambda primary: primary
+            excludes=lambda _: False, unless_excluded=lambda primary: primary
         ),
         choose_read_target=choose,
         primary=lambda _: PRIMARY,
--- a/tests/test_read_balancing.py
+++ b/tests/test_read_balancing.py
@@ -15,9 +15,9 @@
     choose_nearest,
 )
 from trefoilhitch._generated.peer import EndpointLoad
-from trefoilhitch.pooler.balancing.load_book import (
+from trefoilhitch.pooler.balancing.endpoint_loads import (
     MAX_REPORTS,
-    LoadBook,
+    EndpointLoads,
 )
 from trefoilhitch.pooler.balancing.read_balancer import ReadBalancer
 from trefoilhitch.pooler.balancing.read_choice import (
@@ -153,7 +153,7 @@
     selector = EndpointSelector(data_centre='d', regions=ONE_REGION)
     balancers = []
     for _ in range(nodes):
-        loads = LoadBook()
+        loads = EndpointLoads()
         for name, response_ms in (('a', 20), ('b', 25), ('c', 25)):
             loads.apply_gateway_report(
                 SERVICE, 'gateway', make_load(name, response_ms), 0
@@ -280,7 +280,7 @@
     loads = {'a': 1.5, 'b': 0.5, 'c': 0.3}
     model = regional_model(seed, work_s=work_s)
     for endpoint in model.endpoints.values():
-        endpoint.gateways = [LoadBook() for _ in range(gateways)]
+        endpoint.gateways = [EndpointLoads() for _ in range(gateways)]
     play(model, loads, 12)
     nearest = regional_model(seed, choose_nearest, work_s)
     play(nearest, loads, 12)
@@ -292,7 +292,7 @@
     None
 ):
     """What is usual must not follow the flood that the reads leave."""
-    loads = LoadBook()
+    loads = EndpointLoads()
     for step in range(100):
         loads.observe(SERVICE, 'a', 0, 0.02, step / 10)
     for step in range(50):
@@ -375,7 +375,7 @@
 
 
 def test_a_refusal_affects_the_next_choice_and_is_forgotten_gradually() -> None:
-    loads = LoadBook()
+    loads = EndpointLoads()
     selector = EndpointSelector(data_centre='a', regions=REGIONS)
     balancer = ReadBalancer(selector, loads)
     records = [make_record(each) for each in 'abc']
@@ -418,7 +418,7 @@
 
     Without the level of refusals, all reads return 0.5 s after each reset.
     """
-    loads = LoadBook()
+    loads = EndpointLoads()
     for step in range(60):
         now = step * 0.1
         for name in 'ab':
@@ -439,7 +439,7 @@
 
 def test_reports_older_than_a_few_seconds_do_not_count() -> None:
     """A lost gateway's last report must not keep reads away for good."""
-    loads = LoadBook()
+    loads = EndpointLoads()
     loads.observe(SERVICE, 'b', 0, WORK_S, 10)
     loads.apply_gateway_report(
         SERVICE, 'lost', make_load('a', 900, in_flight=60), 10
@@ -457,7 +457,7 @@
 
 
 def test_older_report_does_not_replace_a_newer_one() -> None:
-    loads = LoadBook()
+    loads = EndpointLoads()
     loads.apply_peer_report(make_load('a', 20), 10)
     loads.apply_peer_report(make_load('a', 900, age_ms=1500), 10.1)
     assert loads.expected_delay_s(SERVICE, 'a', SLOTS, 10.1) < 0.03
@@ -465,7 +465,7 @@
 
 def test_a_report_is_not_passed_on() -> None:
     """What nodes heard from others would never age out if they repeated it."""
-    loads = LoadBook()
+    loads = EndpointLoads()
     loads.apply_peer_report(make_load('a', 900), 10)
     assert not loads.reports(10)
     loads.observe(SERVICE, 'b', 0, WORK_S, 10)
@@ -474,7 +474,7 @@
 
 
 def test_a_report_states_its_age_and_no_more_than_sixteen_are_sent() -> None:
-    loads = LoadBook()
+    loads = EndpointLoads()
     for number in range(20):
         loads.observe(SERVICE, f'endpoint-{number}', 0.001, WORK_S, number / 20)
     reports = loads.reports(1)
@@ -487,7 +487,7 @@
 
 def test_queue_shows_before_its_statements_are_answered() -> None:
     """Statements in flight count at once, at all gateways to the endpoint."""
-    loads = LoadBook()
+    loads = EndpointLoads()
     for gateway in ('gateway-1', 'gateway-2'):
         report = make_load('a', 22, in_flight=20)
         loads.apply_gateway_report(SERVICE, gateway, report, 1)
@@ -499,7 +499,7 @@
 
 
 def test_failed_and_lagging_endpoints_rank_last_whatever_their_load() -> None:
-    loads = LoadBook()
+    loads = EndpointLoads()
     selector = EndpointSelector(data_centre='a', regions=REGIONS)
     balancer = ReadBalancer(selector, loads)
     records = [make_record(each) for each in 'abc']
@@ -520,7 +520,7 @@
 
 def test_nothing_known_means_the_nearest() -> None:
     balancer = ReadBalancer(
-        EndpointSelector(data_centre='a', regions=REGIONS), LoadBook()
+        EndpointSelector(data_centre='a', regions=REGIONS), EndpointLoads()
     )
     records = [make_record(each) for each in 'abc']
     ranking = balancer.rank(records, None, 0, 0.99)
@@ -528,7 +528,7 @@
 
 
 def test_part_turned_off_ranks_by_distance_alone() -> None:
-    loads = LoadBook()
+    loads = EndpointLoads()
     loads.observe(SERVICE, 'a', 5, 1, 0)
     selector = EndpointSelector(data_centre='a', regions=REGIONS)
     ranking = ReadBalancer(selector, loads).rank(
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -283,7 +283,7 @@
     """An endpoint that was out of reach returns; nothing may be refused."""
     turns, bounds = saturated_turns()
     for _ in range(50):
-        turns.begin_unlimited()
+        turns.begin_in_transaction()
         turns.end(EndedTurn(is_limited=False, duration_s=9), bounds, 0)
         turns.end(EndedTurn(is_limited=True, duration_s=9), bounds, 0)
         turns.arrive(QueuedRequest('a', FOREVER, 2), bounds, 0)
@@ -294,7 +294,7 @@
 def test_transactions_are_not_held_but_count() -> None:
     turns, bounds = EndpointTurns(), SlotBounds(2, 20)
     for _ in range(5):
-        turns.begin_unlimited()
+        turns.begin_in_transaction()
     waiting = QueuedRequest('a', FOREVER)
     assert not turns.arrive(waiting, bounds, 0).started
     ended = [
--- a/tests/test_statement_scheduler.py
+++ b/tests/test_statement_scheduler.py
@@ -30,10 +30,10 @@
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 from trefoilhitch.pooler.scheduling.concurrency_limit import SlotBounds
 from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    PassThroughScheduler,
     PriorityScheduler,
     StatementScheduler,
     TurnRequest,
-    UnlimitedScheduler,
 )
 from trefoilhitch.pooler.statement import Statement, Verb
 from trefoilhitch.pooler.statement_executor import (
@@ -150,7 +150,7 @@
             metrics=self.metrics,
             by_priority=is_scheduled,
         )
-        self.scheduler: StatementScheduler = UnlimitedScheduler()
+        self.scheduler: StatementScheduler = PassThroughScheduler()
         if is_scheduled:
             self.scheduler = PriorityScheduler(
                 bounds=lambda _: SlotBounds(SLOTS, connections),
@@ -495,10 +495,10 @@
 
 @with_virtual_clock
 async def test_check_of_unlimited_scheduler_accepts_everything() -> None:
-    scheduler = UnlimitedScheduler()
+    scheduler = PassThroughScheduler()
     request = TurnRequest(ENDPOINT, 'a', 0, 'read', current_time())
     scheduler.check(request)
     scheduler.reject_waiters(ENDPOINT)
     with await scheduler.acquire(request):
-        with scheduler.begin_unlimited(ENDPOINT, 'read') as turn:
+        with scheduler.begin_in_transaction(ENDPOINT, 'read') as turn:
             turn.record_sent()
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -78,10 +78,16 @@
     share: RateShare | None = None
     spent: SpentTokens | None = None
 
-    def refund(self) -> None:
-        """Give the token back, since the operation was not sent."""
-        if self.share is not None and self.spent is not None:
-            self.share.refund(self.spent)
+    def refund(self) -> bool:
+        """Give the token back, since the operation was not sent.
+
+        Returns:
+            False if the operation still has its token.
+
+        """
+        if self.share is None or self.spent is None:
+            return True
+        return self.share.refund(self.spent)
 
 
 class Admission:
@@ -152,9 +158,7 @@
         spent = None
         try:
             with move_on_after(TOKEN_WAIT_S):
-                while spent is None and request_state.may_request(
-                    self._clock()
-                ):
+                while spent is None and self._may_request(share, request_state):
                     await self._request_tokens(
                         organisation, share, request_state, priority
                     )
@@ -163,6 +167,17 @@
             share.reserve.end_wait(priority)
         return spent
 
+    def _may_request(
+        self, share: RateShare, request_state: _TokenRequestState
+    ) -> bool:
+        """Return whether tokens of other nodes may help.
+
+        They do not help an operation that has to leave the tokens of this node
+        to more urgent ones.
+        """
+        now = self._clock()
+        return request_state.may_request(now) and not share.has_token(now)
+
     async def _request_tokens(
         self,
         organisation: str,
--- a/trefoilhitch/pooler/balancing/load_book.py
+++ b/trefoilhitch/pooler/balancing/endpoint_loads.py
@@ -109,7 +109,7 @@
         return usual_s + max(observed, heard) * (mean_s - usual_s)
 
 
-class LoadBook:
+class EndpointLoads:
     """Load of the endpoints.
 
     Args:
--- a/trefoilhitch/pooler/balancing/load_observer.py
+++ b/trefoilhitch/pooler/balancing/load_observer.py
@@ -7,7 +7,7 @@
 from trio import current_time
 
 from trefoilhitch._generated.peer import EndpointLoad
-from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.network_distance import round_trip_s
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
@@ -45,7 +45,7 @@
 
     def __init__(
         self,
-        loads: LoadBook,
+        loads: EndpointLoads,
         selector: EndpointSelector,
         find: Callable[[str], EndpointRecord | None],
     ) -> None:
--- a/trefoilhitch/pooler/balancing/read_balancer.py
+++ b/trefoilhitch/pooler/balancing/read_balancer.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.network_distance import round_trip_s
 from trefoilhitch.pooler.balancing.read_choice import (
     ReadCandidate,
@@ -44,7 +44,9 @@
 
     """
 
-    def __init__(self, selector: EndpointSelector, loads: LoadBook) -> None:
+    def __init__(
+        self, selector: EndpointSelector, loads: EndpointLoads
+    ) -> None:
         """Store the dependencies."""
         self._selector = selector
         self._loads = loads
--- a/trefoilhitch/pooler/balancing/read_choice.py
+++ b/trefoilhitch/pooler/balancing/read_choice.py
@@ -11,9 +11,6 @@
 from dataclasses import dataclass
 from itertools import accumulate
 
-# Power of the delay in the weight of equally distant endpoints. With 2, an
-# endpoint that takes twice as long gets a quarter of the other's reads.
-DELAY_POWER = 1
 # Shorter delays count as this one.
 MIN_DELAY_S = 0.002
 # Smallest weight of an endpoint, as a part of the largest one at its distance,
@@ -125,5 +122,6 @@
 
 def _weight(candidate: ReadCandidate) -> float:
     delay_s = max(MIN_DELAY_S, candidate.delay_s)
-    weight = max(1, candidate.slots) / delay_s**DELAY_POWER
+    # In proportion to 1 / delay: with its square, the load oscillated.
+    weight = max(1, candidate.slots) / delay_s
     return weight * PRIMARY_WEIGHT if candidate.is_primary else weight
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -8,7 +8,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import DecisionLog
-from trefoilhitch.pooler.balancing.load_book import LoadBook
+from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.read_balancer import (
     ReadBalancer,
 )
@@ -86,7 +86,7 @@
         self.observations = ObservationHistory()
         self.commits = CommitTracker()
         self.selector = selector
-        self.loads = LoadBook()
+        self.loads = EndpointLoads()
         self.breakers = breakers or CircuitBreakers()
         self.clock = clock
         self._primaries = PrimaryTracker()
@@ -316,7 +316,7 @@
 
         """
         service = requirements.route.service
-        primary = self.evacuated.permitted(self.primary(service))
+        primary = self.evacuated.unless_excluded(self.primary(service))
         untried = [
             record
             for record in self.endpoints.usable(service)
@@ -344,7 +344,7 @@
 
         """
         primary = self.primary(requirements.route.service)
-        permitted = self.evacuated.permitted(primary)
+        permitted = self.evacuated.unless_excluded(primary)
         return choose_begin_target(requirements, permitted, self.observations)
 
     def find(self, endpoint: str) -> EndpointRecord | None:
--- a/trefoilhitch/pooler/connection_pool.py
+++ b/trefoilhitch/pooler/connection_pool.py
@@ -166,7 +166,7 @@
         endpoint_pool = self._endpoint_pools.setdefault(
             endpoint, EndpointConnectionPool()
         )
-        return endpoint_pool.readiness(self._cap(endpoint))
+        return endpoint_pool.readiness(self._opening_limit(endpoint))
 
     def release(self, endpoint: str, conn: PooledConnection) -> None:
         """Return a connection to the pool.
@@ -206,9 +206,13 @@
             self._wake(queued)
 
     def trim(self) -> None:
-        """Close idle connections beyond this node's connection limits."""
+        """Apply this node's connection limits, which change with time.
+
+        Idle connections beyond them are closed; waiters may open further ones.
+        """
         for endpoint, endpoint_pool in self._endpoint_pools.items():
             endpoint_pool.trim(self._cap(endpoint))
+            self._grant_slots(endpoint_pool, endpoint)
 
     async def _wait_or_evict(
         self, endpoint_pool: EndpointConnectionPool, request: _Request
--- a/trefoilhitch/pooler/control/components.py
+++ b/trefoilhitch/pooler/control/components.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.control.connection_guard import ConnectionGuard
 from trefoilhitch.pooler.control.direct_status import DirectStatus
 from trefoilhitch.pooler.control.endpoint_status import PooledStatus
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.control.relayed_status import RelayedStatus
 from trefoilhitch.pooler.control.status_source import (
     StatusDependencies,
@@ -34,9 +34,9 @@
     return PeerClient(runtime.log, guard=guard, metrics=runtime.metrics)
 
 
-def make_asked_nodes(
+def make_peer_backoff(
     cfg: PoolerSettings, runtime: NodeRuntime, trial_s: float
-) -> AskedNodes:
+) -> PeerBackoff:
     """Create the memory of nodes that did not answer.
 
     Args:
@@ -48,7 +48,7 @@
         The memory, without failures.
 
     """
-    return AskedNodes.with_backoff(
+    return PeerBackoff.with_backoff(
         runtime.random,
         trial_s=trial_s,
         enabled=cfg.options.gateways.shared_status,
--- a/trefoilhitch/pooler/control/failure_backoff.py
+++ b/trefoilhitch/pooler/control/failure_backoff.py
@@ -8,16 +8,13 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from trefoilhitch.retry import jittered_s
+
 # A single failure may be due to a lost packet, so the first pause is short.
 FIRST_PAUSE_S = 0.2
 # Nodes are found failed within some 3 s. Those that are not have recovered by
 # then, and should be used again soon.
 MAX_PAUSE_S = 1.6
-# Pauses are spread between this part of their length and the whole, so that
-# nodes which failed to reach another one together do not return together.
-MIN_PAUSE_PART = 0.5
-# More failures than this do not lengthen the pause.
-_MAX_FAILURES = 10
 
 
 def pause_s(failures: int, random: float) -> float:
@@ -31,9 +28,7 @@
         The pause in seconds.
 
     """
-    doublings = min(failures, _MAX_FAILURES) - 1
-    longest = min(MAX_PAUSE_S, FIRST_PAUSE_S * (1 << doublings))
-    return longest * (MIN_PAUSE_PART + (1 - MIN_PAUSE_PART) * random)
+    return jittered_s(failures - 1, FIRST_PAUSE_S, MAX_PAUSE_S, random)
 
 
 class Backoff(Protocol):
--- a/trefoilhitch/pooler/control/gateway_breakers.py
+++ b/trefoilhitch/pooler/control/gateway_breakers.py
@@ -57,7 +57,7 @@
         self._circuits.record_success(gateway.node)
 
 
-class GuardedBreakers:
+class SharedBreakers:
     """Follow what all requests of this node found out about a gateway.
 
     A gateway that accepts no new connections is left, even if some are open:
--- a/trefoilhitch/pooler/control/asked_nodes.py
+++ b/trefoilhitch/pooler/control/peer_backoff.py
@@ -11,7 +11,7 @@
 )
 
 
-class AskedNodes:
+class PeerBackoff:
     """Tells which nodes may be asked for one kind of information.
 
     Args:
@@ -28,7 +28,7 @@
     @classmethod
     def with_backoff(
         cls, random: Random, *, trial_s: float, enabled: bool = True
-    ) -> 'AskedNodes':
+    ) -> 'PeerBackoff':
         """Create the memory for one kind of information.
 
         Args:
--- a/trefoilhitch/pooler/control/relayed_status.py
+++ b/trefoilhitch/pooler/control/relayed_status.py
@@ -15,8 +15,8 @@
     StatusReport,
     StatusRequest,
 )
-from trefoilhitch.pooler.control.asked_nodes import AskedNodes
 from trefoilhitch.pooler.control.endpoint_status import STATUS_TIMEOUT_S
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.control.relay_directory import RelayDirectory
 from trefoilhitch.pooler.control.shared_requests import (
     SharedRequests,
@@ -65,10 +65,10 @@
             log=deps.log,
             metrics=deps.metrics,
         )
-        self._relays = AskedNodes.with_backoff(
+        self._relays = PeerBackoff.with_backoff(
             deps.random, trial_s=RELAY_TIMEOUT_S
         )
-        self._gateways = AskedNodes.with_backoff(
+        self._gateways = PeerBackoff.with_backoff(
             deps.random, trial_s=GATEWAY_TIMEOUT_S
         )
 
@@ -147,7 +147,7 @@
         self,
         ranked: Iterable[MemberBeat],
         request: StatusRequest,
-        asked: AskedNodes,
+        asked: PeerBackoff,
     ) -> Iterator[MemberBeat]:
         """Iterate over the nodes to ask; this node may be one of them.
 
@@ -163,13 +163,13 @@
             count += 1
             yield node
 
-    def _is_usable(self, node: MemberBeat, asked: AskedNodes) -> bool:
+    def _is_usable(self, node: MemberBeat, asked: PeerBackoff) -> bool:
         if asked.has_failed(node.node):
             return False
         return self._deps.client.may_reach(node.address)
 
     def _try_again(
-        self, node: MemberBeat, request: StatusRequest, asked: AskedNodes
+        self, node: MemberBeat, request: StatusRequest, asked: PeerBackoff
     ) -> None:
         is_due = asked.has_failed(node.node) and asked.may_ask(node.node)
         if is_due and self._nursery is not None:
@@ -180,7 +180,7 @@
         self,
         node: MemberBeat,
         request: StatusRequest,
-        asked: AskedNodes,
+        asked: PeerBackoff,
         deadline: float,
     ) -> StatusReport | None:
         report = await self._deps.client.request(
--- a/trefoilhitch/pooler/control/shared_requests.py
+++ b/trefoilhitch/pooler/control/shared_requests.py
@@ -108,7 +108,7 @@
             while has_callers:
                 has_callers = await self._send_batch(subject)
         finally:
-            _release(self._batches.drop(subject), None)
+            _deliver(self._batches.drop(subject), None)
 
     async def _send_batch(self, subject: str) -> bool:
         await sleep_until(self._batches.send_at(subject, self._interval_s()))
@@ -120,7 +120,7 @@
         try:
             reply = await run_reported(self._log, partial(self._fetch, subject))
         finally:
-            _release(callers, reply)
+            _deliver(callers, reply)
         return True
 
     def _count(self, callers: list[_Caller[ResultT]]) -> None:
@@ -130,7 +130,7 @@
             self._metrics.add('status_requests', len(callers) - 1, 'shared')
 
 
-def _release(callers: list[_Caller[ResultT]], reply: ResultT | None) -> None:
+def _deliver(callers: list[_Caller[ResultT]], reply: ResultT | None) -> None:
     for caller in callers:
         caller.reply = reply
         caller.done.set()
--- a/trefoilhitch/pooler/endpoint_connection_pool.py
+++ b/trefoilhitch/pooler/endpoint_connection_pool.py
@@ -15,12 +15,12 @@
 from trefoilhitch.fair_queue import QueuedRequest
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.response import SessionState
-from trefoilhitch.pooler.scheduling.priority_queue import PriorityQueue
+from trefoilhitch.pooler.scheduling.priority_queue import (
+    MAX_PASSED_OVER_S,
+    PriorityQueue,
+)
 from trefoilhitch.pooler.wait_estimate import WaitEstimate
 
-# How long waiters of other organisations may be passed over in favour of the
-# organisation that a connection is bound to.
-MAX_PASSED_OVER_S = 0.1
 # Uses after which the cost of opening a connection is repaid.
 MIN_USES_BEFORE_REASSIGNMENT = 5
 # Priority of requests that nodes send on their own behalf, before statements.
--- a/trefoilhitch/pooler/evacuation/components.py
+++ b/trefoilhitch/pooler/evacuation/components.py
@@ -77,5 +77,6 @@
         evacuations=evacuations,
         cluster=state.cluster,
         pool=state.pool,
+        reject_waiters=state.reject_waiters,
         end_transactions=end_transactions,
     )
--- a/trefoilhitch/pooler/evacuation/enforcer.py
+++ b/trefoilhitch/pooler/evacuation/enforcer.py
@@ -18,6 +18,7 @@
         evacuations: the evacuations in force.
         cluster: known endpoints.
         pool: connections of this node.
+        reject_waiters: rejects the statements that wait for an endpoint.
         end_transactions: rolls back the idle transactions on endpoints that
             must have none any more.
 
@@ -29,12 +30,14 @@
         evacuations: Evacuations,
         cluster: ClusterState,
         pool: ConnectionPool,
+        reject_waiters: Callable[[str], None],
         end_transactions: Callable[[], None],
     ) -> None:
         """Start without closed endpoints."""
         self._evacuations = evacuations
         self._cluster = cluster
         self._pool = pool
+        self._reject_waiters = reject_waiters
         self._end_transactions = end_transactions
         self._closed: set[str] = set()
 
@@ -58,7 +61,7 @@
             if evacuated.excludes(record.endpoint)
         }
         for endpoint in excluded - self._closed:
-            self._pool.reject_waiters(endpoint)
+            self._reject_waiters(endpoint)
             self._pool.close_idle(endpoint)
         self._closed = excluded
         self._end_transactions()
--- a/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
@@ -10,7 +10,9 @@
 
 from trefoilhitch._generated.peer import EvacuationReport
 from trefoilhitch.pooler.era_numbers import FIRST_ERA, NO_ERA
-from trefoilhitch.pooler.evacuation.missed_time import MissedTime
+from trefoilhitch.pooler.evacuation.suspension_detector import (
+    SuspensionDetector,
+)
 
 # Fractions of the time within which the last statement has to arrive. A node
 # counts them from when it learnt of the evacuation; the rest is left for the
@@ -62,7 +64,7 @@
         self.revision = 0
         # Era of the store to which the revision belongs.
         self.era = NO_ERA
-        self.missed = MissedTime()
+        self.suspension = SuspensionDetector()
         self._timeout_s = timeout_s
         self._was_read = False
         self._is_shared = False
@@ -249,7 +251,7 @@
         ended = sorted(self._began_at.keys() - in_force)
         for old in ended:
             self._began_at.pop(old)
-        is_current = self._was_read and not self.missed.is_catching_up(now)
+        is_current = self._was_read and not self.suspension.is_catching_up(now)
         since = now if is_current else -math.inf
         self._began_at.update(dict.fromkeys(began, since))
         self._is_shared = self._is_shared or bool(in_force)
--- a/trefoilhitch/pooler/evacuation/evacuated_endpoints.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_endpoints.py
@@ -31,9 +31,9 @@
         self._clock = clock
 
     @property
-    def must_hold(self) -> bool:
+    def must_delay_statements(self) -> bool:
         """Whether statements have to wait, since this node was suspended."""
-        return self.data_centres.missed.must_hold(self._clock())
+        return self.data_centres.suspension.must_delay_statements(self._clock())
 
     def contains(self, endpoint: str | None) -> bool:
         """Return whether the data centre of an endpoint is evacuated.
@@ -54,7 +54,7 @@
         data_centre = self._data_centre(endpoint)
         return self.data_centres.excludes(data_centre, self._clock())
 
-    def ends_transactions(self, endpoint: str) -> bool:
+    def excludes_transactions(self, endpoint: str) -> bool:
         """Return whether no statement at all may be sent to an endpoint.
 
         Args:
@@ -67,7 +67,7 @@
         data_centre = self._data_centre(endpoint)
         return self._clock() >= self.data_centres.must_end_at(data_centre)
 
-    def omit(self, endpoint: str) -> str:
+    def unless_evacuated(self, endpoint: str) -> str:
         """Return an endpoint unless its data centre is evacuated.
 
         Args:
@@ -79,7 +79,7 @@
         """
         return '' if self.contains(endpoint) else endpoint
 
-    def permitted(self, endpoint: str | None) -> str | None:
+    def unless_excluded(self, endpoint: str | None) -> str | None:
         """Return an endpoint if new statements may be sent to it.
 
         Args:
--- a/trefoilhitch/pooler/evacuation/evacuations.py
+++ b/trefoilhitch/pooler/evacuation/evacuations.py
@@ -99,7 +99,7 @@
 
     def tick(self) -> None:
         """Record that this process runs."""
-        self._data_centres.missed.tick(self._clock())
+        self._data_centres.suspension.tick(self._clock())
 
     def confirm(self, sent_at: float) -> None:
         """Record that another node answered.
@@ -108,7 +108,7 @@
             sent_at: when its answer was requested.
 
         """
-        self._data_centres.missed.confirm(sent_at)
+        self._data_centres.suspension.confirm(sent_at)
 
     def expire(self) -> bool:
         """End what the store has lacked for too long since its restoration.
--- a/trefoilhitch/pooler/evacuation/send_guard.py
+++ b/trefoilhitch/pooler/evacuation/send_guard.py
@@ -33,9 +33,9 @@
             EndpointEvacuatedError: no statement may reach the endpoint.
 
         """
-        while self._evacuated.must_hold:
+        while self._evacuated.must_delay_statements:
             await sleep(HOLD_INTERVAL_S)
-        if self._evacuated.ends_transactions(endpoint):
+        if self._evacuated.excludes_transactions(endpoint):
             raise EndpointEvacuatedError(
                 ResponseLoss.NOT_SENT, 'the data centre is evacuated'
             )
--- a/trefoilhitch/pooler/evacuation/missed_time.py
+++ b/trefoilhitch/pooler/evacuation/suspension_detector.py
@@ -6,8 +6,8 @@
 
 import math
 
-# Time between two signs of life after which the process counts as suspended: a
-# busy VM is late by some tenths of a second.
+# Gap between two ticks from which the process counts as suspended; a busy VM
+# is late by some tenths of a second.
 MAX_GAP_S = 1.0
 # How long a node holds statements back until another node has answered it.
 MAX_HOLD_S = 0.5
@@ -15,14 +15,14 @@
 LATE_REPORT_S = 2.0
 
 
-class MissedTime:
-    """Tracks the last gap between the signs of life of a process."""
+class SuspensionDetector:
+    """Detects from the gaps between ticks that the process was suspended."""
 
     def __init__(self) -> None:
-        """Start before the first sign of life."""
+        """Start before the first tick."""
         self._ticked_at = math.inf
-        self._woke_at = -math.inf
-        self._is_informed = True
+        self._resumed_at = -math.inf
+        self._has_peer_answer = True
 
     def tick(self, now: float) -> None:
         """Record that the process runs.
@@ -32,8 +32,8 @@
 
         """
         if self._is_late(now):
-            self._woke_at = now
-            self._is_informed = False
+            self._resumed_at = now
+            self._has_peer_answer = False
         self._ticked_at = now
 
     def confirm(self, sent_at: float) -> None:
@@ -43,10 +43,10 @@
             sent_at: when its answer was requested, on the same clock.
 
         """
-        if sent_at >= self._woke_at and not self._is_late(sent_at):
-            self._is_informed = True
+        if sent_at >= self._resumed_at and not self._is_late(sent_at):
+            self._has_peer_answer = True
 
-    def must_hold(self, now: float) -> bool:
+    def must_delay_statements(self, now: float) -> bool:
         """Return whether statements have to wait for news.
 
         Args:
@@ -55,7 +55,7 @@
         """
         if self._is_late(now):
             return True
-        return not self._is_informed and now < self._woke_at + MAX_HOLD_S
+        return not self._has_peer_answer and now < self._resumed_at + MAX_HOLD_S
 
     def is_catching_up(self, now: float) -> bool:
         """Return whether news may be as old as the gap was long.
@@ -64,7 +64,7 @@
             now: time in seconds on the same clock.
 
         """
-        return self._is_late(now) or now < self._woke_at + LATE_REPORT_S
+        return self._is_late(now) or now < self._resumed_at + LATE_REPORT_S
 
     def _is_late(self, now: float) -> bool:
         return now - self._ticked_at > MAX_GAP_S
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -124,7 +124,7 @@
             self._deps.sync_replicas(self._service),
             primary=primary,
             unusable=self._unusable(),
-            pending=self._deps.cluster.evacuated.omit(
+            pending=self._deps.cluster.evacuated.unless_evacuated(
                 self._lease.record.candidate
             ),
         )
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -243,7 +243,7 @@
             RunReply,
             deadline + RESPONSE_MARGIN_S,
             # Only this gateway can go on with its transactions.
-            always_tried=bool(message.transaction),
+            bypasses_guard=bool(message.transaction),
         )
     except UnreachableError:
         return None
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -20,11 +20,11 @@
 from trefoilhitch.pooler.membership_view import MembershipView
 
 # A change of the members reaches all nodes within some 2 s.
-HANDOVER_S = 2.0
+TRANSITION_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
-class GatewayHandover:
+class GatewayTransition:
     """A change of the way in which all gateways are chosen.
 
     It happens when the first or the last node without a known capacity joins
@@ -73,7 +73,7 @@
     ) -> None:
         """Start without gateways."""
         self._clock = clock
-        self._handover: GatewayHandover | None = None
+        self._transition: GatewayTransition | None = None
         self._by_capacity: bool | None = None
         self._membership = membership
         self._declaration = declaration
@@ -91,12 +91,12 @@
         return self._active
 
     @property
-    def is_handing_over(self) -> bool:
+    def is_in_transition(self) -> bool:
         """Whether other nodes may still choose the gateways differently."""
         self._refresh()
-        if self._handover and self._clock() >= self._handover.ends_at:
-            self._handover = None
-        return self._handover is not None
+        if self._transition and self._clock() >= self._transition.ends_at:
+            self._transition = None
+        return self._transition is not None
 
     def rank(
         self, data_centre: str, organisation: str
@@ -136,7 +136,7 @@
         ranked = self.rank(own.data_centre, organisation)
         if not ranked or ranked[0].node != own.node:
             return False
-        return not self.is_handing_over or self._held_before(organisation)
+        return not self.is_in_transition or self._held_before(organisation)
 
     def rate_holder_count(self) -> int:
         """Return among how many nodes each rate is divided.
@@ -180,18 +180,18 @@
         self._refresh()
         own = self._membership.heartbeat.node
         cap = self._gateway_set(data_centre).connection_cap(own, connections)
-        if self._handover is not None and self.is_handing_over:
-            former = self._handover.former.get(data_centre, GatewaySet())
+        if self._transition is not None and self.is_in_transition:
+            former = self._transition.former.get(data_centre, GatewaySet())
             held = former.connection_cap(own, connections)
             return min(cap, max(held, BACKUP_CONNECTIONS))
         return cap
 
     def _held_before(self, organisation: str) -> bool:
         """Return whether this node was the first gateway before a change."""
-        if self._handover is None:
+        if self._transition is None:
             return True
         own = self._membership.heartbeat
-        former = self._handover.former.get(own.data_centre, GatewaySet())
+        former = self._transition.former.get(own.data_centre, GatewaySet())
         first = former.rank(organisation)[:1]
         return own.node in {each.node for each in first}
 
@@ -213,7 +213,7 @@
         node_count = len(self._membership.possibly_active())
         self._active = uses_gateways(capacity, node_count)
         live = self._membership.live()
-        self._choose_by_capacity(by_capacity=are_capacities_known(live))
+        self._apply_selection_mode(by_capacity=are_capacities_known(live))
         choose = (
             choose_strong_gateways if self._by_capacity else choose_gateways
         )
@@ -222,10 +222,10 @@
             for name in self._data_centres
         }
 
-    def _choose_by_capacity(self, *, by_capacity: bool) -> None:
+    def _apply_selection_mode(self, *, by_capacity: bool) -> None:
         """Begin a hand-over if all gateways are chosen in another way."""
         if self._by_capacity not in {None, by_capacity}:
-            self._handover = GatewayHandover(
-                self._gateways, self._clock() + HANDOVER_S
+            self._transition = GatewayTransition(
+                self._gateways, self._clock() + TRANSITION_S
             )
         self._by_capacity = by_capacity
--- a/trefoilhitch/pooler/held_rates.py
+++ b/trefoilhitch/pooler/held_rates.py
@@ -66,7 +66,7 @@
 
         No tokens are spent before the registered nodes have been listed.
         """
-        version = self._membership.version, self._directory.is_handing_over
+        version = self._membership.version, self._directory.is_in_transition
         if version == self._version or not self._membership.nodes_listed:
             return
         self._version = version
--- a/trefoilhitch/pooler/lease_view_reader.py
+++ b/trefoilhitch/pooler/lease_view_reader.py
@@ -11,7 +11,7 @@
     LeaseViewRequest,
     MemberBeat,
 )
-from trefoilhitch.pooler.control.asked_nodes import AskedNodes
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.lease import LeaseListing, LeaseRecord
 from trefoilhitch.pooler.lease_observer import LeaseObserver, read_lease_view
@@ -47,7 +47,7 @@
         membership: MembershipView,
         client: PeerClient,
         clock: Callable[[], float],
-        asked: AskedNodes,
+        asked: PeerBackoff,
     ) -> None:
         """Store the dependencies."""
         self._asked = asked
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -1,7 +1,7 @@
 """Creates the parts of a node and connects them."""
 
 from trefoilhitch.pooler.control.components import (
-    make_asked_nodes,
+    make_peer_backoff,
     make_statuses,
 )
 from trefoilhitch.pooler.control.status_source import StatusSource
@@ -95,7 +95,7 @@
             cluster=self.state.cluster,
             membership=self.state.membership,
             client=self.state.client,
-            asked=make_asked_nodes(cfg, runtime, PROOF_TIMEOUT_S),
+            asked=make_peer_backoff(cfg, runtime, PROOF_TIMEOUT_S),
         )
         executor = make_local_executor(self.state, cfg.options)
         self.gateway = make_gateway_server(self.state, executor)
@@ -219,7 +219,7 @@
         membership=state.membership,
         client=state.client,
         clock=state.runtime.clock,
-        asked=make_asked_nodes(cfg, state.runtime, PEER_TIMEOUT_S),
+        asked=make_peer_backoff(cfg, state.runtime, PEER_TIMEOUT_S),
     )
     return LeaseObserver(
         read_view=reader.read,
--- a/trefoilhitch/pooler/opening/opening_ramp.py
+++ b/trefoilhitch/pooler/opening/opening_ramp.py
@@ -56,7 +56,7 @@
     _openings: set[Opening] = field(default_factory=set)
     _trials: int = 1
     # Most connections that the endpoint has accepted at once.
-    _granted: int = 0
+    _accepted: int = 0
     _failures: int = 0
     _refused_at: float = -math.inf
     _resumes_at: float = -math.inf
@@ -82,9 +82,9 @@
         return self._resumes_at
 
     @property
-    def has_granted(self) -> bool:
+    def has_accepted(self) -> bool:
         """Whether connections are open that waiters may get in turn."""
-        return self._granted > 0
+        return self._accepted > 0
 
     def limit(self, share: int, now: float) -> int:
         """Return how many connections may be open or being opened.
@@ -100,9 +100,9 @@
         if not self.is_limited:
             return share
         if self._is_held(now):
-            return min(share, self._granted)
+            return min(share, self._accepted)
         overdue = sum(each.trial_ends_at <= now for each in self._openings)
-        return min(share, self._granted + self._trials + overdue)
+        return min(share, self._accepted + self._trials + overdue)
 
     def begin(self, now: float) -> Opening:
         """Record that a connection is being opened.
@@ -141,7 +141,7 @@
 
         """
         established = open_count - len(self._openings) + 1
-        self._granted = max(self._granted, established)
+        self._accepted = max(self._accepted, established)
         if opening.begun_at < self._refused_at:
             return
         self._failures = 0
@@ -149,7 +149,7 @@
         if self._is_held(now):
             return
         self._trials = min(share, self._trials * _GROWTH)
-        if self._granted + self._trials >= share:
+        if self._accepted + self._trials >= share:
             self.is_limited = False
 
     def record_refused(
@@ -171,7 +171,7 @@
             self._failures += 1
             self._refused_at = now
             self._resumes_at = now + pause_s
-        self._granted = max(0, open_count - len(self._openings))
+        self._accepted = max(0, open_count - len(self._openings))
         self._trials = 1
         self.is_limited = True
 
@@ -192,4 +192,4 @@
         """
         held_until = self.started_at + EARLIER_CONNECTIONS_S
         is_refused_early = self.started_at <= self._refused_at < held_until
-        return self.has_granted and is_refused_early and now < held_until
+        return self.has_accepted and is_refused_early and now < held_until
--- a/trefoilhitch/pooler/opening/openings.py
+++ b/trefoilhitch/pooler/opening/openings.py
@@ -180,7 +180,7 @@
     def trial_wait_s(self, endpoint: str, now: float) -> float:
         """Return the rest of the pause if none is open; see `Openings`."""
         ramp = self._ramps.get(endpoint)
-        if ramp is None or ramp.has_granted:
+        if ramp is None or ramp.has_accepted:
             return 0
         return max(0, ramp.resumes_at - now)
 
--- a/trefoilhitch/pooler/peer_client.py
+++ b/trefoilhitch/pooler/peer_client.py
@@ -31,7 +31,7 @@
 
 # Calls that are always tried: they find out which nodes are reachable, or are
 # of use at one node only.
-_ALWAYS_TRIED = frozenset(('exchange', 'probe', 'abandon'))
+_UNGUARDED_CALLS = frozenset(('exchange', 'probe', 'abandon'))
 ReplyT = TypeVar('ReplyT')
 
 
@@ -143,7 +143,7 @@
         reply_type: type[ReplyT],
         deadline: float,
         *,
-        always_tried: bool = False,
+        bypasses_guard: bool = False,
     ) -> ReplyT:
         """Send a request to another node and return its response.
 
@@ -153,7 +153,7 @@
             message: body of the request.
             reply_type: type of the response's body.
             deadline: monotonic time.
-            always_tried: whether the request is sent although the node is
+            bypasses_guard: whether the request is sent although the node is
                 known to accept no connections, as no other node can serve it.
 
         Returns:
@@ -165,7 +165,7 @@
 
         """
         self._metrics.count('peer_requests', name)
-        is_tried = always_tried or name in _ALWAYS_TRIED
+        is_tried = bypasses_guard or name in _UNGUARDED_CALLS
         if not (is_tried or self.may_reach(address)):
             raise NoConnectionsError(f'{address}: accepts no connections')
         json_client = JsonClient(
--- a/trefoilhitch/pooler/peer_messages.py
+++ b/trefoilhitch/pooler/peer_messages.py
@@ -2,7 +2,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.peer import CommitReport, EndpointLoad, LeadProof
-from trefoilhitch.pooler.balancing.load_book import MAX_REPORTS
+from trefoilhitch.pooler.balancing.endpoint_loads import MAX_REPORTS
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.commit_tracker import CommitProgress
 from trefoilhitch.pooler.observations import PrimaryObservation
--- a/trefoilhitch/pooler/primary_proof.py
+++ b/trefoilhitch/pooler/primary_proof.py
@@ -20,7 +20,7 @@
 
 # Time after which a primary that was not confirmed is used unasked again, while
 # its replicas are asked. A failover takes about as long.
-DOUBT_S = 1.0
+UNCONFIRMED_S = 1.0
 ResultT = TypeVar('ResultT')
 
 
@@ -67,7 +67,7 @@
         """Store the dependencies."""
         self._confirms_first = confirms_first
         # Primaries that were not confirmed, and until when they are in doubt.
-        self._in_doubt: dict[str, tuple[str, float]] = {}
+        self._unconfirmed: dict[str, tuple[str, float]] = {}
         self._cluster = cluster
         self._confirmer = confirmer
         self._leases = leases
@@ -106,7 +106,7 @@
             TrefoilhitchError: the statement failed.
 
         """
-        if self._is_in_doubt(service, endpoint):
+        if self._is_unconfirmed(service, endpoint):
             return await self._run_after_confirmation(send, service, endpoint)
         collected: list[ReplicaStatuses] = []
         failure = None
@@ -185,9 +185,9 @@
             return False
         self._cluster.record_answered(service, proof.sent_at)
         if not proof.replicas.confirm(status.term):
-            self._doubt(service, endpoint)
+            self._record_unconfirmed(service, endpoint)
             return False
-        self._in_doubt.pop(service, None)
+        self._unconfirmed.pop(service, None)
         primary = Primary(service, endpoint, status.term)
         self._cluster.record_proof(
             primary, status.position, proof.sent_at, 'status'
@@ -204,17 +204,17 @@
         term = self._cluster.proved_term(service)
         replicas = await self._confirmer.collect(service, endpoint, term)
         if not replicas.may_confirm():
-            self._doubt(service, endpoint)
+            self._record_unconfirmed(service, endpoint)
             raise PrimaryUnconfirmedError(f'no replica confirmed {endpoint}')
         return await send(), replicas
 
-    def _doubt(self, service: str, endpoint: str) -> None:
-        until = current_time() + DOUBT_S
-        self._in_doubt[service] = endpoint, until
+    def _record_unconfirmed(self, service: str, endpoint: str) -> None:
+        until = current_time() + UNCONFIRMED_S
+        self._unconfirmed[service] = endpoint, until
 
-    def _is_in_doubt(self, service: str, endpoint: str) -> bool:
-        doubted, until = self._in_doubt.get(service, ('', 0))
-        is_recent = doubted == endpoint and current_time() < until
+    def _is_unconfirmed(self, service: str, endpoint: str) -> bool:
+        unconfirmed, until = self._unconfirmed.get(service, ('', 0))
+        is_recent = unconfirmed == endpoint and current_time() < until
         return self._confirms_first and is_recent
 
     async def _collect(
--- a/trefoilhitch/pooler/proof_fetcher.py
+++ b/trefoilhitch/pooler/proof_fetcher.py
@@ -11,7 +11,7 @@
 
 from trefoilhitch._generated.peer import MemberBeat, ProofReply, ProofRequest
 from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.control.asked_nodes import AskedNodes
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.monitor_order import rank_monitors
@@ -43,7 +43,7 @@
         cluster: ClusterState,
         membership: MembershipView,
         client: PeerClient,
-        asked: AskedNodes,
+        asked: PeerBackoff,
     ) -> None:
         """Start without requests."""
         self._asked = asked
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -136,15 +136,30 @@
             return None
         return self._count_spent(1 - self._granted.spend(1), now, spent_by=now)
 
-    def refund(self, spent: SpentTokens) -> None:
+    def has_token(self, now: float) -> bool:
+        """Return whether a token is left, perhaps for urgent operations only.
+
+        Args:
+            now: time in seconds.
+
+        """
+        left = self._own_tokens(now) + self._granted.total()
+        return left >= 1 - _ROUNDING
+
+    def refund(self, spent: SpentTokens) -> bool:
         """Take back the tokens of an operation that was not sent.
 
         Args:
             spent: tokens that the operation spent.
 
+        Returns:
+            False if they cannot be taken back any more.
+
         """
-        if self._window.remove(spent):
+        is_removed = self._window.remove(spent)
+        if is_removed:
             self._bucket.tokens += spent.tokens
+        return is_removed
 
     def tokens_to_request(self, now: float) -> float:
         """Return how many tokens to request from other nodes.
--- a/trefoilhitch/pooler/retrying/backoff.py
+++ b/trefoilhitch/pooler/retrying/backoff.py
@@ -4,6 +4,8 @@
 they all return at once, and as often as before.
 """
 
+from trefoilhitch.retry import jittered_s
+
 # The first pause, and the longest one.
 FIRST_PAUSE_S = 0.03
 MAX_PAUSE_S = 0.25
@@ -21,5 +23,4 @@
         doubles with each pause.
 
     """
-    longest_s: float = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**earlier_pauses)
-    return longest_s * (1 + drawn) / 2
+    return jittered_s(earlier_pauses, FIRST_PAUSE_S, MAX_PAUSE_S, drawn)
--- a/trefoilhitch/pooler/retrying/read_target_finder.py
+++ b/trefoilhitch/pooler/retrying/read_target_finder.py
@@ -55,11 +55,13 @@
             raise RetryBudgetError(target.endpoint)
         return target
 
-    def has_other(self, run: StatementRun) -> bool:
+    def has_other(self, run: StatementRun, tried: str = '') -> bool:
         """Return whether an endpoint is left that has not failed.
 
         Args:
             run: state of a statement.
+            tried: endpoint of the last attempt, if that may be asked again
+                only after a pause.
 
         Returns:
             False for a statement that only the primary may run.
@@ -72,31 +74,9 @@
             return False
         target = self.choose(run)
         return target is not None and (
-            target.endpoint not in run.failed_endpoints
+            target.endpoint not in {tried, *run.failed_endpoints}
         )
 
-    def has_alternative(self, run: StatementRun, overloaded: str) -> bool:
-        """Return whether another endpoint than an overloaded one is left.
-
-        Asking an overloaded endpoint again would be refused again, and could
-        cost a request to confirm the primary each time.
-
-        Args:
-            run: state of a statement.
-            overloaded: id of the endpoint that is overloaded.
-
-        Returns:
-            False for a statement that only the primary may run.
-
-        Raises:
-            RetryBudgetError: as in `choose`.
-
-        """
-        if not run.reads:
-            return False
-        run.failed_endpoints.add(overloaded)
-        return self.has_other(run)
-
     def _spent(
         self, run: StatementRun, endpoints: list[str], now: float
     ) -> frozenset[str]:
--- a/trefoilhitch/pooler/scheduling/endpoint_turns.py
+++ b/trefoilhitch/pooler/scheduling/endpoint_turns.py
@@ -146,7 +146,7 @@
         displaced = self._remove_late(queued.priority, bounds, now)
         return Arrival(started=tuple(started), displaced=tuple(displaced))
 
-    def begin_unlimited(self) -> None:
+    def begin_in_transaction(self) -> None:
         """Begin the turn of a statement of an open transaction."""
         self.in_flight += 1
         self.unlimited += 1
--- a/trefoilhitch/pooler/scheduling/priority_queue.py
+++ b/trefoilhitch/pooler/scheduling/priority_queue.py
@@ -11,12 +11,13 @@
 
 from trefoilhitch.fair_queue import FairQueue, QueuedRequest
 
-# While lower priorities wait, one turn in this number goes to them.
-TURNS_PER_LOWER_TURN = 8
-# How long an organisation without an idle connection may be passed over in
+# How long an organisation without a usable connection may be passed over in
 # favour of those that have one. Opening one costs the endpoint more work than
 # a statement.
 MAX_PASSED_OVER_S = 0.1
+
+# While lower priorities wait, one turn in this number goes to them.
+TURNS_PER_LOWER_TURN = 8
 # Turns with idle connections, while there are any, for each turn that may need
 # a new connection, so that opening them does not take most of the endpoint.
 READY_TURNS_PER_OTHER_TURN = 5
--- a/trefoilhitch/pooler/scheduling/statement_scheduler.py
+++ b/trefoilhitch/pooler/scheduling/statement_scheduler.py
@@ -24,7 +24,7 @@
 from trefoilhitch.pooler.scheduling.turn import (
     CountedTurn,
     Turn,
-    UnlimitedTurn,
+    UncountedTurn,
 )
 
 # The turn of a statement that was cancelled before it was sent.
@@ -79,7 +79,7 @@
 
         """
 
-    def begin_unlimited(self, endpoint: str, kind: str) -> Turn:
+    def begin_in_transaction(self, endpoint: str, kind: str) -> Turn:
         """Begin the turn of a statement of an open transaction.
 
         Args:
@@ -100,7 +100,7 @@
         """
 
 
-class UnlimitedScheduler:
+class PassThroughScheduler:
     """Sends every statement at once."""
 
     def check(self, request: TurnRequest) -> None:
@@ -108,11 +108,11 @@
 
     async def acquire(self, request: TurnRequest) -> Turn:
         """Return a turn without a wait."""
-        return UnlimitedTurn()
+        return UncountedTurn()
 
-    def begin_unlimited(self, endpoint: str, kind: str) -> Turn:
+    def begin_in_transaction(self, endpoint: str, kind: str) -> Turn:
         """Return a turn that is not counted."""
-        return UnlimitedTurn()
+        return UncountedTurn()
 
     def reject_waiters(self, endpoint: str) -> None:
         """Reject nothing, since no statement waits."""
@@ -198,9 +198,9 @@
             raise waiter.refusal or self._overloaded(request.endpoint)
         return self._begin(request.endpoint, request.kind, is_limited=True)
 
-    def begin_unlimited(self, endpoint: str, kind: str) -> Turn:
+    def begin_in_transaction(self, endpoint: str, kind: str) -> Turn:
         """Begin the turn of a statement of an open transaction."""
-        self._turns_of(endpoint).begin_unlimited()
+        self._turns_of(endpoint).begin_in_transaction()
         return self._begin(endpoint, kind, is_limited=False)
 
     def reject_waiters(self, endpoint: str) -> None:
--- a/trefoilhitch/pooler/scheduling/turn.py
+++ b/trefoilhitch/pooler/scheduling/turn.py
@@ -38,7 +38,7 @@
         """Record that the response was lost."""
 
 
-class UnlimitedTurn:
+class UncountedTurn:
     """A turn that is not counted."""
 
     def __enter__(self) -> Self:
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -9,7 +9,7 @@
 from trefoilhitch.pooler.control.gateway_breakers import (
     CountingBreakers,
     GatewayBreakers,
-    GuardedBreakers,
+    SharedBreakers,
 )
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
@@ -169,7 +169,7 @@
 
 def _make_breakers(state: NodeState) -> GatewayBreakers:
     if state.client.is_guarded:
-        return GuardedBreakers(state.client)
+        return SharedBreakers(state.client)
     return CountingBreakers()
 
 
--- a/trefoilhitch/pooler/state_components.py
+++ b/trefoilhitch/pooler/state_components.py
@@ -27,9 +27,9 @@
 from trefoilhitch.pooler.rate_shares import RateShares
 from trefoilhitch.pooler.routed_executor import EndpointGateways
 from trefoilhitch.pooler.scheduling.statement_scheduler import (
+    PassThroughScheduler,
     PriorityScheduler,
     StatementScheduler,
-    UnlimitedScheduler,
 )
 from trefoilhitch.pooler.settings import PoolerSettings
 
@@ -122,7 +122,7 @@
     pool: ConnectionPool,
 ) -> StatementScheduler:
     if not cfg.options.scheduling.statements_by_priority:
-        return UnlimitedScheduler()
+        return PassThroughScheduler()
     return PriorityScheduler(
         bounds=caps.slot_bounds,
         readiness=pool.readiness,
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -5,12 +5,15 @@
 from functools import partial
 from typing import Protocol, Self, TypeVar
 
+from trio import current_time
+
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.pooler.admission import Admission, AdmittedOperation
 from trefoilhitch.pooler.balancing.load_observer import (
     LoadObserver,
     StatementTimes,
 )
+from trefoilhitch.pooler.circuit_breakers import CircuitBreakers
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.evacuation.evacuated_endpoints import (
@@ -104,6 +107,17 @@
         )
 
 
+def statement_kind(priority: int, request: StatementRequest) -> str:
+    """Return the kind of a statement; those of a kind take about as long.
+
+    Args:
+        priority: priority of its route.
+        request: the statement.
+
+    """
+    return f'{priority}/{request.kind}'
+
+
 @dataclass(frozen=True, slots=True)
 class StatementJob:
     """The first statement of an operation, as one attempt sends it.
@@ -134,7 +148,7 @@
     @property
     def kind(self) -> str:
         """Kind of the statement; those of a kind take about as long."""
-        return f'{self.priority}/{self.request.kind}'
+        return statement_kind(self.priority, self.request)
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,11 +251,11 @@
         send = partial(
             self._runner.run, self._pooled, variables, request, deadline
         )
-        kind = f'{self._priority}/{request.kind}'
+        kind = statement_kind(self._priority, request)
         self.is_running = True
         try:
             with self._loads.running(self.endpoint):
-                reply = await self._run_unlimited(kind, send)
+                reply = await self._run_counted(kind, send)
         finally:
             self.is_running = False
         if reply.response.state == SessionState.IDLE:
@@ -253,10 +267,10 @@
         self._pooled.conn.close()
         self._release()
 
-    async def _run_unlimited(
+    async def _run_counted(
         self, kind: str, send: Callable[[], Awaitable[StatementResult]]
     ) -> StatementResult:
-        with self._scheduler.begin_unlimited(self.endpoint, kind) as turn:
+        with self._scheduler.begin_in_transaction(self.endpoint, kind) as turn:
             return await run_in_turn(turn, send)
 
     def _end(self, verb: Verb) -> None:
@@ -302,6 +316,7 @@
         """Store the dependencies."""
         self._evacuated = evacuated
         self._open: set[LocalConnection] = set()
+        self._circuits = CircuitBreakers()
         self._has_left = has_left
         self._pool = pool
         self._runner = runner
@@ -324,7 +339,7 @@
     def end_transactions(self) -> None:
         """Roll back idle transactions on endpoints that may have none."""
         for conn in list(self._open):
-            is_ended = self._evacuated.ends_transactions(conn.endpoint)
+            is_ended = self._evacuated.excludes_transactions(conn.endpoint)
             if is_ended and not conn.is_running:
                 conn.discard()
 
@@ -338,8 +353,6 @@
             job, admitted, partial(self._wait_for_turn, job)
         )
         with turn:
-            # The endpoint may have left during the wait.
-            self._check_in_service(job)
             pooled = await self._refund_unless_done(
                 job, admitted, partial(self._acquire, job)
             )
@@ -423,15 +436,16 @@
         try:
             return await step()
         except ConnectionNotOpenedError as exc:
-            if exc.overloaded:
-                admitted.refund()
-            elif not job.is_admitted:
+            is_refunded = exc.overloaded and admitted.refund()
+            if not (is_refunded or job.is_admitted):
                 job.on_admitted()
             raise
 
     async def _acquire(self, job: StatementJob) -> PooledConnection:
+        # The endpoint may have left during the wait for a turn.
+        self._check_in_service(job)
         try:
-            return await self._pool.acquire(
+            pooled = await self._pool.acquire(
                 job.endpoint,
                 job.organisation,
                 job.variables,
@@ -439,7 +453,20 @@
                 job.priority,
             )
         except (EndpointRefusedError, EndpointConnectionError) as exc:
+            self._reject_waiters_if_unreachable(job.endpoint, exc)
             raise ConnectionNotOpenedError.from_failure(exc) from exc
+        self._circuits.record_success(job.endpoint)
+        return pooled
+
+    def _reject_waiters_if_unreachable(
+        self, endpoint: str, exc: TrefoilhitchError
+    ) -> None:
+        """Reject those that would wait one after the other for a time-out."""
+        if not isinstance(exc, EndpointUnreachableError):
+            return
+        if self._circuits.record_failure(endpoint, current_time()):
+            self._scheduler.reject_waiters(endpoint)
+            self._pool.reject_waiters(endpoint)
 
 
 def _turn_request(job: StatementJob) -> TurnRequest:
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -178,23 +178,31 @@
         if run.statement.verb == Verb.BEGIN:
             return self._cluster.choose_begin_target(requirements)
         primary = self._cluster.primary(run.route.service)
-        primary = self._cluster.evacuated.permitted(primary)
+        primary = self._cluster.evacuated.unless_excluded(primary)
         return (
             Target(primary, None, None, requires_primary_proof=False)
             if primary
             else None
         )
 
-    async def _pause(self, run: StatementRun) -> Response | None:
+    async def _pause(
+        self, run: StatementRun, tried: str = ''
+    ) -> Response | None:
         """Pause before the next attempt, unless another endpoint is left.
 
+        Args:
+            run: state of the statement.
+            tried: endpoint of the last attempt, if it has not failed.
+
         Returns:
             The response for the client if no time is left for an attempt.
 
         """
-        if self._retries.seeks_others and self._read_targets.has_other(run):
+        seeks_other = self._retries.seeks_others
+        if seeks_other and self._read_targets.has_other(run, tried):
             return None
-        pause_s = self._retries.pause_s(run.pauses)
+        # Only refusals make pauses grow; an unproved primary refused nothing.
+        pause_s = self._retries.pause_s(0 if tried else run.pauses)
         run.pauses += 1
         ends_at = current_time() + pause_s
         if self._retries.seeks_others and ends_at >= run.deadline:
@@ -250,7 +258,7 @@
         if target.proof_sent_at is not None:
             age_s = self._cluster.clock() - target.proof_sent_at
             age_ms = int(age_s * _MS_PER_S)
-        choice: ChoiceKind = 'retry' if run.attempts > 1 else target.choice
+        choice: ChoiceKind = 'retry' if run.is_retry else target.choice
         run.session.trace = StatementTrace(
             target.endpoint,
             run.attempts,
@@ -270,9 +278,10 @@
     async def _on_not_opened(
         self, run: StatementRun, target: Target, exc: ConnectionNotOpenedError
     ) -> Response | None:
-        if exc.overloaded and not self._read_targets.has_alternative(
-            run, target.endpoint
-        ):
+        # Asking an overloaded endpoint again would be refused again, and could
+        # cost a request to confirm the primary each time.
+        run.failed_endpoints.add(target.endpoint)
+        if exc.overloaded and not self._read_targets.has_other(run):
             return refusal_response(Refusal.BUSY, str(exc))
         pauses = self._failures.record_not_opened(run, target.endpoint, exc)
         if pauses or self._retries.seeks_others:
@@ -286,7 +295,7 @@
             # Refused early, like one whose primary is not reached.
             run.primary_failures += 1
             self._metrics.count('reads_unproved')
-            return await self._pause(run)
+            return await self._pause(run, target.endpoint)
         self._log.event(
             'gateway_unavailable',
             request=run.statement.request_id,
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -105,7 +105,7 @@
             replicas=ReplicaStatuses((), 0),
             sent_at=self._cluster.clock(),
         )
-        if self._cluster.evacuated.ends_transactions(endpoint):
+        if self._cluster.evacuated.excludes_transactions(endpoint):
             return self._on_connection_lost(
                 session,
                 transaction,
--- a/trefoilhitch/retry.py
+++ b/trefoilhitch/retry.py
@@ -73,8 +73,26 @@
         of it.
 
     """
-    ceiling = exponential_s(attempt - 1, BASE_DELAY_S, MAX_DELAY_S)
-    return ceiling * (1 + draw) / 2
+    return jittered_s(attempt - 1, BASE_DELAY_S, MAX_DELAY_S, draw)
+
+
+def jittered_s(
+    failures: int, first_s: float, max_s: float, draw: float
+) -> float:
+    """Return a delay as `exponential_s` does, with jitter.
+
+    Args:
+        failures: number of failures before the last one.
+        first_s: delay after the first failure, in seconds.
+        max_s: longest delay, in seconds.
+        draw: random number in [0, 1).
+
+    Returns:
+        The delay in seconds, between half of the exponential delay and all
+        of it.
+
+    """
+    return exponential_s(failures, first_s, max_s) * (1 + draw) / 2
 
 
 def exponential_s(failures: int, first_s: float, max_s: float) -> float:
