Attempts at a primary that no replica confirms are spaced from their start

Change: an attempt starts at least one first pause after the one before. Attempts that took longer, because replicas were asked, need no pause.

The new test fails without the change.

--- a/tests/test_read_target_finder.py
+++ b/tests/test_read_target_finder.py
@@ -145,13 +145,3 @@
     spend(policy, *REGIONS)
     assert chosen(finder, run) == 'a'
     assert not finder.has_other(run)
-
-
-@with_virtual_clock
-async def test_primary_that_was_not_confirmed_is_asked_after_a_pause() -> None:
-    """Guards against eight attempts in a row at the only endpoint."""
-    finder = ReadTargetFinder(make_cluster(), make_policy())
-    run = make_run(Freshness.LATEST)
-    primary = chosen(finder, run)
-    assert finder.has_other(run)
-    assert not finder.has_other(run, primary)
--- a/tests/test_statement_retries.py
+++ b/tests/test_statement_retries.py
@@ -13,6 +13,7 @@
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.catalogue import Freshness
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
 from trefoilhitch.pooler.endpoint_selection import Target
@@ -24,6 +25,7 @@
 from trefoilhitch.pooler.statement_executor import (
     ConnectionNotOpenedError,
     GatewayUnavailableError,
+    PrimaryUnconfirmedError,
 )
 from trefoilhitch.pooler.statement_run import StatementRun
 from trefoilhitch.pooler.statement_runner import StatementRunner
@@ -151,6 +153,24 @@
     assert not took_s
 
 
+def test_attempts_at_an_unconfirmed_primary_are_spaced() -> None:
+    """Guards against eight attempts at once while nobody can be asked."""
+    sender = FailingSender(PrimaryUnconfirmedError('no replica'))
+
+    async def scenario() -> Response:
+        runner = make_runner(make_cluster(), sender, make_policy())
+        return await runner.run(make_run(Freshness.LATEST))
+
+    response = run_virtual(scenario)
+    moments = [moment for _, moment in sender.attempts]
+    pauses = [
+        later - earlier
+        for earlier, later in zip(moments, moments[1:], strict=False)
+    ]
+    assert response.refusal == Refusal.BUSY
+    assert min(pauses) >= FIRST_PAUSE_S / 2
+
+
 def test_without_the_part_pauses_are_fixed() -> None:
     _, attempts, _ = play(FAILURES[-1], FixedPause())
     moments = [moment for _, moment in attempts]
--- a/trefoilhitch/pooler/retrying/read_target_finder.py
+++ b/trefoilhitch/pooler/retrying/read_target_finder.py
@@ -55,13 +55,11 @@
             raise RetryBudgetError(target.endpoint)
         return target
 
-    def has_other(self, run: StatementRun, tried: str = '') -> bool:
+    def has_other(self, run: StatementRun) -> bool:
         """Return whether an endpoint is left that has not failed.
 
         Args:
             run: state of a statement.
-            tried: endpoint of the last attempt, if that may be asked again
-                only after a pause.
 
         Returns:
             False for a statement that only the primary may run.
@@ -74,7 +72,7 @@
             return False
         target = self.choose(run)
         return target is not None and (
-            target.endpoint not in {tried, *run.failed_endpoints}
+            target.endpoint not in run.failed_endpoints
         )
 
     def _spent(
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -185,24 +185,16 @@
             else None
         )
 
-    async def _pause(
-        self, run: StatementRun, tried: str = ''
-    ) -> Response | None:
+    async def _pause(self, run: StatementRun) -> Response | None:
         """Pause before the next attempt, unless another endpoint is left.
 
-        Args:
-            run: state of the statement.
-            tried: endpoint of the last attempt, if it has not failed.
-
         Returns:
             The response for the client if no time is left for an attempt.
 
         """
-        seeks_other = self._retries.seeks_others
-        if seeks_other and self._read_targets.has_other(run, tried):
+        if self._retries.seeks_others and self._read_targets.has_other(run):
             return None
-        # Only refusals make pauses grow; an unproved primary refused nothing.
-        pause_s = self._retries.pause_s(0 if tried else run.pauses)
+        pause_s = self._retries.pause_s(run.pauses)
         run.pauses += 1
         ends_at = current_time() + pause_s
         if self._retries.seeks_others and ends_at >= run.deadline:
@@ -215,8 +207,9 @@
     ) -> Response | None:
         run.loss = ResponseLoss.NOT_SENT
         self._record_target(run, target)
+        started_at = current_time()
         self._retries.record_sent(
-            target.endpoint, current_time(), is_retry=run.is_retry
+            target.endpoint, started_at, is_retry=run.is_retry
         )
         sent_at = self._cluster.clock()
         try:
@@ -226,7 +219,7 @@
         except ConnectionNotOpenedError as exc:
             return await self._on_not_opened(run, target, exc)
         except StatementNotSentError as exc:
-            return await self._on_not_sent(run, target, exc)
+            return await self._on_not_sent(run, target, exc, started_at)
         except EndpointConnectionError as exc:
             return self._on_connection_lost(run, target, exc, sent_at)
         self._cluster.record_reached(target.endpoint)
@@ -289,13 +282,19 @@
         return None
 
     async def _on_not_sent(
-        self, run: StatementRun, target: Target, exc: StatementNotSentError
+        self,
+        run: StatementRun,
+        target: Target,
+        exc: StatementNotSentError,
+        started_at: float,
     ) -> Response | None:
         if isinstance(exc, PrimaryUnconfirmedError):
             # Refused early, like one whose primary is not reached.
             run.primary_failures += 1
             self._metrics.count('reads_unproved')
-            return await self._pause(run, target.endpoint)
+            # Nobody was asked if all relays and gateways are in backoff.
+            await sleep_until(started_at + self._retries.pause_s(0))
+            return None
         self._log.event(
             'gateway_unavailable',
             request=run.statement.request_id,
