Requests that only a reserve refuses ask other nodes for tokens again

A part of a small organisation's rate is one or two tokens, so that the reserve of one refused most of them.

--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -158,7 +158,9 @@
         spent = None
         try:
             with move_on_after(TOKEN_WAIT_S):
-                while spent is None and self._may_request(share, request_state):
+                while spent is None and request_state.may_request(
+                    self._clock()
+                ):
                     await self._request_tokens(
                         organisation, share, request_state, priority
                     )
@@ -167,17 +169,6 @@
             share.reserve.end_wait(priority)
         return spent
 
-    def _may_request(
-        self, share: RateShare, request_state: _TokenRequestState
-    ) -> bool:
-        """Return whether tokens of other nodes may help.
-
-        They do not help an operation that has to leave the tokens of this node
-        to more urgent ones.
-        """
-        now = self._clock()
-        return request_state.may_request(now) and not share.has_token(now)
-
     async def _request_tokens(
         self,
         organisation: str,
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -136,16 +136,6 @@
             return None
         return self._count_spent(1 - self._granted.spend(1), now, spent_by=now)
 
-    def has_token(self, now: float) -> bool:
-        """Return whether a token is left, perhaps for urgent operations only.
-
-        Args:
-            now: time in seconds.
-
-        """
-        left = self._own_tokens(now) + self._granted.total()
-        return left >= 1 - _ROUNDING
-
     def refund(self, spent: SpentTokens) -> bool:
         """Take back the tokens of an operation that was not sent.
 
