--- a/tests/test_gradual_opening.py
+++ b/tests/test_gradual_opening.py
@@ -1,6 +1,7 @@
 """Connections are opened gradually to an endpoint that refuses some."""
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from socket import SO_LINGER, SOL_SOCKET
@@ -24,6 +25,7 @@
 from trefoilhitch.platform.endpoint_connection import WireConnector
 from trefoilhitch.pooler.connection_pool import ConnectionPool
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
+from trefoilhitch.pooler.node import HOUSEKEEPING_INTERVAL_S
 from trefoilhitch.pooler.opening.opening_ramp import (
     EARLIER_CONNECTIONS_S,
     FIRST_PAUSE_S,
@@ -122,9 +124,7 @@
         return self.earlier if current_time() < self.earlier_until else 0
 
 
-def make_pool(
-    endpoint: Endpoint, openings: Openings, share: int = SHARE
-) -> ConnectionPool:
+def make_pool(endpoint: Endpoint, openings: Openings) -> ConnectionPool:
     """Return a pool with a fixed share."""
     return ConnectionPool(
         connector=endpoint,
@@ -268,8 +268,7 @@
 async def test_waiters_open_connections_after_the_first_success() -> None:
     # Guards against waiters that are served by one connection in turn, though
     # the endpoint accepts more.
-    metrics = Metrics()
-    pool = make_pool(Endpoint(), gradual(), metrics)
+    pool = make_pool(Endpoint(), gradual())
     start = current_time()
     acquired: list[float] = []
 
@@ -319,6 +318,35 @@
     await stream.aclose()
 
 
+@with_virtual_clock
+async def test_waiters_open_connections_when_the_limit_rises_with_time() -> (
+    None
+):
+    """Guards against waiters that nobody wakes when the first seconds end."""
+    held_until = current_time() + EARLIER_CONNECTIONS_S
+    endpoint = Endpoint(earlier=LIMIT - 1, earlier_until=held_until)
+    pool = make_pool(endpoint, gradual(current_time()))
+    deadline = held_until + 2
+    await pool.acquire(ENDPOINT, 'a', {}, deadline)
+    served_at: list[float] = []
+
+    async def wait_for_connection() -> None:
+        with suppress(EndpointRefusedError):
+            await pool.acquire(ENDPOINT, 'b', {}, deadline)
+        # An organisation without a connection has to wait for another one's.
+        assert not pool.readiness(ENDPOINT)('c')
+        await pool.acquire(ENDPOINT, 'c', {}, deadline)
+        served_at.append(current_time())
+
+    async with open_nursery() as nursery:
+        nursery.start_soon(wait_for_connection)
+        while current_time() < deadline:
+            await sleep(HOUSEKEEPING_INTERVAL_S)
+            pool.trim()
+    assert served_at
+    assert held_until <= served_at[0] < held_until + 2 * HOUSEKEEPING_INTERVAL_S
+
+
 @with_virtual_clock
 async def test_cancelled_trial_returns_its_place() -> None:
     # Guards against a place that is lost with a client that gives up.
--- a/tests/test_statement_scheduler.py
+++ b/tests/test_statement_scheduler.py
@@ -12,6 +12,7 @@
     current_time,
     open_nursery,
     sleep,
+    sleep_until,
 )
 from trio.testing import wait_all_tasks_blocked
 
@@ -20,12 +21,16 @@
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.admission import AdmittedOperation
-from trefoilhitch.pooler.connection_pool import ConnectionPool
+from trefoilhitch.pooler.connection_pool import (
+    CONNECT_TIMEOUT_S,
+    ConnectionPool,
+)
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
     EndpointConnectionError,
     EndpointRefusedError,
+    EndpointUnreachableError,
 )
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 from trefoilhitch.pooler.scheduling.concurrency_limit import SlotBounds
@@ -59,6 +64,7 @@
     slots: CapacityLimiter = field(
         default_factory=lambda: CapacityLimiter(SLOTS)
     )
+    accepts: bool = True
 
     async def connect(
         self,
@@ -69,6 +75,11 @@
         deadline: float,
     ) -> Connection:
         """Open a connection."""
+        if not self.accepts:
+            await sleep_until(connect_by)
+            raise EndpointUnreachableError(
+                ResponseLoss.NOT_SENT, 'not accepted in time'
+            )
         async with self.slots:
             await sleep(self.handshake_s)
         self.connections.append(Connection(organisation))
@@ -396,6 +407,21 @@
     assert await node.has_all_turns()
 
 
+@with_virtual_clock
+async def test_statements_wait_together_for_an_unreachable_endpoint() -> None:
+    """Guards against waits for one time-out after the other at a gateway."""
+    node = Node()
+    node.connector.accepts = False
+    started_at = current_time()
+    async with open_nursery() as nursery:
+        await _flood(node, nursery, 1, 50)
+    assert current_time() - started_at <= 2 * CONNECT_TIMEOUT_S
+    assert not node.outcomes[1, 'served']
+    node.connector.accepts = True
+    await _warm_up(node)
+    assert await node.has_all_turns()
+
+
 @with_virtual_clock
 async def test_statements_that_waited_avoid_an_endpoint_that_left() -> None:
     node = Node()
