Three comments in the terms of the code

Cause: one named a transition of gateways a hand-over, which is a planned replacement of a primary; two spoke of one deployment and of how a weight was found.

Change: comments only.

--- a/trefoilhitch/pooler/balancing/read_choice.py
+++ b/trefoilhitch/pooler/balancing/read_choice.py
@@ -122,6 +122,6 @@
 
 def _weight(candidate: ReadCandidate) -> float:
     delay_s = max(MIN_DELAY_S, candidate.delay_s)
-    # In proportion to 1 / delay: with its square, the load oscillated.
+    # In proportion to 1 / delay: its square makes reads swing to and fro.
     weight = max(1, candidate.slots) / delay_s
     return weight * PRIMARY_WEIGHT if candidate.is_primary else weight
--- a/trefoilhitch/pooler/control/capacity_ranking.py
+++ b/trefoilhitch/pooler/control/capacity_ranking.py
@@ -1,6 +1,6 @@
 """Ranks nodes by rendezvous hashing, weighted by the capacity of their VMs.
 
-VMs of one data centre may differ by a factor of six. If all are chosen alike,
+VMs of one data centre may differ widely. If all are chosen alike,
 the smallest carry as much for others as the largest, and are overloaded first.
 With weighted rendezvous hashing, each VM is chosen in proportion to its
 capacity, and one that joins or leaves moves only what it takes over or held.
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -223,7 +223,7 @@
         }
 
     def _apply_selection_mode(self, *, by_capacity: bool) -> None:
-        """Begin a hand-over if all gateways are chosen in another way."""
+        """Begin a transition if all gateways are chosen in another way."""
         if self._by_capacity not in {None, by_capacity}:
             self._transition = GatewayTransition(
                 self._gateways, self._clock() + TRANSITION_S
