Leases whose holder no longer runs the failover are acquired at once

A node that needs the lease of a service and finds another holder asks the holder's process whether that attempt still runs (peer call lease_attempt, at the address that the lease now names). If it does not, the lease is acquired as any that was not idle.

--- a/tests/test_lease_era_model.py
+++ b/tests/test_lease_era_model.py
@@ -137,7 +137,8 @@
                 seen.record,
                 token=lease_module.next_token(seen.record),
                 holder=node.name,
-                attempt=f'{node.name}/{self.now}',
+                address=node.name,
+                attempt=self.new_attempt(node),
             ),
         )
         if stored is None:
@@ -146,6 +147,10 @@
         node.expires_at = self.now + LEASE_DURATION_S - LEASE_MARGIN_S
         node.promote_at = promotion_time(seen, self.now)
 
+    def new_attempt(self, node: Node) -> str:
+        """Return the id of a failover that begins."""
+        return f'{node.name}/{self.now}'
+
     def promote(self, node: Node) -> None:
         """Command a promotion under the lease, then release it."""
         if not self.holds(node) or self.now < node.promote_at:
@@ -159,7 +164,12 @@
         if node.held.era > 1:
             self.count('promoted in a later era')
         released = replace(
-            node.held, holder='', primary=self.primary, term=node.held.term + 1
+            node.held,
+            holder='',
+            address='',
+            candidate='',
+            primary=self.primary,
+            term=node.held.term + 1,
         )
         self.write(node, released)
         node.held = None
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -51,6 +51,7 @@
     'probe',
     'tokens',
     'leases',
+    'lease_attempt',
     'proof',
     'check',
     'status',
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -478,6 +478,30 @@
     given: Annotated[float, Meta(ge=0.0)]
 
 
+class LeaseAttemptRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks the holder of a lease whether its process still runs the failover that acquired it.
+    """
+
+    service: str
+    attempt: Annotated[
+        str, Meta(description='Id of the failover, from the lease.')
+    ]
+
+
+class LeaseAttemptReply(Message, frozen=True, kw_only=True):
+    """
+    Whether the failover runs.
+    """
+
+    running: Annotated[
+        bool,
+        Meta(
+            description='False only if no failover with that id runs in the process, the release of its lease included.'
+        ),
+    ]
+
+
 class ProofRequest(Message, frozen=True, kw_only=True):
     """
     Requests a recent proof of the primary of a service.
--- a/trefoilhitch/platform/_generated/platform.py
+++ b/trefoilhitch/platform/_generated/platform.py
@@ -278,6 +278,12 @@
     holder: str
     attempt: str
     candidate: str
+    address: Annotated[
+        str,
+        Meta(
+            description='Peer address of the holder; empty if it was released or written by an earlier release.'
+        ),
+    ] = ''
     primary: Annotated[
         str,
         Meta(
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -103,6 +103,7 @@
         entry = LeaseEntry(
             token=lease.token,
             holder=lease.holder,
+            address=lease.address,
             attempt=lease.attempt,
             candidate=lease.candidate,
             primary=lease.primary,
@@ -232,6 +233,7 @@
         revision=stored.meta.revision,
         token=entry.token,
         holder=entry.holder,
+        address=entry.address,
         attempt=entry.attempt,
         candidate=entry.candidate,
         primary=entry.primary,
--- a/trefoilhitch/pooler/failover_plan.py
+++ b/trefoilhitch/pooler/failover_plan.py
@@ -12,6 +12,7 @@
 from trefoilhitch.pooler.lease_client import LeaseClient
 from trefoilhitch.pooler.ports import Promoter
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.running_attempts import RunningAttempts
 from trefoilhitch.pooler.store_era import StoreEra
 
 
@@ -21,9 +22,11 @@
 
     Args:
         node: name of this node.
+        address: peer address of this node.
         cluster: known endpoints and primaries.
         control: sends control statements to endpoints.
         leases: reads and writes leases.
+        attempts: the failovers that run in this process.
         groups: tells the members of groups.
         store_era: era of the store that keeps them.
         promoter: commands promotions.
@@ -35,9 +38,11 @@
     """
 
     node: str
+    address: str
     cluster: ClusterState
     control: EndpointControl
     leases: LeaseClient
+    attempts: RunningAttempts
     groups: GroupRecorder
     store_era: StoreEra
     promoter: Promoter
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -51,6 +51,7 @@
             deps.leases,
             service=plan.service,
             node=deps.node,
+            address=deps.address,
             clock=deps.cluster.clock,
             store_era=deps.store_era,
             log=deps.log,
@@ -73,16 +74,17 @@
             StoreUnavailableError: the store or the platform did not answer.
 
         """
-        await self._lease.acquire(seen, self._plan.attempt)
-        now = self._deps.cluster.clock()
-        self._promote_at = promotion_time(seen, now)
-        self._inherited_command = bool(seen.record.candidate)
-        try:
-            await self._run_steps()
-        finally:
-            if self._fence is not None and not self._command.was_sent:
-                await self._fence.lift()
-            await self._lease.release(keep_candidate=self._is_pending)
+        with self._deps.attempts.running(self._plan.attempt):
+            await self._lease.acquire(seen, self._plan.attempt)
+            now = self._deps.cluster.clock()
+            self._promote_at = promotion_time(seen, now)
+            self._inherited_command = bool(seen.record.candidate)
+            try:
+                await self._run_steps()
+            finally:
+                if self._fence is not None and not self._command.was_sent:
+                    await self._fence.lift()
+                await self._lease.release(keep_candidate=self._is_pending)
 
     @property
     def _is_pending(self) -> bool:
--- a/trefoilhitch/pooler/held_lease.py
+++ b/trefoilhitch/pooler/held_lease.py
@@ -29,6 +29,8 @@
         client: reads and writes leases.
         service: name of the service.
         node: name of this node.
+        address: peer address of this node, at which other nodes ask whether
+            the failover still runs; empty if they cannot.
         clock: seconds, on a clock that counts suspended time.
         store_era: era of the store.
         log: records each write of the lease.
@@ -44,12 +46,14 @@
         clock: Callable[[], float],
         store_era: StoreEra,
         log: DecisionLog,
+        address: str = '',
     ) -> None:
         """Start without the lease."""
         self.record = LeaseRecord()
         self._client = client
         self._service = service
         self._node = node
+        self._address = address
         self._clock = clock
         self._store_era = store_era
         self._log = log
@@ -76,6 +80,7 @@
                 seen.record,
                 token=next_token(seen.record),
                 holder=self._node,
+                address=self._address,
                 attempt=attempt,
             )
         )
@@ -145,7 +150,9 @@
 
         """
         candidate = self.record.candidate if keep_candidate else ''
-        await self._write(replace(self.record, holder='', candidate=candidate))
+        await self._write(
+            replace(self.record, holder='', address='', candidate=candidate)
+        )
 
     async def _write(self, lease: LeaseRecord) -> None:
         sent_at = self._clock()
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -24,6 +24,8 @@
         revision: revision of the stored lease, 0 if there is none.
         token: fencing token; increases with each attempt of any holder.
         holder: name of the node that holds it, empty if it was released.
+        address: peer address of the holder, empty if it was released or
+            written by an earlier release.
         attempt: unique id of the attempt that wrote it.
         candidate: endpoint whose promotion may have been requested without a
             response, under this token or an earlier one; empty if there is
@@ -38,6 +40,7 @@
     revision: int = 0
     token: int = 0
     holder: str = ''
+    address: str = ''
     attempt: str = ''
     candidate: str = ''
     primary: str = ''
@@ -86,11 +89,14 @@
         record: the lease.
         first_seen_at: time in seconds, on a clock that includes suspended
             time.
+        has_ended: whether the holder's process does not run the attempt that
+            wrote this revision any more.
 
     """
 
     record: LeaseRecord
     first_seen_at: float
+    has_ended: bool = False
 
 
 def lowest_token(era: int) -> int:
@@ -119,7 +125,8 @@
     """Return whether a node may acquire a lease.
 
     Clocks of different nodes are not compared: a lease counts as held until
-    this node has read the same revision for the whole duration of the lease.
+    this node has read the same revision for the whole duration of the lease,
+    or until the holder's process does not run the attempt any more.
     A lease that the store has lost counts as held until that time has passed
     since the store was restored, so that a lease written in the present era
     rules out any holder from an earlier one.
@@ -131,16 +138,44 @@
         era_seen_at: when this node first knew the present era of the store.
 
     Returns:
-        True if the lease is released, expired or held by the node itself.
+        True if the lease is released, expired or held by the node itself, or
+        if its attempt has ended.
 
     """
     if not observed.record.belongs_to_era:
         return now >= era_seen_at + LEASE_DURATION_S
-    if observed.record.holder in {'', node}:
+    if observed.has_ended or observed.record.holder in {'', node}:
         return True
     return now >= observed.first_seen_at + LEASE_DURATION_S
 
 
+def may_ask_holder(
+    observed: ObservedLease, node: str, now: float, next_query_at: float
+) -> bool:
+    """Return whether the holder may be asked if its attempt still runs.
+
+    The present process of the node may not know an attempt of an earlier era
+    of the store, whose lease is not released by its answer either.
+
+    Args:
+        observed: the lease.
+        node: name of the node that wants to acquire it.
+        now: time in seconds.
+        next_query_at: time from which a holder may be asked again.
+
+    Returns:
+        True if another node holds it in the present era, its address is known
+        and it is not known to have ended.
+
+    """
+    record = observed.record
+    if observed.has_ended or not record.belongs_to_era:
+        return False
+    if record.holder in {'', node} or not (record.address and record.attempt):
+        return False
+    return now >= next_query_at
+
+
 def same_content(first: LeaseRecord, second: LeaseRecord) -> bool:
     """Return whether two leases are equal apart from their revisions.
 
--- a/trefoilhitch/pooler/lease_restorer.py
+++ b/trefoilhitch/pooler/lease_restorer.py
@@ -151,6 +151,7 @@
         lost,
         token=next_token(lost),
         holder='',
+        address='',
         attempt=attempt,
         # The promotion of another endpoint may still take effect.
         candidate='' if is_promoted else lost.candidate,
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -40,13 +40,13 @@
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.failover_runner import FailoverRunner
 from trefoilhitch.pooler.held_lease import FailoverStoppedError
-from trefoilhitch.pooler.lease import ObservedLease, is_same_version
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.lease_restorer import LeaseRestorer
 from trefoilhitch.pooler.monitor_order import RANK_DELAY_S, rank_monitors
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.seen_leases import SeenLeases
 
 CHECK_INTERVAL_S = 0.15
 # Number of nodes that monitor one service, including standbys.
@@ -64,6 +64,9 @@
 
     Args:
         failover: dependencies of a failover.
+        seen_leases: reads leases before a failover.
+        process: distinguishes the failovers of this process from those of
+            earlier ones of the node.
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries have not been replaced.
         restorer: writes leases again that the store has lost.
@@ -80,6 +83,8 @@
     """
 
     failover: FailoverDependencies
+    seen_leases: SeenLeases
+    process: str
     confirmer: PrimaryConfirmer
     leases: LeaseObserver
     restorer: LeaseRestorer
@@ -101,9 +106,8 @@
     """
 
     def __init__(self, deps: MonitorDependencies) -> None:
-        """Start without known leases."""
+        """Start before the first check."""
         self._deps = deps
-        self._seen_leases: dict[str, ObservedLease] = {}
         self._probing: set[str] = set()
         self._evaluating: set[str] = set()
         self._restoring: set[str] = set()
@@ -300,7 +304,9 @@
             return
         self._next_lease_read_at[service] = now + LEASE_READ_INTERVAL_S
         try:
-            await self._read_lease(service)
+            await self._deps.seen_leases.read(
+                service, self._deps.report_store_lost
+            )
         except StoreError as exc:
             deps.log.event('lease_unread', service=service, detail=str(exc))
 
@@ -329,9 +335,20 @@
             timeouts=timeouts,
         )
 
+    async def _attempt_failover(self, plan: FailoverPlan) -> None:
+        deps = self._deps.failover
+        await ensure_successor(deps, plan)
+        seen = await self._deps.seen_leases.read_for_failover(
+            plan.service, self._deps.report_store_lost
+        )
+        await FailoverRunner(deps, plan).run(seen)
+
     async def _run_failover(self, service: str, reason: FailoverReason) -> None:
         deps = self._deps.failover
-        attempt = f'{deps.node}/{current_time():.3f}/{next(self._attempts)}'
+        number = next(self._attempts)
+        attempt = (
+            f'{deps.node}/{self._deps.process}/{current_time():.3f}/{number}'
+        )
         deps.log.event('succession_began', service=service, reason=reason.value)
         outcome = 'done'
         plan = FailoverPlan(
@@ -348,10 +365,7 @@
         )
         pause_s = RETRY_PAUSE_S
         try:
-            await ensure_successor(deps, plan)
-            await FailoverRunner(deps, plan).run(
-                await self._read_lease(service)
-            )
+            await self._attempt_failover(plan)
         except NoSuccessorError as exc:
             outcome = f'{type(exc).__name__}: {exc}'
             pause_s = SUCCESSOR_CHECK_PAUSE_S
@@ -363,13 +377,3 @@
         self._pause_until[service] = current_time() + pause_s
         deps.log.event('succession_ended', service=service, outcome=outcome)
         self._deps.publish()
-
-    async def _read_lease(self, service: str) -> ObservedLease:
-        record = await self._deps.failover.leases.read(
-            service, on_failure=self._deps.report_store_lost
-        )
-        known = self._seen_leases.get(service)
-        if known is None or not is_same_version(known.record, record):
-            known = ObservedLease(record, self._cluster.clock())
-            self._seen_leases[service] = known
-        return known
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -20,6 +20,7 @@
 from trefoilhitch.pooler.node_parts import NodeParts
 from trefoilhitch.pooler.node_registration import NodeRegistration
 from trefoilhitch.pooler.peer_request_handler import PeerRequestHandler
+from trefoilhitch.pooler.seen_leases import SeenLeases
 from trefoilhitch.pooler.session_manager import SessionManager
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.task_supervisor import TaskSupervisor
@@ -30,6 +31,7 @@
 STORE_LOST_S = 3.0
 # Sockets that are not available to client sessions.
 RESERVED_SOCKETS = 200
+_PROCESS_ID_BITS = 64
 
 
 class PoolerNode:
@@ -210,9 +212,11 @@
         parts = self._parts
         failover = FailoverDependencies(
             node=self._cfg.node,
+            address=self._cfg.peer_address,
             cluster=parts.state.cluster,
             control=parts.control,
             leases=LeaseClient(self._external.leases),
+            attempts=parts.attempts,
             groups=GroupRecorder(
                 store=self._external.groups,
                 endpoints=parts.state.cluster.endpoints,
@@ -228,6 +232,8 @@
         return Monitor(
             MonitorDependencies(
                 failover=failover,
+                seen_leases=self._make_seen_leases(failover),
+                process=self._process_id(),
                 confirmer=parts.confirmer,
                 leases=parts.leases,
                 restorer=self._make_lease_restorer(failover),
@@ -243,6 +249,21 @@
             )
         )
 
+    def _process_id(self) -> str:
+        """Return an id that no other process of this node has."""
+        random_id = self._runtime.random.getrandbits(_PROCESS_ID_BITS)
+        return f'{self._runtime.incarnation}-{random_id:x}'
+
+    def _make_seen_leases(self, failover: FailoverDependencies) -> SeenLeases:
+        return SeenLeases(
+            leases=failover.leases,
+            client=self._parts.state.client,
+            node=failover.node,
+            clock=failover.cluster.clock,
+            store_era=failover.store_era,
+            log=failover.log,
+        )
+
     def _make_lease_restorer(
         self, failover: FailoverDependencies
     ) -> LeaseRestorer:
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -32,6 +32,7 @@
     PROOF_TIMEOUT_S,
     ProofFetcher,
 )
+from trefoilhitch.pooler.running_attempts import RunningAttempts
 from trefoilhitch.pooler.session_components import (
     make_gateway_server,
     make_local_executor,
@@ -71,6 +72,7 @@
             log=runtime.log,
             metrics=runtime.metrics,
         )
+        self._attempts = RunningAttempts()
         self.leases = _make_lease_observer(cfg, self.state, external)
         self._evacuations = make_evacuations(cfg, self.state)
         self.store_sync = self._make_store_sync()
@@ -112,6 +114,11 @@
         """Source of endpoints' statuses."""
         return self._statuses
 
+    @property
+    def attempts(self) -> RunningAttempts:
+        """The failovers that run in this process."""
+        return self._attempts
+
     def sync_replicas(self, service: str) -> int:
         """Return how many replicas hold a commit before it is acknowledged.
 
@@ -165,6 +172,7 @@
             sync=self.peer_sync,
             gateway=self.gateway,
             leases=self.leases,
+            attempts=self._attempts,
             proofs=self._proofs,
             declarations=self._declarations,
             statuses=self._statuses,
--- a/trefoilhitch/pooler/peer_client.py
+++ b/trefoilhitch/pooler/peer_client.py
@@ -31,7 +31,7 @@
 
 # Calls that are always tried: they find out which nodes are reachable, or are
 # of use at one node only.
-_UNGUARDED_CALLS = frozenset(('exchange', 'probe', 'abandon'))
+_UNGUARDED_CALLS = frozenset(('exchange', 'probe', 'abandon', 'lease_attempt'))
 ReplyT = TypeVar('ReplyT')
 
 
--- a/trefoilhitch/pooler/peer_services.py
+++ b/trefoilhitch/pooler/peer_services.py
@@ -16,6 +16,7 @@
 from trefoilhitch.pooler.peer_decoding import decode_message
 from trefoilhitch.pooler.peer_sync import PeerSync
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
+from trefoilhitch.pooler.running_attempts import RunningAttempts
 
 MessageT = TypeVar('MessageT')
 PeerCallHandler = Callable[[HttpRequest], Awaitable[Struct]]
@@ -29,6 +30,7 @@
         sync: exchanges state.
         gateway: runs statements on this node's connections.
         leases: keeps a view of the leases.
+        attempts: the failovers that run in this process.
         proofs: fetches proofs of primaries.
         declarations: sends the declaration in force.
         statuses: obtains the statuses of endpoints.
@@ -38,6 +40,7 @@
     sync: PeerSync
     gateway: GatewayServer
     leases: LeaseObserver
+    attempts: RunningAttempts
     proofs: ProofFetcher
     declarations: DeclarationSync
     statuses: StatusSource
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -8,6 +8,8 @@
     EntriesReply,
     EntriesRequest,
     Exchange,
+    LeaseAttemptReply,
+    LeaseAttemptRequest,
     LeaseViewReply,
     LeaseViewRequest,
     MembersReply,
@@ -61,6 +63,7 @@
             'probe': self._probe,
             'tokens': self._tokens,
             'leases': self._lease_view,
+            'lease_attempt': self._lease_attempt,
             'proof': self._proof,
         }
 
@@ -119,6 +122,12 @@
             self._services.leases, self._deps.cluster.clock
         )
 
+    async def _lease_attempt(self, req: HttpRequest) -> LeaseAttemptReply:
+        request = read_message(req, LeaseAttemptRequest)
+        return LeaseAttemptReply(
+            running=self._services.attempts.is_running(request.attempt)
+        )
+
     async def _proof(self, req: HttpRequest) -> ProofReply:
         return await self._services.proofs.reply(
             read_message(req, ProofRequest)
