First monitors check that the store answers them

A first monitor that the store has not answered for 2 s reads one lease with allow_stale, at most once in 2 s. If it gets no response, it reports that it has lost the store, and the next monitor takes its place before a failover needs it. Responses that may be outdated no longer confirm the era of the store.

--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -80,6 +80,19 @@
             return LeaseRecord(era=era)
         return _decode_lease(stored, era)
 
+    async def check(self, service: str, deadline: float) -> None:
+        """Check that the store answers, with a lease that may be outdated.
+
+        Args:
+            service: service that the lease is for.
+            deadline: monotonic time in seconds.
+
+        Raises:
+            StoreUnavailableError: no valid response.
+
+        """
+        await self._store.get(LEASE_KIND, service, deadline, may_be_stale=True)
+
     async def write_lease(
         self, service: str, lease: LeaseRecord, deadline: float
     ) -> LeaseRecord | None:
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -43,6 +43,7 @@
 # Names the era of the store in each of its responses.
 ERA_HEADER: Final = 'store-era'
 _OBJECTS_PATH = '/-/objects/'
+_STALE_PARAMETER = 'allow_stale'
 ReplyT = TypeVar('ReplyT')
 
 
@@ -132,7 +133,12 @@
         )
 
     async def get(
-        self, kind: str, name: str, deadline: float
+        self,
+        kind: str,
+        name: str,
+        deadline: float,
+        *,
+        may_be_stale: bool = False,
     ) -> StoredObject | None:
         """Read an object.
 
@@ -140,6 +146,8 @@
             kind: kind of the object.
             name: name of the object.
             deadline: monotonic time in seconds.
+            may_be_stale: whether the object may be some seconds old, which
+                costs the store less.
 
         Returns:
             The object, None if there is none.
@@ -148,10 +156,9 @@
             StoreUnavailableError: no valid response.
 
         """
-        req = HttpRequest(
-            'GET', f'{_OBJECTS_PATH}{kind}/{quote(name, safe="")}'
-        )
-        resp = await self._request(req, deadline)
+        path = f'{_OBJECTS_PATH}{kind}/{quote(name, safe="")}'
+        query = _query(may_be_stale=may_be_stale)
+        resp = await self._request(HttpRequest('GET', path + query), deadline)
         if resp.status == HTTPStatus.NOT_FOUND:
             return None
         return _decode_response(resp, decode_object)
@@ -268,27 +275,35 @@
         return _decode_response(resp, decode_page)
 
     async def _request(self, req: HttpRequest, deadline: float) -> HttpResponse:
+        # A response that may be some seconds old does not prove that its era
+        # is still the present one.
+        is_fresh = _STALE_PARAMETER not in req.query
         sent_at = self._era.now()
         try:
             resp = await self._client.request(req, deadline)
         except (UnreachableError, ConnectionLostError, DeadlineError) as exc:
             raise StoreUnavailableError(str(exc)) from exc
-        self._check_era(_read_era(resp), sent_at)
+        self._check_era(_read_era(resp))
+        if is_fresh:
+            self._era.confirm(sent_at)
         return resp
 
-    def _check_era(self, era: int, sent_at: float) -> None:
+    def _check_era(self, era: int) -> None:
         self._era.observe(era, 'store')
         if era and era != self._era.current:
             raise StoreUnavailableError(f'response of the earlier era {era}')
-        self._era.confirm(sent_at)
 
 
 def _list_path(kind: str, after: str, *, may_be_stale: bool) -> str:
-    query = {'after': after} if after else {}
+    query = _query(after, may_be_stale=may_be_stale)
+    return f'{_OBJECTS_PATH}{kind}{query}'
+
+
+def _query(after: str = '', *, may_be_stale: bool) -> str:
+    fields = {'after': after} if after else {}
     if may_be_stale:
-        query['allow_stale'] = '1'
-    path = f'{_OBJECTS_PATH}{kind}'
-    return f'{path}?{urlencode(query, quote_via=quote)}' if query else path
+        fields[_STALE_PARAMETER] = '1'
+    return f'?{urlencode(fields, quote_via=quote)}' if fields else ''
 
 
 def _next_page_after(page: DecodedPage, after: str) -> str:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -47,6 +47,7 @@
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.seen_leases import SeenLeases
+from trefoilhitch.pooler.store_check import StoreCheck
 
 CHECK_INTERVAL_S = 0.15
 # Number of nodes that monitor one service, including standbys.
@@ -65,6 +66,7 @@
     Args:
         failover: dependencies of a failover.
         seen_leases: reads leases before a failover.
+        store_check: checks that the store answers this node.
         process: distinguishes the failovers of this process from those of
             earlier ones of the node.
         confirmer: asks replicas whether a primary may have been replaced.
@@ -84,6 +86,7 @@
 
     failover: FailoverDependencies
     seen_leases: SeenLeases
+    store_check: StoreCheck
     process: str
     confirmer: PrimaryConfirmer
     leases: LeaseObserver
@@ -112,6 +115,7 @@
         self._evaluating: set[str] = set()
         self._restoring: set[str] = set()
         self._recording: set[str] = set()
+        self._checking: set[str] = set()
         self._failing_over: set[str] = set()
         self._pause_until: dict[str, float] = {}
         self._reason_since: dict[str, float] = {}
@@ -166,6 +170,13 @@
                 service,
                 rank,
             )
+            self._start_task(
+                nursery,
+                self._deps.store_check.check_if_due,
+                self._checking,
+                service,
+                rank,
+            )
 
     def _start_task(
         self,
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -23,6 +23,10 @@
 from trefoilhitch.pooler.seen_leases import SeenLeases
 from trefoilhitch.pooler.session_manager import SessionManager
 from trefoilhitch.pooler.settings import PoolerSettings
+from trefoilhitch.pooler.store_check import (
+    StoreCheck,
+    StoreCheckDependencies,
+)
 from trefoilhitch.task_supervisor import TaskSupervisor
 
 HOUSEKEEPING_INTERVAL_S = 0.5
@@ -233,6 +237,7 @@
             MonitorDependencies(
                 failover=failover,
                 seen_leases=self._make_seen_leases(failover),
+                store_check=self._make_store_check(),
                 process=self._process_id(),
                 confirmer=parts.confirmer,
                 leases=parts.leases,
@@ -264,6 +269,18 @@
             log=failover.log,
         )
 
+    def _make_store_check(self) -> StoreCheck:
+        return StoreCheck(
+            StoreCheckDependencies(
+                leases=self._external.leases,
+                store_era=self._external.era,
+                is_store_lost=lambda: self._membership.heartbeat.store_lost,
+                report_store_lost=self._report_store_lost,
+                log=self._runtime.log,
+                metrics=self._runtime.metrics,
+            )
+        )
+
     def _make_lease_restorer(
         self, failover: FailoverDependencies
     ) -> LeaseRestorer:
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -200,6 +200,18 @@
     async def read_lease(self, service: str, deadline: float) -> LeaseRecord:
         """Read a lease; a missing lease has revision 0."""
 
+    async def check(self, service: str, deadline: float) -> None:
+        """Check cheaply that the store answers a request for a lease.
+
+        Args:
+            service: service name.
+            deadline: monotonic time.
+
+        Raises:
+            StoreUnavailableError: no valid response.
+
+        """
+
     async def write_lease(
         self, service: str, lease: LeaseRecord, deadline: float
     ) -> LeaseRecord | None:
