--- a/trefoilhitch/pooler/held_lease.py
+++ b/trefoilhitch/pooler/held_lease.py
@@ -29,6 +29,8 @@
         client: reads and writes leases.
         service: name of the service.
         node: name of this node.
+        address: peer address of this node, at which other nodes ask whether
+            the failover still runs; empty if they cannot.
         clock: seconds, on a clock that counts suspended time.
         store_era: era of the store.
         log: records each write of the lease.
@@ -44,12 +46,14 @@
         clock: Callable[[], float],
         store_era: StoreEra,
         log: DecisionLog,
+        address: str = '',
     ) -> None:
         """Start without the lease."""
         self.record = LeaseRecord()
         self._client = client
         self._service = service
         self._node = node
+        self._address = address
         self._clock = clock
         self._store_era = store_era
         self._log = log
@@ -65,6 +69,8 @@
         Raises:
             FailoverStoppedError: another node holds the lease.
             StoreUnavailableError: the store did not answer.
+            UnreadableLeaseError: another writer stored a lease that cannot be
+                read.
 
         """
         era_seen_at = self._store_era.seen_at
@@ -76,6 +82,7 @@
                 seen.record,
                 token=next_token(seen.record),
                 holder=self._node,
+                address=self._address,
                 attempt=attempt,
             )
         )
@@ -89,6 +96,8 @@
         Raises:
             FailoverStoppedError: another node holds the lease.
             StoreUnavailableError: the store did not answer.
+            UnreadableLeaseError: another writer stored a lease that cannot be
+                read.
 
         """
         await self._write(replace(self.record, candidate=endpoint))
@@ -99,6 +108,8 @@
         Raises:
             FailoverStoppedError: another node holds the lease.
             StoreUnavailableError: the store did not answer.
+            UnreadableLeaseError: another writer stored a lease that cannot be
+                read.
 
         """
         higher = next_token(self.record)
@@ -142,10 +153,14 @@
         Raises:
             FailoverStoppedError: another node holds the lease.
             StoreUnavailableError: the store did not answer.
+            UnreadableLeaseError: another writer stored a lease that cannot be
+                read.
 
         """
         candidate = self.record.candidate if keep_candidate else ''
-        await self._write(replace(self.record, holder='', candidate=candidate))
+        await self._write(
+            replace(self.record, holder='', address='', candidate=candidate)
+        )
 
     async def _write(self, lease: LeaseRecord) -> None:
         sent_at = self._clock()
