--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -742,6 +742,193 @@
     entries: list[EndpointEntryReport] = field(default_factory=list)
 
 
+class ExplainRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks a node where a request of an organisation would be routed now. Nothing is sent or spent.
+    """
+
+    database: str
+    organisation: Annotated[
+        str, Meta(description='Empty for a public route.')
+    ] = ''
+    access: Literal['read', 'write'] = 'read'
+
+
+class ExplainedQueue(Message, frozen=True, kw_only=True):
+    """
+    Statements of this node at an endpoint.
+    """
+
+    waiting: Annotated[
+        Number, Meta(description='Statements that wait for their turn.')
+    ]
+    in_flight: Number
+    limit: Annotated[
+        Number, Meta(description='How many statements may be in flight.')
+    ]
+
+
+class ExplainedEndpoint(Message, frozen=True, kw_only=True):
+    """
+    An endpoint that may run the request, or what keeps it from that.
+    """
+
+    endpoint: str
+    data_centre: str
+    distance: Literal['same_data_centre', 'same_region', 'other_region']
+    role: Annotated[
+        Literal['primary', 'replica'],
+        Meta(description='Role as the node that answers knows it.'),
+    ]
+    share: Annotated[
+        float,
+        Meta(
+            description='Part of such requests that is sent to it, from 0 to 1.',
+            ge=0.0,
+        ),
+    ]
+    delay_ms: Annotated[
+        float,
+        Meta(
+            description="Expected wait and response time of a read, without the network's.",
+            ge=0.0,
+        ),
+    ]
+    age_ms: (
+        Annotated[
+            Duration,
+            Meta(
+                description='Age of the newest observation of its load; null if there is none.'
+            ),
+        ]
+        | None
+    )
+    failed_recently: bool
+    lagging: Annotated[
+        bool, Meta(description='Whether its log is known to lag.')
+    ]
+    blocked: Annotated[
+        bool,
+        Meta(
+            description='Whether its circuit breaker is open and no trial is due.'
+        ),
+    ]
+    evacuated: bool
+    leaving: bool
+    missing: Annotated[
+        bool,
+        Meta(
+            description='Whether the directory lists no entry of it at present.'
+        ),
+    ]
+    gateway: Annotated[
+        str,
+        Meta(
+            description='Node that would hold the connection; empty if none accepts the request.'
+        ),
+    ]
+    unreachable_gateways: Annotated[
+        list[str],
+        Meta(
+            description='Nodes that rank before the gateway and are known to accept no connections.'
+        ),
+    ]
+    queue: (
+        Annotated[
+            ExplainedQueue,
+            Meta(
+                description='Null if another node is the gateway, or statements are not limited.'
+            ),
+        ]
+        | None
+    )
+
+
+class ExplainedRate(Message, frozen=True, kw_only=True):
+    """
+    The tokens of the organisation's rate that the node holds.
+    """
+
+    tokens: Annotated[
+        float, Meta(description="Tokens of the node's own share.", ge=0.0)
+    ]
+    granted: Annotated[
+        float, Meta(description='Tokens that other nodes granted.', ge=0.0)
+    ]
+    reserved: Annotated[
+        float,
+        Meta(
+            description='Tokens that are reserved for more urgent requests.',
+            ge=0.0,
+        ),
+    ]
+    suffices: Annotated[
+        bool,
+        Meta(description='Whether the request could spend a token at once.'),
+    ]
+    asks_others: Annotated[
+        bool, Meta(description='Whether other nodes would be asked for tokens.')
+    ]
+
+
+class ExplainReply(Message, frozen=True, kw_only=True):
+    """
+    Where a request would be routed now, and why.
+    """
+
+    node: str
+    data_centre: str
+    revision: Annotated[
+        Number, Meta(description='Revision of the declaration in force.')
+    ]
+    database: str
+    organisation: str
+    access: Literal['read', 'write']
+    service: str
+    freshness: Literal['latest', 'bounded', 'own_writes']
+    max_age_ms: Annotated[
+        Duration,
+        Meta(
+            description='Maximum age of the data that a read returns; 0 for the latest.'
+        ),
+    ]
+    priority: Annotated[Number, Meta(description='Of which 0 is the highest.')]
+    primary: Annotated[str, Meta(description='Empty if none is known.')]
+    term: Annotated[
+        Number,
+        Meta(
+            description='Latest proved term of the service, 0 if there is none.'
+        ),
+    ]
+    proof_age_ms: (
+        Annotated[
+            Duration,
+            Meta(
+                description='Age of the newest proof of a primary; null if there is none.'
+            ),
+        ]
+        | None
+    )
+    primary_must_prove: Annotated[
+        bool,
+        Meta(
+            description='Whether only the primary may run a read, with a proof that it is the primary.'
+        ),
+    ]
+    candidates: Annotated[
+        list[ExplainedEndpoint], Meta(description='In the order of preference.')
+    ]
+    rate: (
+        Annotated[
+            ExplainedRate,
+            Meta(
+                description='Null if no rate is declared for the organisation.'
+            ),
+        ]
+        | None
+    )
+
+
 class CheckRequest(Message, frozen=True, kw_only=True):
     """
     Asks a node to check whether an endpoint is the primary.
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -8,10 +8,8 @@
 from typing import Annotated, Any
 
 import cappa
-from msgspec import Struct, structs
-from msgspec import to_builtins as as_builtins
+from msgspec import structs
 from msgspec.json import encode
-from msgspec.json import format as format_json
 from trio import run
 
 from trefoilhitch._generated.peer import DrainOrder, NodeStatus, SwitchOrder
@@ -27,8 +25,10 @@
 )
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.explain_command import Explain
+from trefoilhitch.explain_route_command import ExplainRoute
 from trefoilhitch.failure_exit import failure_exit
 from trefoilhitch.ini import IniFile
+from trefoilhitch.json_output import print_json
 from trefoilhitch.keyring import create_key
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClient
@@ -98,7 +98,7 @@
         published = _run_async(Publisher(HttpObjectStore(self.store)).current)
         changes = diff_bundles(published.bundle, bundle)
         if self.json:
-            _print_json(
+            print_json(
                 {'revision': published.head.revision, 'changes': changes}
             )
             return
@@ -153,7 +153,7 @@
             Publisher(HttpObjectStore(self.store)).current
         )
         if self.json:
-            _print_json({'head': published.head, 'bundle': published.bundle})
+            print_json({'head': published.head, 'bundle': published.bundle})
             return
         print(
             f'revision {published.head.revision} by {published.head.operator}'
@@ -184,7 +184,7 @@
         client = _peer_client(self.settings, self.node)
         status: NodeStatus = _run_async(partial(_status, client))
         if self.json:
-            _print_json(status)
+            print_json(status)
             return
         newest = max(member.revision for member in status.members)
         print(
@@ -350,6 +350,7 @@
         | KeyCommand
         | TraceCommand
         | Explain
+        | ExplainRoute
     ]
 
 
@@ -460,10 +461,5 @@
     return f'{change.action} {change.kind} {change.name}'
 
 
-def _print_json(message: Struct | dict[str, Any]) -> None:
-    line = encode(as_builtins(message))
-    print(format_json(line).decode())
-
-
 if __name__ == '__main__':
     main()
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -1,6 +1,7 @@
 """Admission control: spends rate tokens before an operation runs."""
 
 from collections.abc import Callable
+from copy import deepcopy
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -8,7 +9,11 @@
 
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.rate_accounting import SpentTokens
-from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
+from trefoilhitch.pooler.rate_share import (
+    HIGHEST_PRIORITY,
+    AvailableTokens,
+    RateShare,
+)
 
 # Longest wait of an operation for tokens of other nodes.
 TOKEN_WAIT_S = 0.15
@@ -90,6 +95,20 @@
         return self.share.refund(self.spent)
 
 
+@dataclass(frozen=True, slots=True)
+class TokenOutlook:
+    """Tokens that an operation would find.
+
+    Args:
+        available: the tokens.
+        asks_others: whether other nodes would be asked for more.
+
+    """
+
+    available: AvailableTokens
+    asks_others: bool
+
+
 class Admission:
     """Admits operations against this node's rate shares.
 
@@ -137,7 +156,7 @@
         share = self._rates.share(organisation)
         if share is None:
             return AdmittedOperation()
-        rank = priority if self._by_priority else HIGHEST_PRIORITY
+        rank = self._rank(priority)
         share.record_request(self._clock(), rank)
         spent = share.try_spend(self._clock(), rank)
         if spent is None:
@@ -148,6 +167,31 @@
             return None
         return AdmittedOperation(share, spent)
 
+    def expect_tokens(
+        self, organisation: str, share: RateShare, priority: int
+    ) -> TokenOutlook:
+        """Return the tokens that an operation would find, without a change.
+
+        Args:
+            organisation: organisation that the operation belongs to.
+            share: the organisation's share.
+            priority: priority of the operation, of which 0 is the highest.
+
+        Returns:
+            The tokens, and whether other nodes would be asked for more.
+
+        """
+        rank = self._rank(priority)
+        now = self._clock()
+        # The accounts of the share itself stay as they are.
+        available = deepcopy(share).available(now, rank)
+        request_state = self._request_states.get((organisation, rank))
+        may_ask = request_state is None or request_state.may_request(now)
+        return TokenOutlook(available, may_ask and not available.suffice)
+
+    def _rank(self, priority: int) -> int:
+        return priority if self._by_priority else HIGHEST_PRIORITY
+
     async def _wait_for_tokens(
         self, organisation: str, share: RateShare, priority: int
     ) -> SpentTokens | None:
--- a/trefoilhitch/pooler/balancing/endpoint_loads.py
+++ b/trefoilhitch/pooler/balancing/endpoint_loads.py
@@ -245,7 +245,8 @@
             Time in seconds, 0 if nothing is known of the service.
 
         """
-        usual_s = self._usual_of(service).delay_s
+        usual = self._usual.get(service)
+        usual_s = usual.delay_s if usual else 0
         turn_s = usual_s / max(1, slots)
         own_s = turn_s * self.attempts[endpoint]
         load = self._loads.get(endpoint)
@@ -256,6 +257,23 @@
         delay_s = max(load.delay_s(usual_s, now), queue_s)
         return delay_s + own_s + load.refusals.cost_s(now)
 
+    def newest_at(self, endpoint: str) -> float | None:
+        """Return when the load of an endpoint was last observed.
+
+        Args:
+            endpoint: endpoint id.
+
+        Returns:
+            Monotonic time of the newest observation or report, None if there
+            is none.
+
+        """
+        load = self._loads.get(endpoint)
+        if load is None:
+            return None
+        newest_at = max(load.newest_at, load.heard.observed_at)
+        return newest_at if math.isfinite(newest_at) else None
+
     def _known_in_flight(self, endpoint: str, now: float) -> int:
         known = self._load(endpoint).in_flight(now)
         return max(self.running[endpoint], round(known))
--- a/trefoilhitch/pooler/balancing/read_balancer.py
+++ b/trefoilhitch/pooler/balancing/read_balancer.py
@@ -77,12 +77,7 @@
             return ReadRanking(ranked, 'only')
         if drawn is None:
             return ReadRanking(ranked, 'nearest')
-        setback = self._selector.setback(ranked[0], now)
-        equal = [
-            record
-            for record in ranked
-            if self._selector.setback(record, now) == setback
-        ]
+        equal = self._equal_to_first(ranked, now)
         if len(equal) == 1:
             return ReadRanking(ranked, 'only')
         candidates = [self._candidate(record, primary, now) for record in equal]
@@ -95,6 +90,41 @@
             [*equal, *ranked[len(equal) :]], _kind(candidates, chosen)
         )
 
+    def shares(
+        self,
+        records: Sequence[EndpointRecord],
+        primary: str | None,
+        now: float,
+    ) -> dict[str, float]:
+        """Return by which parts `rank` draws the first endpoint.
+
+        Args:
+            records: usable endpoints.
+            primary: id of the known primary, None if there is none.
+            now: monotonic time.
+
+        Returns:
+            Parts by endpoint id, 1 together, without the endpoints that rank
+            behind others; empty without endpoints.
+
+        """
+        ranked = self._selector.rank(records, now)
+        equal = self._equal_to_first(ranked, now) if ranked else []
+        return read_shares(
+            [self._candidate(record, primary, now) for record in equal]
+        )
+
+    def _equal_to_first(
+        self, ranked: Sequence[EndpointRecord], now: float
+    ) -> list[EndpointRecord]:
+        """Return the endpoints that rank as the first, but for distance."""
+        setback = self._selector.setback(ranked[0], now)
+        return [
+            record
+            for record in ranked
+            if self._selector.setback(record, now) == setback
+        ]
+
     def _candidate(
         self, record: EndpointRecord, primary: str | None, now: float
     ) -> ReadCandidate:
--- a/trefoilhitch/pooler/balancing/read_choice.py
+++ b/trefoilhitch/pooler/balancing/read_choice.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from itertools import accumulate
 
@@ -89,6 +89,21 @@
     )
 
 
+def most_likely_draw(shares: Mapping[str, float]) -> float:
+    """Return a number that stands for the endpoint with the largest part.
+
+    Args:
+        shares: parts by endpoint id, not empty.
+
+    Returns:
+        Number from 0 to 1 for `draw_endpoint`, in the middle of that part.
+
+    """
+    largest = max(shares, key=lambda endpoint: shares[endpoint])
+    limits = dict(zip(shares, accumulate(shares.values()), strict=True))
+    return limits[largest] - shares[largest] / 2
+
+
 def _leaving_part(
     group: Sequence[ReadCandidate], farther: Sequence[ReadCandidate]
 ) -> float:
--- a/trefoilhitch/pooler/catalogue.py
+++ b/trefoilhitch/pooler/catalogue.py
@@ -39,6 +39,11 @@
     priority: int = 0
     public: bool = False
 
+    @property
+    def statement_priority(self) -> int:
+        """Priority of its statements; a negative one counts as the highest."""
+        return max(0, self.priority)
+
 
 @dataclass(frozen=True, slots=True)
 class Organisation:
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -38,7 +38,7 @@
     PrimaryObservation,
 )
 from trefoilhitch.pooler.primary_tracker import Primary, PrimaryTracker
-from trefoilhitch.pooler.suspension import was_suspended
+from trefoilhitch.pooler.suspension_check import SuspensionCheck
 
 # How long an endpoint is avoided that did not respond or was unreachable.
 AVOID_SILENT_S = 2.0
@@ -90,10 +90,11 @@
         self.breakers = breakers or CircuitBreakers()
         self.clock = clock
         self._primaries = PrimaryTracker()
-        self._balancer = ReadBalancer(selector, self.loads)
-        self._draw = draw
+        self.balancer = ReadBalancer(selector, self.loads)
+        self.draw = draw
         self._log = log
         self._changed = Event()
+        self._suspension = SuspensionCheck(clock, log)
         self._unanswered: dict[str, float] = {}
         self._no_primary_since: dict[str, float] = {}
 
@@ -107,14 +108,26 @@
             Endpoint id, None if no primary is known.
 
         """
-        holders = self.endpoints.log_holders(service)
-        primary = self._primaries.current(service, holders)
+        primary = self.known_primary(service)
         if primary is None:
             self._no_primary_since.setdefault(service, self.clock())
         else:
             self._no_primary_since.pop(service, None)
         return primary
 
+    def known_primary(self, service: str) -> str | None:
+        """Return the primary without recording since when there is none.
+
+        Args:
+            service: service name.
+
+        Returns:
+            Endpoint id, None if no primary is known.
+
+        """
+        holders = self.endpoints.log_holders(service)
+        return self._primaries.current(service, holders)
+
     def expects_primary(self, service: str) -> bool:
         """Return whether a service is expected to have a primary soon.
 
@@ -262,7 +275,7 @@
                 whether this process was suspended.
 
         """
-        if self._was_suspended(service, sent_at, timeout_s):
+        if self._suspension.was_suspended(service, sent_at, timeout_s):
             return
         newest = self.observations.newest(service)
         if newest is not None and newest.sent_at >= sent_at:
@@ -281,7 +294,7 @@
             timeout_s: how long the response was awaited, in seconds.
 
         """
-        if not self._was_suspended(service, sent_at, timeout_s):
+        if not self._suspension.was_suspended(service, sent_at, timeout_s):
             self.commits.record_overdue(service, endpoint, sent_at)
 
     def evidence(self, service: str, primary: str | None) -> PrimaryEvidence:
@@ -317,13 +330,9 @@
         """
         service = requirements.route.service
         primary = self.evacuated.unless_excluded(self.primary(service))
-        untried = [
-            record
-            for record in self.endpoints.usable(service)
-            if record.endpoint not in tried
-        ]
-        drawn = None if self._draw is None else self._draw()
-        ranking = self._balancer.rank(untried, primary, now, drawn)
+        untried = usable_untried(self.endpoints, service, tried)
+        drawn = None if self.draw is None else self.draw()
+        ranking = self.balancer.rank(untried, primary, now, drawn)
         target = choose_read_target(
             requirements, ranking.records, primary, self.observations, tried
         )
@@ -379,16 +388,20 @@
         """Wait until a change may allow a waiting statement to run."""
         await self._changed.wait()
 
-    def _was_suspended(
-        self, service: str, sent_at: float, timeout_s: float
-    ) -> bool:
-        now = self.clock()
-        suspended = bool(timeout_s) and was_suspended(sent_at, timeout_s, now)
-        if suspended:
-            self._log.event(
-                'suspicion_dropped',
-                service=service,
-                detail='this process was suspended',
-                waited_s=round(now - sent_at, 3),
-            )
-        return suspended
+
+def usable_untried(
+    endpoints: EndpointRegistry, service: str, tried: Collection[str]
+) -> list[EndpointRecord]:
+    """Return the usable endpoints of a service that were not tried.
+
+    Args:
+        endpoints: the known endpoints.
+        service: service name.
+        tried: ids of endpoints to leave out.
+
+    """
+    return [
+        record
+        for record in endpoints.usable(service)
+        if record.endpoint not in tried
+    ]
--- a/trefoilhitch/pooler/connection_caps.py
+++ b/trefoilhitch/pooler/connection_caps.py
@@ -68,7 +68,7 @@
         return connection_share(
             service.max_connections - RESERVED_CONTROL_CONNECTIONS,
             self._holders(record.data_centre),
-            is_primary=self._cluster.primary(record.service) == endpoint,
+            is_primary=self._cluster.known_primary(record.service) == endpoint,
         )
 
     def slot_bounds(self, endpoint: str) -> SlotBounds:
--- a/trefoilhitch/pooler/control/gateway_breakers.py
+++ b/trefoilhitch/pooler/control/gateway_breakers.py
@@ -20,6 +20,14 @@
 
         """
 
+    def is_blocked(self, gateway: MemberBeat) -> bool:
+        """Return whether no statement may be sent, without starting a trial.
+
+        Args:
+            gateway: the gateway.
+
+        """
+
     def record_failure(self, gateway: MemberBeat) -> None:
         """Record that a gateway accepted no connection.
 
@@ -48,6 +56,10 @@
         """Return whether the gateway may be tried; see `GatewayBreakers`."""
         return self._circuits.may_attempt(gateway.node, current_time())
 
+    def is_blocked(self, gateway: MemberBeat) -> bool:
+        """Return whether no trial is due; see `GatewayBreakers`."""
+        return self._circuits.is_blocked(gateway.node, current_time())
+
     def record_failure(self, gateway: MemberBeat) -> None:
         """Count a failure; see `GatewayBreakers`."""
         self._circuits.record_failure(gateway.node, current_time())
@@ -74,7 +86,11 @@
 
     def may_attempt(self, gateway: MemberBeat) -> bool:
         """Return whether the gateway may be tried; see `GatewayBreakers`."""
-        return self._client.accepts_connections(gateway.address)
+        return not self.is_blocked(gateway)
+
+    def is_blocked(self, gateway: MemberBeat) -> bool:
+        """Return whether it accepts no connections; see `GatewayBreakers`."""
+        return not self._client.accepts_connections(gateway.address)
 
     def record_failure(self, gateway: MemberBeat) -> None:
         """Ignore a failure, which the client records itself."""
--- a/trefoilhitch/pooler/endpoint_selection.py
+++ b/trefoilhitch/pooler/endpoint_selection.py
@@ -270,6 +270,21 @@
     )
 
 
+def choose_write_target(primary: str | None) -> Target | None:
+    """Choose the target of a single write.
+
+    Args:
+        primary: id of the known primary, None if there is none.
+
+    Returns:
+        The target, or None if no primary is known.
+
+    """
+    if primary is None:
+        return None
+    return Target(primary, None, None, requires_primary_proof=False)
+
+
 def _proved_target(requirements: ReadRequirements, primary: str) -> Target:
     return Target(
         primary,
--- /dev/null
+++ b/trefoilhitch/pooler/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Explanation of where a node would route a request."""
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -157,7 +157,10 @@
             is_admitted=job.is_admitted,
         )
         message = replace(message, priority=job.priority)
-        for gateway in self._candidates(job):
+        candidates = self._candidates(
+            job.endpoint, job.organisation, self._breakers.may_attempt
+        )
+        for gateway in candidates:
             reply = await send_run(self._client, gateway, message, job.deadline)
             if reply is None:
                 self._breakers.record_failure(gateway)
@@ -167,12 +170,37 @@
                 return self._read_start(job, gateway, reply)
         raise GatewayUnavailableError(f'no gateway to {job.endpoint}')
 
-    def _candidates(self, job: StatementJob) -> Iterator[MemberBeat]:
+    def expected_gateways(
+        self, endpoint: str, organisation: str
+    ) -> tuple[MemberBeat, ...]:
+        """Return the gateways that a statement would try, without a trial.
+
+        Args:
+            endpoint: endpoint id.
+            organisation: organisation that the statement runs for.
+
+        Returns:
+            The gateways, the first choice first.
+
+        """
+        return tuple(
+            self._candidates(endpoint, organisation, self._is_open_to_attempts)
+        )
+
+    def _is_open_to_attempts(self, gateway: MemberBeat) -> bool:
+        return not self._breakers.is_blocked(gateway)
+
+    def _candidates(
+        self,
+        endpoint: str,
+        organisation: str,
+        may_attempt: Callable[[MemberBeat], bool],
+    ) -> Iterator[MemberBeat]:
         tried = 0
-        for gateway in self._rank(job.endpoint, job.organisation):
+        for gateway in self._rank(endpoint, organisation):
             if tried == MAX_GATEWAYS_TRIED:
                 return
-            if self._breakers.may_attempt(gateway):
+            if may_attempt(gateway):
                 tried += 1
                 yield gateway
 
--- a/trefoilhitch/pooler/held_rates.py
+++ b/trefoilhitch/pooler/held_rates.py
@@ -61,6 +61,18 @@
         self.refresh()
         return self._shares.share(organisation)
 
+    def current(self, organisation: str) -> RateShare | None:
+        """Return the share as it is, without applying changes of the members.
+
+        Args:
+            organisation: organisation name.
+
+        Returns:
+            The share, None if no rate is declared for it.
+
+        """
+        return self._shares.share(organisation)
+
     def refresh(self) -> None:
         """Apply changes of the members.
 
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -12,6 +12,7 @@
     make_evacuations,
     make_feed,
 )
+from trefoilhitch.pooler.explaining.components import make_explainer
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.lease_view_reader import (
     PEER_TIMEOUT_S,
@@ -32,7 +33,10 @@
     PROOF_TIMEOUT_S,
     ProofFetcher,
 )
+from trefoilhitch.pooler.routed_executor import RoutedExecutor
 from trefoilhitch.pooler.session_components import (
+    make_admission,
+    make_gateway_executor,
     make_gateway_server,
     make_local_executor,
     make_session_dependencies,
@@ -97,14 +101,22 @@
             client=self.state.client,
             asked=make_peer_backoff(cfg, runtime, PROOF_TIMEOUT_S),
         )
-        executor = make_local_executor(self.state, cfg.options)
+        admission = make_admission(self.state)
+        executor = make_local_executor(self.state, admission)
+        remote = make_gateway_executor(self.state)
         self.gateway = make_gateway_server(self.state, executor)
         self.enforcer = make_enforcer(
             self._evacuations, self.state, executor.end_transactions
         )
         self.sessions = make_session_dependencies(
-            self.state, executor, self._make_prover(cfg), self._proofs
+            self.state,
+            RoutedExecutor(
+                gateways=self.state.gateways, local=executor, remote=remote
+            ),
+            self._make_prover(cfg),
+            self._proofs,
         )
+        self._explainer = make_explainer(self.state, admission, remote)
         self.peer_handler = self._make_peer_handler()
 
     @property
@@ -168,6 +180,7 @@
             proofs=self._proofs,
             declarations=self._declarations,
             statuses=self._statuses,
+            explainer=self._explainer,
         )
         return PeerRequestHandler(self._peer_deps, services)
 
--- a/trefoilhitch/pooler/peer_services.py
+++ b/trefoilhitch/pooler/peer_services.py
@@ -11,6 +11,7 @@
 from trefoilhitch.json_decoding import UnreadableJsonError
 from trefoilhitch.pooler.control.status_source import StatusSource
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
+from trefoilhitch.pooler.explaining.route_explainer import RouteExplainer
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.peer_decoding import decode_message
@@ -32,6 +33,7 @@
         proofs: fetches proofs of primaries.
         declarations: sends the declaration in force.
         statuses: obtains the statuses of endpoints.
+        explainer: explains where requests would be routed.
 
     """
 
@@ -41,6 +43,7 @@
     proofs: ProofFetcher
     declarations: DeclarationSync
     statuses: StatusSource
+    explainer: RouteExplainer
 
 
 def read_message(req: HttpRequest, message_type: type[MessageT]) -> MessageT:
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -8,6 +8,8 @@
     EntriesReply,
     EntriesRequest,
     Exchange,
+    ExplainReply,
+    ExplainRequest,
     LeaseViewReply,
     LeaseViewRequest,
     MembersReply,
@@ -62,6 +64,7 @@
             'tokens': self._tokens,
             'leases': self._lease_view,
             'proof': self._proof,
+            'explain': self._explain,
         }
 
     async def _exchange(self, req: HttpRequest) -> Exchange:
@@ -123,3 +126,8 @@
         return await self._services.proofs.reply(
             read_message(req, ProofRequest)
         )
+
+    async def _explain(self, req: HttpRequest) -> ExplainReply:
+        return self._services.explainer.explain(
+            read_message(req, ExplainRequest)
+        )
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -8,6 +8,8 @@
 any window. `rate_limit` bounds the excess that restarts can add.
 """
 
+from dataclasses import dataclass
+
 from trefoilhitch.pooler.rate_accounting import (
     Demand,
     GrantedTokens,
@@ -37,6 +39,27 @@
 _ROUNDING = 1e-9
 
 
+@dataclass(frozen=True, slots=True)
+class AvailableTokens:
+    """Tokens that an operation could spend.
+
+    Args:
+        own: tokens of this node's own share.
+        granted: tokens that other nodes granted.
+        reserved: tokens that are reserved for more urgent operations.
+
+    """
+
+    own: float
+    granted: float
+    reserved: float
+
+    @property
+    def suffice(self) -> bool:
+        """Whether the operation may spend one."""
+        return self.own + self.granted >= 1 + self.reserved - _ROUNDING
+
+
 class RateShare:
     """One node's share of one organisation's rate.
 
@@ -114,6 +137,27 @@
         self._demand.request_count += 1
         self.reserve.record_request(priority, now)
 
+    def available(
+        self, now: float, priority: int = HIGHEST_PRIORITY
+    ) -> AvailableTokens:
+        """Return the tokens that an operation could spend.
+
+        This brings the accounts of the share up to date.
+
+        Args:
+            now: time in seconds.
+            priority: priority of the operation.
+
+        Returns:
+            The tokens.
+
+        """
+        own_tokens = self._own_tokens(now)
+        self._granted.drop_expired(now)
+        return AvailableTokens(
+            own_tokens, self._granted.total(), self._reserved(priority, now)
+        )
+
     def try_spend(
         self, now: float, priority: int = HIGHEST_PRIORITY
     ) -> SpentTokens | None:
@@ -129,10 +173,7 @@
             operation may not run.
 
         """
-        own_tokens = self._own_tokens(now)
-        self._granted.drop_expired(now)
-        needed = 1 + self._reserved(priority, now) - _ROUNDING
-        if own_tokens + self._granted.total() < needed:
+        if not self.available(now, priority).suffice:
             return None
         return self._count_spent(1 - self._granted.spend(1), now, spent_by=now)
 
--- a/trefoilhitch/pooler/retrying/read_target_finder.py
+++ b/trefoilhitch/pooler/retrying/read_target_finder.py
@@ -6,6 +6,7 @@
 from trefoilhitch.pooler.catalogue import Freshness
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_selection import Target
+from trefoilhitch.pooler.expected_target import ExpectedTarget, expect_read
 from trefoilhitch.pooler.retrying.retry_policy import RetryPolicy
 from trefoilhitch.pooler.statement_run import StatementRun
 
@@ -55,6 +56,23 @@
             raise RetryBudgetError(target.endpoint)
         return target
 
+    def expect(self, run: StatementRun) -> ExpectedTarget:
+        """Return where a read's first attempt would be sent, without a draw.
+
+        Args:
+            run: state of the read.
+
+        """
+        now = current_time()
+        usable = self._cluster.endpoints.usable(run.route.service)
+        endpoints = [record.endpoint for record in usable]
+        return expect_read(
+            self._cluster,
+            run.read_requirements(self._cluster.clock()),
+            now,
+            self._blocked(endpoints, now),
+        )
+
     def has_other(self, run: StatementRun) -> bool:
         """Return whether an endpoint is left that has not failed.
 
--- a/trefoilhitch/pooler/scheduling/statement_scheduler.py
+++ b/trefoilhitch/pooler/scheduling/statement_scheduler.py
@@ -51,6 +51,22 @@
     deadline: float
 
 
+@dataclass(frozen=True, slots=True)
+class TurnCounts:
+    """Statements of this node at an endpoint.
+
+    Args:
+        waiting: number of statements that wait for their turn.
+        in_flight: number of turns that have begun and not ended.
+        limit: how many statements may be in flight.
+
+    """
+
+    waiting: int
+    in_flight: int
+    limit: int
+
+
 class StatementScheduler(Protocol):
     """Decides when statements are sent to endpoints."""
 
@@ -99,6 +115,17 @@
 
         """
 
+    def counts(self, endpoint: str) -> TurnCounts | None:
+        """Return the statements of this node at an endpoint.
+
+        Args:
+            endpoint: endpoint id.
+
+        Returns:
+            Their numbers, None if statements are not limited.
+
+        """
+
 
 class PassThroughScheduler:
     """Sends every statement at once."""
@@ -117,6 +144,9 @@
     def reject_waiters(self, endpoint: str) -> None:
         """Reject nothing, since no statement waits."""
 
+    def counts(self, endpoint: str) -> None:
+        """Return nothing, since statements are not limited."""
+
 
 @dataclass(slots=True)
 class _Waiter:
@@ -212,6 +242,16 @@
                 )
             )
 
+    def counts(self, endpoint: str) -> TurnCounts | None:
+        """Return the statements of this node at an endpoint."""
+        # An endpoint without statements so far is not added.
+        turns = self._turns.get(endpoint) or EndpointTurns()
+        return TurnCounts(
+            sum(turns.waiting().values()),
+            turns.in_flight,
+            turns.limit.current(self._bounds(endpoint)),
+        )
+
     def _arrive(
         self, turns: EndpointTurns, endpoint: str, queued: QueuedRequest
     ) -> None:
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -2,7 +2,6 @@
 
 from trio import current_time
 
-from trefoilhitch._generated.options import PoolerOptions
 from trefoilhitch.pooler.admission import Admission
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
@@ -31,21 +30,18 @@
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 
-def make_local_executor(
-    state: NodeState, options: PoolerOptions
-) -> LocalExecutor:
-    """Create the executor on this node's connections.
+def make_admission(state: NodeState) -> Admission:
+    """Create the admission control of this node's connections.
 
     Args:
         state: state of the node.
-        options: parts of the node that are turned on.
 
     Returns:
-        The executor.
+        The admission control.
 
     """
     runtime = state.runtime
-    admission = Admission(
+    return Admission(
         rates=state.rates,
         tokens=TokenRequester(
             membership=state.membership,
@@ -55,8 +51,24 @@
         ),
         clock=runtime.clock,
         metrics=runtime.metrics,
-        by_priority=options.scheduling.rates_by_priority,
+        by_priority=state.options.scheduling.rates_by_priority,
     )
+
+
+def make_local_executor(
+    state: NodeState, admission: Admission
+) -> LocalExecutor:
+    """Create the executor on this node's connections.
+
+    Args:
+        state: state of the node.
+        admission: spends tokens of rates.
+
+    Returns:
+        The executor.
+
+    """
+    runtime = state.runtime
     runner = ConnectionRunner(
         connector=state.connector,
         metrics=runtime.metrics,
@@ -100,9 +112,27 @@
     )
 
 
+def make_gateway_executor(state: NodeState) -> GatewayExecutor:
+    """Create the executor through other nodes.
+
+    Args:
+        state: state of the node.
+
+    Returns:
+        The executor.
+
+    """
+    return GatewayExecutor(
+        client=state.client,
+        rank=state.gateways.rank,
+        breakers=_make_breakers(state),
+        apply_load=state.loads.apply_gateway_report,
+    )
+
+
 def make_session_dependencies(
     state: NodeState,
-    local: LocalExecutor,
+    executor: RoutedExecutor,
     prover: PrimaryProver,
     proofs: ProofFetcher,
 ) -> SessionDependencies:
@@ -110,7 +140,7 @@
 
     Args:
         state: state of the node.
-        local: executor on this node's connections.
+        executor: runs statements on endpoints.
         prover: proves that an endpoint is the primary.
         proofs: fetches proofs that reads need.
 
@@ -119,16 +149,6 @@
 
     """
     runtime = state.runtime
-    executor = RoutedExecutor(
-        gateways=state.gateways,
-        local=local,
-        remote=GatewayExecutor(
-            client=state.client,
-            rank=state.gateways.rank,
-            breakers=_make_breakers(state),
-            apply_load=state.loads.apply_gateway_report,
-        ),
-    )
     failures = EndpointFailures(
         cluster=state.cluster,
         reject_waiters=state.reject_waiters,
@@ -147,7 +167,7 @@
         prover=prover,
         proofs=proofs,
         failures=failures,
-        retries=_make_retry_policy(state),
+        retries=make_retry_policy(state),
         log=runtime.log,
         metrics=runtime.metrics,
     )
@@ -173,7 +193,16 @@
     return CountingBreakers()
 
 
-def _make_retry_policy(state: NodeState) -> RetryPolicy:
+def make_retry_policy(state: NodeState) -> RetryPolicy:
+    """Create the policy by which statements are repeated.
+
+    Args:
+        state: state of the node.
+
+    Returns:
+        The policy, without statements so far.
+
+    """
     if state.options.retries.with_backoff:
         return BudgetedBackoff(state.runtime.random.random)
     return FixedPause()
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -10,7 +10,11 @@
 from trefoilhitch.pooler.catalogue import Freshness
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
-from trefoilhitch.pooler.endpoint_selection import ChoiceKind, Target
+from trefoilhitch.pooler.endpoint_selection import (
+    ChoiceKind,
+    Target,
+    choose_write_target,
+)
 from trefoilhitch.pooler.outcome import (
     FailedAttempt,
     ResponseLoss,
@@ -178,12 +182,8 @@
         if run.statement.verb == Verb.BEGIN:
             return self._cluster.choose_begin_target(requirements)
         primary = self._cluster.primary(run.route.service)
-        primary = self._cluster.evacuated.unless_excluded(primary)
-        return (
-            Target(primary, None, None, requires_primary_proof=False)
-            if primary
-            else None
-        )
+        permitted = self._cluster.evacuated.unless_excluded(primary)
+        return choose_write_target(permitted)
 
     async def _pause(self, run: StatementRun) -> Response | None:
         """Pause before the next attempt, unless another endpoint is left.
--- a/trefoilhitch/pooler/statement_sender.py
+++ b/trefoilhitch/pooler/statement_sender.py
@@ -112,5 +112,5 @@
         keeps_connection=keeps_connection,
         is_admitted=run.is_admitted,
         on_admitted=run.mark_admitted,
-        priority=max(0, run.route.priority),
+        priority=run.route.statement_priority,
     )
