--- a/tests/test_arbitrary_peer_messages.py
+++ b/tests/test_arbitrary_peer_messages.py
@@ -35,6 +35,7 @@
     peer.StatusRequest,
     peer.RunRequest,
     peer.AbandonRequest,
+    peer.ExplainRequest,
     peer.DeclarationReply,
     peer.EntriesReply,
     peer.MembersReply,
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -56,6 +56,7 @@
     'status',
     'run',
     'abandon',
+    'explain',
 )
 BEAT = {
     'node': 'odd',
--- a/trefoilhitch/route_text.py
+++ b/trefoilhitch/route_text.py
@@ -53,9 +53,9 @@
 
 def _primary(reply: ExplainReply) -> str:
     name = reply.primary or 'none is known'
-    if reply.proof_age_ms is None:
-        return f'{name}, not proved'
-    return f'{name}, term {reply.term}, proved {reply.proof_age_ms} ms ago'
+    if reply.proof_age_ms is not None:
+        return f'{name}, term {reply.term}, proved {reply.proof_age_ms} ms ago'
+    return f'{name}, not proved' if reply.primary else name
 
 
 def _candidates(reply: ExplainReply) -> Iterator[str]:
