--- a/tests/test_route_text.py
+++ b/tests/test_route_text.py
@@ -5,11 +5,13 @@
 from msgspec import structs
 from syrupy.assertion import SnapshotAssertion
 
+from trefoilhitch import explain_route_command
 from trefoilhitch._generated.peer import (
     ExplainedEndpoint,
     ExplainedQueue,
     ExplainedRate,
     ExplainReply,
+    ExplainRequest,
 )
 from trefoilhitch.cli import Tool
 from trefoilhitch.exit_code import ExitCode
@@ -139,6 +141,38 @@
     assert capsys.readouterr().out == snapshot
 
 
+@pytest.mark.parametrize(
+    ('options', 'access', 'first_line'),
+    [
+        ((), 'read', 'read of orders for himal at edge-1'),
+        (('--write',), 'write', 'read of orders for himal at edge-1'),
+        (('--json',), 'read', '{'),
+    ],
+)
+def test_command_asks_the_node(
+    options: tuple[str, ...],
+    access: str,
+    first_line: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    # Guards against arguments that do not reach the node.
+    asked = []
+
+    async def answer(address: str, request: ExplainRequest) -> ExplainReply:
+        asked.append((address, request))
+        return REPLY
+
+    monkeypatch.setattr(explain_route_command, 'ask_node', answer)
+    arguments = ['explain-route', 'orders', 'himal', '--node', UNREACHABLE]
+    cappa.invoke(Tool, argv=[*arguments, *options])
+    request = asked[0][1]
+    assert asked == [(UNREACHABLE, request)]
+    assert (request.database, request.organisation) == ('orders', 'himal')
+    assert request.access == access
+    assert capsys.readouterr().out.startswith(first_line)
+
+
 @pytest.mark.parametrize(
     ('address', 'expected', 'text'),
     [
--- a/trefoilhitch/route_text.py
+++ b/trefoilhitch/route_text.py
@@ -90,7 +90,7 @@
     observed = 'not observed'
     if candidate.age_ms is not None:
         observed = f'observed {candidate.age_ms} ms ago'
-    yield f'expected delay {candidate.delay_ms} ms, {observed}'
+    yield f'expected delay {candidate.delay_ms:g} ms, {observed}'
     setbacks = _setbacks(candidate)
     if setbacks:
         yield f'behind others: {", ".join(setbacks)}'
@@ -134,6 +134,6 @@
     if rate.asks_others:
         outcome = 'too few for a request; other nodes would be asked'
     return (
-        f'this node holds {rate.tokens} tokens, {rate.granted} granted by '
-        f'others, {rate.reserved} reserved for more urgent requests: {outcome}'
+        f'this node holds {rate.tokens:g} tokens, {rate.granted:g} granted by '
+        f'others, {rate.reserved:g} reserved for more urgent requests: {outcome}'
     )
