--- a/tests/test_arbitrary_peer_messages.py
+++ b/tests/test_arbitrary_peer_messages.py
@@ -36,6 +36,7 @@
     peer.StatusRequest,
     peer.RunRequest,
     peer.AbandonRequest,
+    peer.ExplainRequest,
     peer.DeclarationReply,
     peer.EntriesReply,
     peer.MembersReply,
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -57,6 +57,7 @@
     'status',
     'run',
     'abandon',
+    'explain',
 )
 BEAT = {
     'node': 'odd',
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -8,6 +8,8 @@
     EntriesReply,
     EntriesRequest,
     Exchange,
+    ExplainReply,
+    ExplainRequest,
     LeaseAttemptReply,
     LeaseAttemptRequest,
     LeaseViewReply,
@@ -65,6 +67,7 @@
             'leases': self._lease_view,
             'lease_attempt': self._lease_attempt,
             'proof': self._proof,
+            'explain': self._explain,
         }
 
     async def _exchange(self, req: HttpRequest) -> Exchange:
@@ -132,3 +135,8 @@
         return await self._services.proofs.reply(
             read_message(req, ProofRequest)
         )
+
+    async def _explain(self, req: HttpRequest) -> ExplainReply:
+        return self._services.explainer.explain(
+            read_message(req, ExplainRequest)
+        )
