Tokens of other nodes during a partition

An operation that runs short of tokens waited for every holder, those out of reach included, and was refused after 0.15 s although tokens had arrived. Each holder was asked for a fraction of a token, so that no single one could cover an operation.

Requests for tokens now run in tasks of their own (TokenRequester.run). An operation proceeds as soon as the tokens that have arrived suffice, and spends what has arrived at the end of its wait. Each holder is asked for at least one token, far ones after 0.02 s at the latest, and holders that did not respond or accept no connections are left alone. No pause follows a request that no holder responded to, and late tokens end a pause.

A request covers all operations that wait, and those expected during a round trip between regions. Grants are kept in the order in which they expire, because a late one could be spent after its time behind newer ones. token_requests_total counts rounds of requests.

--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -13,7 +13,8 @@
 # Longest wait of an operation for tokens of other nodes.
 TOKEN_WAIT_S = 0.15
 # Pause in requests to other nodes after none of them had tokens to spare. It
-# doubles with each further refusal, up to the maximum.
+# doubles with each further refusal, up to the maximum. There is none after a
+# request that no node responded to, which tells nothing about their tokens.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.2
 
@@ -34,8 +35,8 @@
         wanted: float,
         share: RateShare,
         priority: int = HIGHEST_PRIORITY,
-    ) -> float:
-        """Request tokens until enough were given or all nodes were asked.
+    ) -> float | None:
+        """Request tokens, and wait until some arrive or no more will.
 
         Args:
             organisation: organisation whose rate the tokens belong to.
@@ -44,25 +45,37 @@
             priority: priority of the operation that needs them.
 
         Returns:
-            Number of tokens given.
+            Number of tokens given; None while further nodes may respond, or
+            if none of those that were asked responded.
 
         """
 
 
 @dataclass(slots=True)
 class _TokenRequestState:
-    """State of the requests for tokens of one organisation and priority."""
+    """State of the requests for tokens of one organisation and priority.
+
+    Args:
+        pending: set when the request that is under way has returned.
+        pause_s: length of the last pause in seconds, 0 after a success.
+        paused_until: end of the pause.
+        paused_at_count: grants that had arrived when the pause began.
+
+    """
 
     pending: Event | None = None
     pause_s: float = 0
     paused_until: float = 0
+    paused_at_count: int = 0
 
-    def may_request(self, now: float) -> bool:
-        return now >= self.paused_until
+    def may_request(self, now: float, grant_count: int) -> bool:
+        """Return whether no pause is on; a late grant ends it."""
+        return now >= self.paused_until or grant_count != self.paused_at_count
 
-    def back_off(self, now: float) -> None:
+    def back_off(self, now: float, grant_count: int) -> None:
         self.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
         self.paused_until = now + self.pause_s
+        self.paused_at_count = grant_count
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +112,7 @@
         rates: this node's rate shares.
         tokens: requests tokens from other nodes.
         clock: seconds, on a clock that counts suspended time.
-        metrics: counts token requests and refusals.
+        metrics: counts refusals.
         by_priority: whether tokens are reserved for urgent operations.
 
     """
@@ -159,7 +172,7 @@
         try:
             with move_on_after(TOKEN_WAIT_S):
                 while spent is None and request_state.may_request(
-                    self._clock()
+                    self._clock(), share.grant_count(priority)
                 ):
                     await self._request_tokens(
                         organisation, share, request_state, priority
@@ -167,7 +180,7 @@
                     spent = share.try_spend(self._clock(), priority)
         finally:
             share.reserve.end_wait(priority)
-        return spent
+        return spent or share.try_spend(self._clock(), priority)
 
     async def _request_tokens(
         self,
@@ -181,9 +194,8 @@
             return
         finished = Event()
         request_state.pending = finished
-        self._metrics.count('token_requests', organisation)
-        wanted = share.tokens_to_request(self._clock())
-        given: float = 0
+        wanted = share.tokens_to_request(self._clock(), priority)
+        given: float | None = None
         try:
             given = await self._tokens.request_tokens(
                 organisation, wanted, share, priority
@@ -191,7 +203,9 @@
         finally:
             request_state.pending = None
             finished.set()
+        if given is None:
+            return
         if given < 1:
-            request_state.back_off(self._clock())
+            request_state.back_off(self._clock(), share.grant_count(priority))
         else:
             request_state.pause_s = 0
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -111,6 +111,7 @@
         tasks = {
             'peer_client': parts.state.client.run,
             'statuses': parts.statuses.run,
+            'token_requests': parts.tokens.run,
             'watch_endpoints': parts.store_sync.watch_endpoints,
             'watch_declaration': parts.store_sync.watch_declaration,
             'registration': self._registration.run,
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -36,6 +36,7 @@
     make_gateway_server,
     make_local_executor,
     make_session_dependencies,
+    make_token_requester,
 )
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.pooler.state_components import make_state
@@ -44,6 +45,7 @@
     StoreSyncDependencies,
 )
 from trefoilhitch.pooler.store_watchers import watches_store
+from trefoilhitch.pooler.token_requester import TokenRequester
 
 
 class NodeParts:
@@ -97,7 +99,8 @@
             client=self.state.client,
             asked=make_peer_backoff(cfg, runtime, PROOF_TIMEOUT_S),
         )
-        executor = make_local_executor(self.state, cfg.options)
+        self._tokens = make_token_requester(self.state)
+        executor = make_local_executor(self.state, cfg.options, self._tokens)
         self.gateway = make_gateway_server(self.state, executor)
         self.enforcer = make_enforcer(
             self._evacuations, self.state, executor.end_transactions
@@ -112,6 +115,11 @@
         """Source of endpoints' statuses."""
         return self._statuses
 
+    @property
+    def tokens(self) -> TokenRequester:
+        """Requests rate tokens from other nodes."""
+        return self._tokens
+
     def sync_replicas(self, service: str) -> int:
         """Return how many replicas hold a commit before it is acknowledged.
 
--- a/trefoilhitch/pooler/rate_accounting.py
+++ b/trefoilhitch/pooler/rate_accounting.py
@@ -1,8 +1,10 @@
 """Parts of one node's rate share: token bucket, window, grants and demand."""
 
+from bisect import insort
 from collections import deque
 from dataclasses import dataclass, field
 from math import ceil
+from operator import attrgetter
 
 DEMAND_HALF_LIFE_S = 1.0
 # Demand is measured over intervals of at least this length.
@@ -196,6 +198,15 @@
 
     grants: deque[TokenGrant] = field(default_factory=deque)
 
+    def add(self, token_grant: TokenGrant) -> None:
+        """Add a grant, which may expire before others that arrived earlier.
+
+        Args:
+            token_grant: the grant.
+
+        """
+        insort(self.grants, token_grant, key=attrgetter('expires_at'))
+
     def drop_expired(self, now: float) -> None:
         """Drop expired grants.
 
--- a/trefoilhitch/pooler/rate_priority/priority_reserve.py
+++ b/trefoilhitch/pooler/rate_priority/priority_reserve.py
@@ -82,6 +82,15 @@
         if not self._waiting[priority]:
             self._waiting.pop(priority)
 
+    def waiting_count(self, priority: int) -> int:
+        """Return how many requests wait for tokens of other nodes.
+
+        Args:
+            priority: their priority.
+
+        """
+        return self._waiting[priority]
+
     def tokens_above(self, priority: int, now: float) -> float:
         """Return how many tokens are reserved for more urgent requests.
 
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -8,6 +8,8 @@
 any window. `rate_limit` bounds the excess that restarts can add.
 """
 
+from collections import Counter
+
 from trefoilhitch.pooler.rate_accounting import (
     Demand,
     GrantedTokens,
@@ -56,6 +58,7 @@
         self._lowered_at: float = 0
         self._window = SlidingWindow()
         self._granted = GrantedTokens()
+        self._grant_counts: Counter[int] = Counter()
         self._demand = Demand(measured_at=now)
         self.reserve = PriorityReserve()
         # An earlier process may have spent all tokens until it ended.
@@ -151,18 +154,28 @@
             self._bucket.tokens += spent.tokens
         return is_removed
 
-    def tokens_to_request(self, now: float) -> float:
+    def tokens_to_request(
+        self,
+        now: float,
+        priority: int = HIGHEST_PRIORITY,
+        *,
+        delay_s: float = 0,
+    ) -> float:
         """Return how many tokens to request from other nodes.
 
         Args:
             now: time in seconds.
+            priority: priority of the operations that need them.
+            delay_s: time in seconds after which they will arrive.
 
         Returns:
-            Tokens for the next operation and for the expected demand.
+            Tokens for the operations that wait, at least one, and for the
+            expected demand.
 
         """
         self._demand.update(now)
-        return 1 + self._demand.per_s * REQUEST_AHEAD_S
+        waiting = max(1, self.reserve.waiting_count(priority))
+        return waiting + self._demand.per_s * (REQUEST_AHEAD_S + delay_s)
 
     def grant(
         self, wanted: float, now: float, priority: int | None = None
@@ -190,17 +203,32 @@
         self._count_spent(granted, now, spent_by=now + GRANT_LIFETIME_S)
         return granted
 
-    def add_grant(self, tokens: float, sent_at: float) -> None:
+    def add_grant(
+        self, tokens: float, sent_at: float, priority: int = HIGHEST_PRIORITY
+    ) -> None:
         """Add tokens that another node granted.
 
         Args:
             tokens: number of tokens.
             sent_at: time in seconds at which this node sent the request.
+            priority: priority of the operations that they were requested for;
+                any other operation may spend them too.
 
         """
-        self._granted.grants.append(
-            TokenGrant(tokens, sent_at + GRANT_LIFETIME_S)
-        )
+        self._grant_counts[priority] += 1
+        self._granted.add(TokenGrant(tokens, sent_at + GRANT_LIFETIME_S))
+
+    def grant_count(self, priority: int) -> int:
+        """Return how many grants have arrived.
+
+        Args:
+            priority: priority of the operations that they were requested for.
+
+        Returns:
+            The number since this share was created.
+
+        """
+        return self._grant_counts[priority]
 
     def is_unused(self, now: float) -> bool:
         """Return whether no spent tokens count any more.
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -3,7 +3,7 @@
 from trio import current_time
 
 from trefoilhitch._generated.options import PoolerOptions
-from trefoilhitch.pooler.admission import Admission
+from trefoilhitch.pooler.admission import Admission, TokenSource
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.control.gateway_breakers import (
@@ -11,11 +11,13 @@
     GatewayBreakers,
     SharedBreakers,
 )
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.node_state import NodeState
+from trefoilhitch.pooler.peer_client import PEER_TIMEOUT_S
 from trefoilhitch.pooler.primary_proof import PrimaryProver
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 from trefoilhitch.pooler.retrying.retry_policy import (
@@ -31,14 +33,36 @@
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 
+def make_token_requester(state: NodeState) -> TokenRequester:
+    """Create what requests rate tokens from other nodes.
+
+    Args:
+        state: state of the node.
+
+    Returns:
+        The requester, which has to run.
+
+    """
+    runtime = state.runtime
+    return TokenRequester(
+        membership=state.membership,
+        directory=state.directory,
+        client=state.client,
+        clock=runtime.clock,
+        asked=PeerBackoff.with_backoff(runtime.random, trial_s=PEER_TIMEOUT_S),
+        metrics=runtime.metrics,
+    )
+
+
 def make_local_executor(
-    state: NodeState, options: PoolerOptions
+    state: NodeState, options: PoolerOptions, tokens: TokenSource
 ) -> LocalExecutor:
     """Create the executor on this node's connections.
 
     Args:
         state: state of the node.
         options: parts of the node that are turned on.
+        tokens: requests rate tokens from other nodes.
 
     Returns:
         The executor.
@@ -47,12 +71,7 @@
     runtime = state.runtime
     admission = Admission(
         rates=state.rates,
-        tokens=TokenRequester(
-            membership=state.membership,
-            directory=state.directory,
-            client=state.client,
-            clock=runtime.clock,
-        ),
+        tokens=tokens,
         clock=runtime.clock,
         metrics=runtime.metrics,
         by_priority=options.scheduling.rates_by_priority,
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -1,20 +1,52 @@
-"""Requests rate tokens from other nodes, near nodes first."""
+"""Requests rate tokens from other nodes, near nodes first.
+
+Requests run in tasks of their own. So an operation proceeds while some nodes
+have not responded, and tokens that arrive later serve other operations.
+"""
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
-from msgspec.structs import replace as replace_message
-from trio import open_nursery
+from trio import Nursery, current_time, open_nursery, sleep_forever
 
 from trefoilhitch._generated.peer import MemberBeat, TokenReply, TokenRequest
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
+from trefoilhitch.pooler.token_round import TokenNeed, TokenRound
 
 # Number of nodes from which the ones to ask are chosen.
 SAMPLE_SIZE = 16
 # Number of nodes of other data centres to ask.
 MAX_FAR_NODES = 2
+# Near nodes respond within a few milliseconds. Those that have not responded
+# after this time are not waited for before others are asked.
+NEAR_WAIT_S = 0.02
+# Round trip between regions. More operations arrive while tokens of far nodes
+# are on their way, and could not wait for another round.
+FAR_DELAY_S = 0.1
+# A round ends after this time. An operation waits slightly longer (0.15 s), so
+# that it learns whether any node responded.
+ROUND_TIMEOUT_S = 0.14
+# With less than a whole token, one reachable node could not cover an operation.
+MIN_WANTED = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """Nodes that may have tokens.
+
+    Args:
+        near: nodes that are asked first.
+        far: nodes that are asked if the near ones give too little.
+
+    """
+
+    near: Sequence[MemberBeat]
+    far: Sequence[MemberBeat]
 
 
 class TokenRequester:
@@ -25,6 +57,8 @@
         directory: tells which nodes hold the rates.
         client: sends requests to other nodes.
         clock: seconds, on a clock that counts suspended time.
+        asked: tells which nodes may be asked.
+        metrics: counts the rounds of requests.
 
     """
 
@@ -35,12 +69,28 @@
         directory: GatewayDirectory,
         client: PeerClient,
         clock: Callable[[], float],
+        asked: PeerBackoff,
+        metrics: Metrics,
     ) -> None:
-        """Store the dependencies."""
+        """Start without requests."""
         self._membership = membership
         self._directory = directory
         self._client = client
         self._clock = clock
+        self._asked = asked
+        self._metrics = metrics
+        self._nursery: Nursery | None = None
+        self._rounds: dict[TokenNeed, TokenRound] = {}
+        self._in_flight: dict[TokenNeed, set[str]] = {}
+
+    async def run(self) -> None:
+        """Run the requests, until cancelled."""
+        try:
+            async with open_nursery() as nursery:
+                self._nursery = nursery
+                await sleep_forever()
+        finally:
+            self._nursery = None
 
     async def request_tokens(
         self,
@@ -48,8 +98,10 @@
         wanted: float,
         share: RateShare,
         priority: int = HIGHEST_PRIORITY,
-    ) -> float:
-        """Request tokens from other nodes, near nodes first.
+    ) -> float | None:
+        """Request tokens from other nodes, and wait for a response.
+
+        A call joins an earlier round for the same need that has not ended.
 
         Args:
             organisation: organisation whose rate the tokens belong to.
@@ -58,69 +110,148 @@
             priority: priority of the operation that needs them.
 
         Returns:
-            Number of tokens given.
+            Number of tokens given; None while further nodes may respond, or
+            if none of those that were asked responded.
 
         """
-        near, far = self._nodes_to_ask(organisation)
-        request = TokenRequest(
-            organisation=organisation, wanted=wanted, priority=priority
+        if self._nursery is None:
+            return 0
+        need = TokenNeed(organisation, priority)
+        current = self._rounds.get(need)
+        if current is None:
+            current = self._start_round(need, wanted, share, self._nursery)
+        await current.wait_for_change()
+        return current.outcome()
+
+    def _start_round(
+        self,
+        need: TokenNeed,
+        wanted: float,
+        share: RateShare,
+        nursery: Nursery,
+    ) -> TokenRound:
+        started = TokenRound(
+            need,
+            wanted=wanted,
+            share=share,
+            in_flight=self._in_flight.setdefault(need, set()),
+        )
+        self._rounds[need] = started
+        self._metrics.count('token_requests', need.organisation)
+        nursery.start_soon(self._run_round, started, nursery)
+        return started
+
+    async def _run_round(self, current: TokenRound, nursery: Nursery) -> None:
+        settled_by = current_time() + ROUND_TIMEOUT_S
+        try:
+            await self._ask_in_turn(current, nursery, settled_by)
+        finally:
+            self._rounds.pop(current.need)
+            current.settle()
+
+    async def _ask_in_turn(
+        self, current: TokenRound, nursery: Nursery, settled_by: float
+    ) -> None:
+        """Ask near nodes, and far ones if these give too little."""
+        candidates = self._candidates(current.need.organisation)
+        near = self._ask_each(candidates.near, current, nursery)
+        await current.wait_until(
+            lambda: current.is_satisfied or near.isdisjoint(current.in_flight),
+            current_time() + NEAR_WAIT_S,
         )
-        given = await self._request_from_each(near, request, share)
-        if given < 1:
-            remaining = replace_message(request, wanted=wanted - given)
-            given += await self._request_from_each(far, remaining, share)
-        return given
-
-    def _nodes_to_ask(
-        self, organisation: str
-    ) -> tuple[list[MemberBeat], list[MemberBeat]]:
-        """Return near nodes, and far ones to ask if these give too little."""
+        if current.covers_operation:
+            return
+        current.raise_wanted(
+            current.share.tokens_to_request(
+                self._clock(), current.need.priority, delay_s=FAR_DELAY_S
+            )
+        )
+        self._ask_each(candidates.far, current, nursery)
+        await current.wait_until(
+            lambda: current.covers_operation or not current.in_flight,
+            settled_by,
+        )
+        # Far nodes respond at about the same time.
+        await current.wait_until(
+            lambda: current.is_satisfied or not current.in_flight,
+            min(settled_by, current_time() + NEAR_WAIT_S),
+        )
+
+    def _candidates(self, organisation: str) -> _Candidates:
         membership = self._membership
         if not self._directory.is_active:
             others = membership.sample(SAMPLE_SIZE)
-            near = [peer for peer in others if membership.is_near(peer)]
             far = [peer for peer in others if not membership.is_near(peer)]
-            return near, far[:MAX_FAR_NODES]
+            return _Candidates(
+                near=[peer for peer in others if membership.is_near(peer)],
+                far=far[:MAX_FAR_NODES],
+            )
         # One gateway of each data centre holds tokens, so the region counts.
         region = membership.heartbeat.region
-        holders = [
-            holder
-            for holder in self._directory.rate_holders(organisation)
-            if self._client.may_reach(holder.address)
-        ]
-        near = [peer for peer in holders if peer.region == region]
-        far = [peer for peer in holders if peer.region != region]
-        return near, far
+        holders = self._directory.rate_holders(organisation)
+        return _Candidates(
+            near=[peer for peer in holders if peer.region == region],
+            far=[peer for peer in holders if peer.region != region],
+        )
 
-    async def _request_from_each(
+    def _ask_each(
         self,
         nodes: Sequence[MemberBeat],
-        total: TokenRequest,
-        share: RateShare,
-    ) -> float:
-        given: list[float] = []
-        part = total.wanted / max(1, len(nodes))
-        request = replace_message(total, wanted=part)
-        async with open_nursery() as nursery:
-            for peer in nodes:
-                nursery.start_soon(
-                    self._request_from, peer.address, request, share, given
-                )
-        return sum(given)
+        current: TokenRound,
+        nursery: Nursery,
+    ) -> frozenset[str]:
+        """Divide the missing tokens among those nodes that may be asked.
+
+        Returns:
+            Peer addresses of the nodes that are asked.
+
+        """
+        chosen = [
+            peer
+            for peer in nodes
+            if peer.address not in current.in_flight and self._may_ask(peer)
+        ]
+        part = max(MIN_WANTED, current.missing / max(1, len(chosen)))
+        for holder in chosen:
+            current.add_request(holder.address)
+            nursery.start_soon(self._request_from, holder, part, current)
+        return frozenset(peer.address for peer in chosen)
+
+    def _may_ask(self, peer: MemberBeat) -> bool:
+        if not self._client.may_reach(peer.address):
+            return False
+        return self._asked.may_ask(peer.node)
 
     async def _request_from(
-        self,
-        address: str,
-        request: TokenRequest,
-        share: RateShare,
-        given: list[float],
+        self, peer: MemberBeat, wanted: float, asked_in: TokenRound
     ) -> None:
+        try:
+            granted = await self._receive_grant(peer, wanted, asked_in)
+        finally:
+            asked_in.in_flight.discard(peer.address)
+        # The response may arrive during a later round, or between two.
+        current = self._rounds.get(asked_in.need, asked_in)
+        current.record_result(granted)
+
+    async def _receive_grant(
+        self, peer: MemberBeat, wanted: float, asked_in: TokenRound
+    ) -> float | None:
+        """Return the tokens that a node grants, None if it does not respond."""
+        need = asked_in.need
+        request = TokenRequest(
+            organisation=need.organisation,
+            wanted=wanted,
+            priority=need.priority,
+        )
         sent_at = self._clock()
         reply = await self._client.request(
-            address, 'tokens', request, TokenReply
+            peer.address, 'tokens', request, TokenReply
         )
-        if reply is not None and reply.given > 0:
-            # More than requested would exceed the rate of the organisation.
-            granted = min(reply.given, request.wanted)
-            share.add_grant(granted, sent_at)
-            given.append(granted)
+        self._asked.record(peer.node, answered=reply is not None)
+        if reply is None:
+            return None
+        # More than requested would exceed the rate of the organisation.
+        granted = min(reply.given, wanted)
+        if granted > 0:
+            asked_in.share.add_grant(granted, sent_at, need.priority)
+        return granted
