--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -41,6 +41,7 @@
     make_gateway_server,
     make_local_executor,
     make_session_dependencies,
+    make_token_requester,
 )
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.pooler.state_components import make_state
@@ -49,6 +50,7 @@
     StoreSyncDependencies,
 )
 from trefoilhitch.pooler.store_watchers import watches_store
+from trefoilhitch.pooler.token_requester import TokenRequester
 
 
 class NodeParts:
@@ -103,7 +105,8 @@
             client=self.state.client,
             asked=make_peer_backoff(cfg, runtime, PROOF_TIMEOUT_S),
         )
-        admission = make_admission(self.state)
+        self._tokens = make_token_requester(self.state)
+        admission = make_admission(self.state, self._tokens)
         executor = make_local_executor(self.state, admission)
         remote = make_gateway_executor(self.state)
         self.gateway = make_gateway_server(self.state, executor)
@@ -131,6 +134,11 @@
         """The failovers that run in this process."""
         return self._attempts
 
+    @property
+    def tokens(self) -> TokenRequester:
+        """Requests rate tokens from other nodes."""
+        return self._tokens
+
     def sync_replicas(self, service: str) -> int:
         """Return how many replicas hold a commit before it is acknowledged.
 
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -2,7 +2,7 @@
 
 from trio import current_time
 
-from trefoilhitch.pooler.admission import Admission
+from trefoilhitch.pooler.admission import Admission, TokenSource
 from trefoilhitch.pooler.client_session import SessionDependencies
 from trefoilhitch.pooler.connection_runner import ConnectionRunner
 from trefoilhitch.pooler.control.gateway_breakers import (
@@ -10,11 +10,13 @@
     GatewayBreakers,
     SharedBreakers,
 )
+from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.endpoint_failures import EndpointFailures
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.gateway_client import GatewayExecutor
 from trefoilhitch.pooler.gateway_server import GatewayServer
 from trefoilhitch.pooler.node_state import NodeState
+from trefoilhitch.pooler.peer_client import PEER_TIMEOUT_S
 from trefoilhitch.pooler.primary_proof import PrimaryProver
 from trefoilhitch.pooler.proof_fetcher import ProofFetcher
 from trefoilhitch.pooler.retrying.retry_policy import (
@@ -30,11 +32,33 @@
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
 
 
-def make_admission(state: NodeState) -> Admission:
+def make_token_requester(state: NodeState) -> TokenRequester:
+    """Create what requests rate tokens from other nodes.
+
+    Args:
+        state: state of the node.
+
+    Returns:
+        The requester, which has to run.
+
+    """
+    runtime = state.runtime
+    return TokenRequester(
+        membership=state.membership,
+        directory=state.directory,
+        client=state.client,
+        clock=runtime.clock,
+        asked=PeerBackoff.with_backoff(runtime.random, trial_s=PEER_TIMEOUT_S),
+        metrics=runtime.metrics,
+    )
+
+
+def make_admission(state: NodeState, tokens: TokenSource) -> Admission:
     """Create the admission control of this node's connections.
 
     Args:
         state: state of the node.
+        tokens: requests tokens from other nodes.
 
     Returns:
         The admission control.
@@ -43,12 +67,7 @@
     runtime = state.runtime
     return Admission(
         rates=state.rates,
-        tokens=TokenRequester(
-            membership=state.membership,
-            directory=state.directory,
-            client=state.client,
-            clock=runtime.clock,
-        ),
+        tokens=tokens,
         clock=runtime.clock,
         metrics=runtime.metrics,
         by_priority=state.options.scheduling.rates_by_priority,
