--- a/tests/test_wire_explain.py
+++ b/tests/test_wire_explain.py
@@ -23,6 +23,7 @@
 from trefoilhitch.pooler.peer_dependencies import PEER_PREFIX
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_stack import (
+    DATA_CENTRES,
     SERVICE,
     WireNode,
     WireStack,
@@ -283,3 +284,42 @@
                 await sleep(0.1)
                 assert await nodes_in_flight(stack, request) == gateways[:1]
             set_read_delay(stack, 0)
+
+
+@with_virtual_clock
+async def test_endpoints_that_may_not_be_used_come_last() -> None:
+    # Guards against reads that seem to go to endpoints which leave or whose
+    # data centres are evacuated.
+    async with running_wire_stack(evacuation_timeout_s=5) as stack:
+        entry = stack.endpoint_entry('ledger-1', state='draining')
+        stack.store_state.put('servers', 'ledger-1', entry)
+        stack.store_state.put('evacuations', DATA_CENTRES[2], {})
+        await sleep(1)
+        await run_statements(stack, 'node-1', 'key-himal')
+        reply = await ask(stack, 'node-1', make_request())
+    first, *others = reply.candidates
+    assert (first.endpoint, first.share) == ('ledger-0', 1)
+    assert not (first.leaving or first.evacuated)
+    assert [(each.endpoint, each.share) for each in others] == [
+        ('ledger-1', 0),
+        ('ledger-2', 0),
+    ]
+    assert [(each.leaving, each.evacuated) for each in others] == [
+        (True, False),
+        (False, True),
+    ]
+
+
+@with_virtual_clock
+async def test_a_write_does_not_go_to_an_evacuated_primary() -> None:
+    # Guards against a write that seems to go to an evacuated primary.
+    async with running_wire_stack(evacuation_timeout_s=5) as stack:
+        for replica in stack.group.replicas():
+            replica.faults.silent = True
+        stack.store_state.put('evacuations', DATA_CENTRES[0], {})
+        await sleep(4)
+        reply = await ask(stack, 'node-0', make_request(access='write'))
+    primary = reply.candidates[0]
+    assert primary.endpoint == reply.primary == 'ledger-0'
+    assert primary.evacuated
+    assert not primary.share
--- a/trefoilhitch/route_text.py
+++ b/trefoilhitch/route_text.py
@@ -134,6 +134,7 @@
     if rate.asks_others:
         outcome = 'too few for a request; other nodes would be asked'
     return (
-        f'this node holds {rate.tokens:g} tokens, {rate.granted:g} granted by '
-        f'others, {rate.reserved:g} reserved for more urgent requests: {outcome}'
+        f'this node holds {rate.tokens:g} tokens, '
+        f'{rate.granted:g} granted by others, '
+        f'{rate.reserved:g} reserved for more urgent requests: {outcome}'
     )
