--- a/tests/test_ended_holder.py
+++ b/tests/test_ended_holder.py
@@ -1,5 +1,8 @@
 """Leases whose holder's process has ended."""
 
+from types import MappingProxyType
+
+import pytest
 from trio import current_time, sleep
 
 from tests import test_wire_failover as failover
@@ -7,10 +10,13 @@
 from tests.test_wire_failover import (
     GAP_BOUND_S,
     RECORDED_S,
+    SERVICE,
+    TAKE_OVER_S,
     lease_holder,
     primary_of,
 )
-from trefoilhitch.platform.object_store import ENDPOINT_KIND
+from trefoilhitch.platform.object_store import ENDPOINT_KIND, LEASE_KIND
+from trefoilhitch.pooler.lease import LEASE_DURATION_S
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
 
@@ -20,6 +26,18 @@
 NODES = ('node-1', 'node-2', 'node-4', 'node-5', 'node-6')
 # Longest time from the first node's start to the first acknowledged write.
 RESTARTED_S = 2.5
+ODD_ADDRESSES = (
+    'nonsense',
+    'a\x00b:80',
+    '127.0.0.1:0',
+    '127.0.0.1:99999',
+    '127.0.0.1:-1',
+    '[::1]:80',
+    ':',
+)
+ODD_LEASE = MappingProxyType(
+    {'token': 3, 'holder': 'node-9', 'attempt': 'node-9/1', 'candidate': ''}
+)
 
 
 async def demote_primary(stack: WireStack) -> None:
@@ -60,6 +78,28 @@
     return current_time() - started_at
 
 
+@pytest.mark.parametrize('address', ODD_ADDRESSES)
+def test_odd_address_of_a_holder_keeps_a_lease_for_ever(address: str) -> None:
+    """Guards against a failover that fails for what another writer left."""
+
+    @with_virtual_clock
+    async def play() -> None:
+        async with running_wire_stack() as stack:
+            await sleep(RECORDED_S)
+            stack.store_state.put(
+                LEASE_KIND, SERVICE, {**ODD_LEASE, 'address': address}
+            )
+            primary_of(stack).crash()
+            primary_of(stack).is_primary = False
+            took_s = await write_until_done(stack)
+            for running in stack.nodes.values():
+                assert running.metrics.total('task_failures') == 0
+        assert stack.group.lost_entries == []
+        assert LEASE_DURATION_S <= took_s <= LEASE_DURATION_S + TAKE_OVER_S
+
+    play()
+
+
 @with_virtual_clock
 async def test_holder_that_restarted_does_not_keep_its_lease() -> None:
     """Guards against a service without a primary while no failover runs."""
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -154,8 +154,8 @@
 ) -> bool:
     """Return whether the holder may be asked if its attempt still runs.
 
-    The present process of the node may not know an attempt of an earlier era
-    of the store, whose lease is not released by its answer either.
+    A lease of an earlier era of the store counts as held for its full duration
+    whatever the holder answers, so that the holder is not asked.
 
     Args:
         observed: the lease.
