Evacuations that another node only keeps stay kept

After the store was restored from an older copy, a node keeps evacuations for 5 s that the store lacks, and reports them to others.

An evacuation that is withdrawn in these 5 s may therefore last until they are over on nodes that learn of it from others. The new test failed before.

--- a/tests/test_evacuated_data_centres.py
+++ b/tests/test_evacuated_data_centres.py
@@ -183,6 +183,15 @@
     assert known.expire(NOW + REWRITE_TIME_S).ended == ('patan',)
 
 
+def test_kept_evacuation_that_a_node_reports_is_not_taken_for_listed() -> None:
+    """Guards against a pause once this node lists the restored store."""
+    known = evacuated('patan')
+    assert known.merge(report('patan', revision=5, era=2), NOW) == NOTHING
+    assert known.replace_all([], 6, 2, NOW + 0.1) == NOTHING
+    assert known.merge(report(revision=7, era=2), NOW + 0.2) == NOTHING
+    assert known.expire(NOW + REWRITE_TIME_S).ended == ('patan',)
+
+
 def test_kept_evacuation_ends_on_all_nodes() -> None:
     """Guards against one that nodes report to each other for ever."""
     watcher, other = evacuated('patan'), evacuated('patan')
--- a/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
+++ b/trefoilhitch/pooler/evacuation/evacuated_data_centres.py
@@ -194,7 +194,10 @@
         is_same_era = report.era == self.era
         if is_same_era and report.revision > self.revision:
             self.revision = report.revision
-            return self._apply(names, self._kept - names, now)
+            # The other node may only have kept what it reports.
+            is_kept = now < self._keep_until
+            kept = self._kept if is_kept else self._kept - names
+            return self._apply(names, kept, now)
         if now < self._keep_until:
             # The other node knew the store before it was restored.
             return self._apply(self._listed, self._kept | names, now)
