--- a/tests/test_arbitrary_peer_messages.py
+++ b/tests/test_arbitrary_peer_messages.py
@@ -45,11 +45,8 @@
     peer.StatusReport,
     peer.CheckReply,
 )
-# A later era that a node names makes the others refuse the store: see
-# tests/test_odd_era.py.
-ERA_FIELD = 'store_era'
 # A service's primary and its log are what nodes and endpoints say they are.
-TRUSTED = frozenset(('term', 'position_term', 'position', ERA_FIELD))
+TRUSTED = frozenset(('term', 'position_term', 'position'))
 NUMBERS = (-1, 0, 1, INT64_MAX, INT64_MAX + 1, 2**64, 10**300, 0.5, 1e308)
 TEXTS = (*ODD_TEXTS, 'live', 'failed', 'leaving', 'read', 'primary', 'himal')
 SCALARS = st.one_of(
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -173,6 +173,19 @@
         ]
         return [each for each in heartbeats if each is not None]
 
+    async def read_entry(self, node: str, deadline: float) -> None:
+        """Read a node's entry, for the era that the response names.
+
+        Args:
+            node: name of the node.
+            deadline: monotonic time in seconds.
+
+        Raises:
+            StoreUnavailableError: no valid response.
+
+        """
+        await self._store.get(NODE_KIND, node, deadline)
+
     async def register(self, heartbeat: MemberBeat, deadline: float) -> None:
         """Write this node's entry.
 
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -1,12 +1,14 @@
 """A pooler node: startup, background tasks and shutdown."""
 
 import math
+from functools import partial
 
 from trio import Nursery, current_time, sleep
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
 from trefoilhitch.pooler.control.probe_pauses import ProbePauses
+from trefoilhitch.pooler.era_checker import EraChecker
 from trefoilhitch.pooler.failover_plan import FailoverDependencies
 from trefoilhitch.pooler.group_recorder import GroupRecorder
 from trefoilhitch.pooler.lease_client import LeaseClient
@@ -115,6 +117,7 @@
             'watch_endpoints': parts.store_sync.watch_endpoints,
             'watch_declaration': parts.store_sync.watch_declaration,
             'registration': self._registration.run,
+            'store_era': self._make_era_checker().run,
             'leases': parts.leases.run,
             'peer_sync': parts.peer_sync.run,
             'housekeeping': self._run_housekeeping,
@@ -207,6 +210,15 @@
         )
         self._parts.state.cluster.notify_change()
 
+    def _make_era_checker(self) -> EraChecker:
+        registry = self._external.registry
+        return EraChecker(
+            era=self._external.era,
+            ask=partial(registry.read_entry, self._cfg.node),
+            random=self._runtime.random,
+            log=self._runtime.log,
+        )
+
     def _make_monitor(self) -> Monitor:
         parts = self._parts
         failover = FailoverDependencies(
--- a/trefoilhitch/pooler/node_environment.py
+++ b/trefoilhitch/pooler/node_environment.py
@@ -28,6 +28,9 @@
     ) -> list[MemberBeat]:
         """Read the entries of all nodes, at some seconds' delay if allowed."""
 
+    async def read_entry(self, node: str, deadline: float) -> None:
+        """Read a node's entry, for the era that the response names."""
+
     async def register(self, beat: MemberBeat, deadline: float) -> None:
         """Write this node's entry."""
 
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -125,7 +125,7 @@
             exchange: message of the other node.
 
         """
-        self._deps.store_era.observe(exchange.store_era, 'peer')
+        self._deps.store_era.hint(exchange.store_era)
         evacuations = self._deps.evacuations
         if evacuations and evacuations.merge(exchange.evacuations):
             self.start_spreading(from_store=False)
