One holder of each part of a rate, whichever nodes are reachable

Cause: with gateways, a data centre's part of an organisation's rate was held by the first gateway among live nodes. Once the sides of a partition had declared each other failed, both held the same part. A side that was cut off from the only node without a known capacity also chose by capacity, while the other side did not.

Change: the holder is the first choice among all nodes that may be active (failed ones included, those that left excluded), by the same functions as the gateways; so is the way to choose and its transition. Statements are served by live nodes as before. Failed holders are not asked for tokens. GatewaySelection (new, pure) holds one choice and its transition; GatewayDirectory has one for serving and one for rates. The latter is computed only when a member joins, leaves or changes its address, data centre or capacity. Shares follow its version. Without gateways, nothing changes.

--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -15,10 +15,7 @@
     CurrentDeclaration,
     Declaration,
 )
-from trefoilhitch.pooler.gateway_directory import (
-    TRANSITION_S,
-    GatewayDirectory,
-)
+from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.gateway_placement import (
     BACKUP_CONNECTIONS,
     RESERVED_CONTROL_CONNECTIONS,
@@ -30,6 +27,7 @@
     rank_by_name,
     uses_gateways,
 )
+from trefoilhitch.pooler.gateway_selection import TRANSITION_S
 from trefoilhitch.pooler.membership_view import MembershipView
 
 DATA_CENTRES = tuple(f'dc-{number}' for number in range(6))
--- a/trefoilhitch/pooler/control/capacity_ranking.py
+++ b/trefoilhitch/pooler/control/capacity_ranking.py
@@ -26,7 +26,7 @@
     the same, so that no two nodes choose differently.
 
     Args:
-        nodes: live nodes of all data centres.
+        nodes: nodes of all data centres.
 
     """
     return all(node.capacity for node in nodes)
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -1,57 +1,77 @@
 """The gateways as this node sees them, computed when the members change."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from trio import current_time
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.catalogue import Catalogue
-from trefoilhitch.pooler.control.capacity_ranking import are_capacities_known
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.gateway_placement import (
     BACKUP_CONNECTIONS,
     Capacity,
-    GatewaySet,
-    choose_gateways,
-    choose_strong_gateways,
     uses_gateways,
 )
+from trefoilhitch.pooler.gateway_selection import GatewaySelection
 from trefoilhitch.pooler.membership_view import MembershipView
 
-# A change of the members reaches all nodes within some 2 s.
-TRANSITION_S = 2.0
-
 
 @dataclass(frozen=True, slots=True)
-class GatewayTransition:
-    """A change of the way in which all gateways are chosen.
+class _Version:
+    """What the gateways were computed from."""
+
+    members: int
+    revision: int
 
-    It happens when the first or the last node without a known capacity joins
-    or leaves. It changes the gateways of all data centres at once, and other
-    nodes learn of it at other times. Until all have, a new gateway takes over
-    neither rates nor connections that a former one may still use.
 
-    Args:
-        former: the gateways before, by data centre.
-        ends_at: when all nodes choose alike.
+@dataclass(frozen=True, slots=True)
+class _Candidates:
+    """What the holders of rates were chosen from.
 
+    Members often change their state without any effect on the choice, as when
+    many are found failed in a partition.
     """
 
-    former: Mapping[str, GatewaySet]
-    ends_at: float
+    nodes: tuple[tuple[str, str, str, int], ...]
+    connections: int
+
+    @classmethod
+    def of(cls, nodes: Sequence[MemberBeat], connections: int) -> '_Candidates':
+        """Return what the choice among nodes follows from."""
+        return cls(
+            tuple(
+                (each.node, each.address, each.data_centre, each.capacity)
+                for each in nodes
+            ),
+            connections,
+        )
 
 
 @dataclass(frozen=True, slots=True)
-class _Version:
-    """What the gateways were computed from."""
+class RateHolderVersion:
+    """What the holders of rates follow from.
 
-    members: int
-    revision: int
+    Args:
+        choice: number of the choice among the nodes that may be active; without
+            gateways, that of the change of the members.
+        is_active: whether gateways hold the rates.
+        in_transition: whether other nodes may still choose other holders.
+
+    """
+
+    choice: int
+    is_active: bool
+    in_transition: bool
 
 
 class GatewayDirectory:
-    """Tells which nodes hold connections, and for which organisations.
+    """Tells which nodes hold connections and rates of which organisations.
+
+    Connections are held by gateways that are live. A part of a rate must have
+    one holder on all nodes together, also in a partition, in which each side
+    takes the other for failed. So its holder is chosen in the same way among
+    all nodes that may be active. While it is failed, its part is not used.
 
     Args:
         membership: the known nodes.
@@ -73,16 +93,16 @@
     ) -> None:
         """Start without gateways."""
         self._clock = clock
-        self._transition: GatewayTransition | None = None
-        self._by_capacity: bool | None = None
         self._membership = membership
         self._declaration = declaration
         self._data_centres = data_centres
         self._window_s = window_s
         self._version = _Version(-1, -1)
         self._active = False
-        self._gateways: Mapping[str, GatewaySet] = {}
-        self._ranked: dict[tuple[str, str], tuple[MemberBeat, ...]] = {}
+        self._live_names: frozenset[str] = frozenset()
+        self._serving = GatewaySelection(data_centres)
+        self._holding = GatewaySelection(data_centres)
+        self._chosen_from: _Candidates | None = None
 
     @property
     def is_active(self) -> bool:
@@ -94,9 +114,16 @@
     def is_in_transition(self) -> bool:
         """Whether other nodes may still choose the gateways differently."""
         self._refresh()
-        if self._transition and self._clock() >= self._transition.ends_at:
-            self._transition = None
-        return self._transition is not None
+        return self._serving.is_in_transition(self._clock())
+
+    @property
+    def rate_holder_version(self) -> RateHolderVersion:
+        """Value that changes whenever the holders of rates may change."""
+        is_active = self.is_active
+        choice = self._holding.version if is_active else self._version.members
+        return RateHolderVersion(
+            choice, is_active, self._holding.is_in_transition(self._clock())
+        )
 
     def rank(
         self, data_centre: str, organisation: str
@@ -112,12 +139,7 @@
 
         """
         self._refresh()
-        key = data_centre, organisation
-        ranked = self._ranked.get(key)
-        if ranked is None:
-            ranked = self._gateway_set(data_centre).rank(organisation)
-            self._ranked[key] = ranked
-        return ranked
+        return self._serving.rank(data_centre, organisation)
 
     def holds_rate(self, organisation: str) -> bool:
         """Return whether this node holds a part of an organisation's rate.
@@ -126,17 +148,19 @@
             organisation: name of the organisation.
 
         Returns:
-            True on each node without gateways, else on the first gateway of
-            the organisation in its data centre.
+            True on each node without gateways, else on the first choice of
+            the organisation among the nodes of its data centre that may be
+            active.
 
         """
         if not self.is_active:
             return True
-        own = self._membership.heartbeat
-        ranked = self.rank(own.data_centre, organisation)
-        if not ranked or ranked[0].node != own.node:
-            return False
-        return not self.is_in_transition or self._held_before(organisation)
+        data_centre = self._membership.heartbeat.data_centre
+        ranked = self._holding.rank(data_centre, organisation)
+        former = self._holding.former(data_centre, self._clock())
+        if former is None or not self._is_first(ranked):
+            return self._is_first(ranked)
+        return self._is_first(former.rank(organisation))
 
     def rate_holder_count(self) -> int:
         """Return among how many nodes each rate is divided.
@@ -155,15 +179,21 @@
             organisation: name of the organisation.
 
         Returns:
-            One gateway of each data centre but this node.
+            One node of each data centre but this node and failed ones, which
+            do not respond.
 
         """
+        self._refresh()
         first = [
-            self.rank(name, organisation)[:1] for name in self._data_centres
+            self._holding.rank(name, organisation)[:1]
+            for name in self._data_centres
         ]
-        own = self._membership.heartbeat.node
+        askable = self._live_names - {self._membership.heartbeat.node}
         return [
-            node for holders in first for node in holders if node.node != own
+            node
+            for holders in first
+            for node in holders
+            if node.node in askable
         ]
 
     def connection_cap(self, data_centre: str, connections: int) -> int:
@@ -179,53 +209,35 @@
         """
         self._refresh()
         own = self._membership.heartbeat.node
-        cap = self._gateway_set(data_centre).connection_cap(own, connections)
-        if self._transition is not None and self.is_in_transition:
-            former = self._transition.former.get(data_centre, GatewaySet())
-            held = former.connection_cap(own, connections)
-            return min(cap, max(held, BACKUP_CONNECTIONS))
-        return cap
-
-    def _held_before(self, organisation: str) -> bool:
-        """Return whether this node was the first gateway before a change."""
-        if self._transition is None:
-            return True
-        own = self._membership.heartbeat
-        former = self._transition.former.get(own.data_centre, GatewaySet())
-        first = former.rank(organisation)[:1]
-        return own.node in {each.node for each in first}
-
-    def _gateway_set(self, data_centre: str) -> GatewaySet:
-        return self._gateways.get(data_centre, GatewaySet())
+        cap = self._serving.of(data_centre).connection_cap(own, connections)
+        former = self._serving.former(data_centre, self._clock())
+        if former is None:
+            return cap
+        held = former.connection_cap(own, connections)
+        return min(cap, max(held, BACKUP_CONNECTIONS))
+
+    def _is_first(self, ranked: Sequence[MemberBeat]) -> bool:
+        own = self._membership.heartbeat.node
+        return bool(ranked) and ranked[0].node == own
 
     def _refresh(self) -> None:
         version = _Version(self._membership.version, self._declaration.revision)
         if version == self._version:
             return
         self._version = version
-        self._ranked = {}
         catalogue = self._declaration.catalogue
         if catalogue is not None:
-            self._compute(catalogue)
+            self._choose(catalogue)
 
-    def _compute(self, catalogue: Catalogue) -> None:
+    def _choose(self, catalogue: Catalogue) -> None:
         capacity = Capacity.from_catalogue(catalogue, self._window_s)
-        node_count = len(self._membership.possibly_active())
-        self._active = uses_gateways(capacity, node_count)
         live = self._membership.live()
-        self._apply_selection_mode(by_capacity=are_capacities_known(live))
-        choose = (
-            choose_strong_gateways if self._by_capacity else choose_gateways
-        )
-        self._gateways = {
-            name: choose(name, live, capacity.connections)
-            for name in self._data_centres
-        }
-
-    def _apply_selection_mode(self, *, by_capacity: bool) -> None:
-        """Begin a transition if all gateways are chosen in another way."""
-        if self._by_capacity not in {None, by_capacity}:
-            self._transition = GatewayTransition(
-                self._gateways, self._clock() + TRANSITION_S
-            )
-        self._by_capacity = by_capacity
+        possibly_active = self._membership.possibly_active()
+        now = self._clock()
+        self._active = uses_gateways(capacity, len(possibly_active))
+        self._live_names = frozenset(node.node for node in live)
+        self._serving.choose(live, capacity.connections, now)
+        candidates = _Candidates.of(possibly_active, capacity.connections)
+        if candidates != self._chosen_from:
+            self._chosen_from = candidates
+            self._holding.choose(possibly_active, capacity.connections, now)
--- a/trefoilhitch/pooler/gateway_placement.py
+++ b/trefoilhitch/pooler/gateway_placement.py
@@ -173,7 +173,7 @@
 
     Args:
         data_centre: name of the data centre.
-        nodes: live nodes of all data centres.
+        nodes: nodes of all data centres.
         connections: connections that the most limited endpoint accepts.
 
     Returns:
@@ -195,7 +195,7 @@
 
     Args:
         data_centre: name of the data centre.
-        nodes: live nodes of all data centres, whose capacities are known.
+        nodes: nodes of all data centres, whose capacities are known.
         connections: connections that the most limited endpoint accepts.
 
     Returns:
--- a/trefoilhitch/pooler/held_rates.py
+++ b/trefoilhitch/pooler/held_rates.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 
 from trefoilhitch.pooler.catalogue import Catalogue
-from trefoilhitch.pooler.gateway_directory import GatewayDirectory
+from trefoilhitch.pooler.gateway_directory import (
+    GatewayDirectory,
+    RateHolderVersion,
+)
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.rate_share import RateShare
 from trefoilhitch.pooler.rate_shares import RateShares
 
-# Members that the shares were computed for, before any were.
-_NEVER = -1, False
-
 
 class HeldRates:
     """Applies changes of the members before a share is used.
@@ -36,7 +36,8 @@
         self._membership = membership
         self._directory = directory
         self._clock = clock
-        self._version = _NEVER
+        # What the shares were computed for; None makes them computed again.
+        self._version: RateHolderVersion | None = None
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Apply the declared rates.
@@ -46,7 +47,7 @@
 
         """
         self._shares.apply_catalogue(catalogue, self._clock())
-        self._version = _NEVER
+        self._version = None
 
     def share(self, organisation: str) -> RateShare | None:
         """Return this node's share of an organisation's rate.
@@ -66,7 +67,7 @@
 
         No tokens are spent before the registered nodes have been listed.
         """
-        version = self._membership.version, self._directory.is_in_transition
+        version = self._directory.rate_holder_version
         if version == self._version or not self._membership.nodes_listed:
             return
         self._version = version
