Reads avoid replicas by the positions of their logs that nodes observe

A replica that is not expected to have the position of a read ranks behind the others. Its lag is estimated from its positions and the observations of the primary; the nodes of a data centre share positions of replicas that lag and take turns in trying them.

--- a/tests/support.py
+++ b/tests/support.py
@@ -107,4 +107,6 @@
 def make_loads() -> LoadObserver:
     """Return an observer of the load of endpoints that are not known."""
     cluster = make_cluster()
-    return LoadObserver(cluster.loads, cluster.selector, cluster.find)
+    return LoadObserver(
+        cluster.loads, cluster.selector, cluster.find, cluster.positions
+    )
--- a/tests/test_evacuated_statements.py
+++ b/tests/test_evacuated_statements.py
@@ -113,7 +113,9 @@
         runner=cast('Any', parts),
         admission=cast('Any', parts),
         scheduler=PassThroughScheduler(),
-        loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
+        loads=LoadObserver(
+            cluster.loads, cluster.selector, cluster.find, cluster.positions
+        ),
         has_left=lambda endpoint: False,
         evacuated=cluster.evacuated,
     )
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -13,6 +13,9 @@
 from trefoilhitch.decision_log import NullLog
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.balancing.position_observer import (
+    PositionObserver,
+)
 from trefoilhitch.pooler.control.gateway_breakers import CountingBreakers
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
@@ -71,7 +74,12 @@
 def make_observer(loads: EndpointLoads) -> LoadObserver:
     """Return an observer that knows one endpoint."""
     selector = EndpointSelector(data_centre='patan', regions={'patan': 'east'})
-    return LoadObserver(loads, selector, {ENDPOINT: RECORD}.get)
+    return LoadObserver(
+        loads,
+        selector,
+        {ENDPOINT: RECORD}.get,
+        PositionObserver(None, {ENDPOINT: RECORD}.get, current_time),
+    )
 
 
 async def run_at_gateway(
--- a/tests/test_statement_retries.py
+++ b/tests/test_statement_retries.py
@@ -91,7 +91,9 @@
     cluster: ClusterState, sender: FailingSender, policy: RetryPolicy
 ) -> StatementRunner:
     """Return a runner whose statements all fail."""
-    loads = LoadObserver(cluster.loads, cluster.selector, cluster.find)
+    loads = LoadObserver(
+        cluster.loads, cluster.selector, cluster.find, cluster.positions
+    )
     metrics = Metrics()
     return StatementRunner(
         cluster=cluster,
--- a/trefoilhitch/_generated/options.py
+++ b/trefoilhitch/_generated/options.py
@@ -17,6 +17,12 @@
     reads_by_load: Annotated[
         bool, Meta(description='Whether the load of endpoints counts.')
     ] = True
+    reads_by_position: Annotated[
+        bool,
+        Meta(
+            description='Whether replicas are avoided by the observed positions of their logs.'
+        ),
+    ] = True
 
 
 class SchedulingOptions(StrictMessage, frozen=True, kw_only=True):
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -386,6 +386,18 @@
     age_ms: Annotated[
         Duration, Meta(description='Age of the newest observation.')
     ] = 0
+    position_term: Annotated[
+        Number, Meta(description='Term of the position.')
+    ] = 0
+    position: Annotated[
+        Number,
+        Meta(
+            description='Newest known position of the log of a replica that lags, 0 if it is unknown.'
+        ),
+    ] = 0
+    position_age_ms: Annotated[
+        Duration, Meta(description='Age of the position.')
+    ] = 0
 
 
 class EvacuationReport(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/pooler/balancing/endpoint_loads.py
+++ b/trefoilhitch/pooler/balancing/endpoint_loads.py
@@ -172,6 +172,9 @@
 
         """
         reported = _read_report(report, now)
+        if not reported.freshness(now):
+            # It states only a position.
+            return
         load = self._load(report.endpoint)
         load.record_queue(gateway, reported, now)
         if load.observed.merge(reported):
@@ -186,7 +189,8 @@
 
         """
         reported = _read_report(report, sent_at)
-        self._load(report.endpoint).heard.merge(reported)
+        if reported.freshness(sent_at):
+            self._load(report.endpoint).heard.merge(reported)
 
     def report(self, endpoint: str, now: float) -> EndpointLoad | None:
         """Return what this node observed at an endpoint.
--- a/trefoilhitch/pooler/balancing/load_observer.py
+++ b/trefoilhitch/pooler/balancing/load_observer.py
@@ -6,9 +6,14 @@
 
 from trio import current_time
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.peer import EndpointLoad
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.network_distance import round_trip_s
+from trefoilhitch.pooler.balancing.position_observer import (
+    PositionObserver,
+    add_position,
+)
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
 from trefoilhitch.pooler.statement import Verb
@@ -40,6 +45,7 @@
         loads: load of the endpoints.
         selector: knows the distance of data centres.
         find: returns the entry of an endpoint.
+        positions: receives the positions of endpoints' logs.
 
     """
 
@@ -48,8 +54,10 @@
         loads: EndpointLoads,
         selector: EndpointSelector,
         find: Callable[[str], EndpointRecord | None],
+        positions: PositionObserver,
     ) -> None:
         """Store the dependencies."""
+        self._positions = positions
         self._loads = loads
         self._selector = selector
         self._find = find
@@ -114,6 +122,18 @@
             now,
         )
 
+    def record_position(
+        self, endpoint: str, position: LogPosition | None
+    ) -> None:
+        """Record the position in a response, also in a refusal.
+
+        Args:
+            endpoint: endpoint id.
+            position: position of its log, None if it reported none.
+
+        """
+        self._positions.record(endpoint, position)
+
     def record_refusal(self, endpoint: str) -> None:
         """Record that an endpoint refused a statement or lost one.
 
@@ -123,17 +143,24 @@
         """
         self._loads.record_refusal(endpoint, current_time())
 
-    def report(self, endpoint: str) -> EndpointLoad | None:
+    def report(
+        self, endpoint: str, *, states_position: bool
+    ) -> EndpointLoad | None:
         """Return what this node observed at an endpoint.
 
         Args:
             endpoint: endpoint id.
+            states_position: whether the position of a replica that lags is
+                stated.
 
         Returns:
             The report, None if nothing was observed lately.
 
         """
-        return self._loads.report(endpoint, current_time())
+        load = self._loads.report(endpoint, current_time())
+        if states_position:
+            return add_position(load, self._positions.report(endpoint))
+        return load
 
     def apply_gateway_report(self, gateway: str, report: EndpointLoad) -> None:
         """Apply what the gateway of a statement observed.
@@ -148,6 +175,7 @@
             self._loads.apply_gateway_report(
                 record.service, gateway, report, current_time()
             )
+            self._positions.apply_gateway_report(report)
 
 
 def _is_read(request: StatementRequest) -> bool:
--- a/trefoilhitch/pooler/balancing/read_balancer.py
+++ b/trefoilhitch/pooler/balancing/read_balancer.py
@@ -4,7 +4,7 @@
 while others are idle.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
@@ -57,6 +57,7 @@
         primary: str | None,
         now: float,
         drawn: float | None,
+        lagging: Collection[str] = (),
     ) -> ReadRanking:
         """Rank endpoints for one read.
 
@@ -65,6 +66,8 @@
             primary: id of the known primary, None if there is none.
             now: monotonic time.
             drawn: random number from 0 to 1, None to ignore the load.
+            lagging: endpoints that are not expected to have the position that
+                the read requires.
 
         Returns:
             Endpoints without recent failures first, among these the ones that
@@ -72,16 +75,16 @@
             load, the others follow by the same.
 
         """
-        ranked = self._selector.rank(records, now)
+        ranked = self._selector.rank(records, now, lagging)
         if len(ranked) < 2:
             return ReadRanking(ranked, 'only')
         if drawn is None:
             return ReadRanking(ranked, 'nearest')
-        setback = self._selector.setback(ranked[0], now)
+        setback = self._selector.setback(ranked[0], now, lagging)
         equal = [
             record
             for record in ranked
-            if self._selector.setback(record, now) == setback
+            if self._selector.setback(record, now, lagging) == setback
         ]
         if len(equal) == 1:
             return ReadRanking(ranked, 'only')
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -3,12 +3,21 @@
 import math
 from collections.abc import Callable, Collection
 from dataclasses import replace
+from functools import partial
 
 from trio import Event
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
+from trefoilhitch.pooler.balancing.lag_ranking import rank_with_trials
+from trefoilhitch.pooler.balancing.log_positions import (
+    LogPositions,
+    Turn,
+)
+from trefoilhitch.pooler.balancing.position_observer import (
+    PositionObserver,
+)
 from trefoilhitch.pooler.balancing.read_balancer import (
     ReadBalancer,
 )
@@ -20,11 +29,13 @@
     EndpointRegistry,
 )
 from trefoilhitch.pooler.endpoint_selection import (
+    OTHER_REGION,
     EndpointSelector,
     ReadRequirements,
     Target,
     choose_begin_target,
     choose_read_target,
+    position_needed,
 )
 from trefoilhitch.pooler.evacuation.evacuated_data_centres import (
     EvacuatedDataCentres,
@@ -63,6 +74,8 @@
         draw: returns a random number from 0 to 1, by which reads are divided
             among endpoints; None to send all to the nearest one.
         breakers: circuit breakers of the endpoints, None for new ones.
+        turn: returns the turn of this node in trying replicas that are
+            expected to lag; None to take no account of their positions.
 
     """
 
@@ -76,6 +89,7 @@
         evacuation_timeout_s: float | None = None,
         draw: Callable[[], float] | None = None,
         breakers: CircuitBreakers | None = None,
+        turn: Callable[[], Turn] | None = None,
     ) -> None:
         """Create an empty state."""
         data_centres = EvacuatedDataCentres(evacuation_timeout_s or math.inf)
@@ -84,6 +98,11 @@
             data_centres=data_centres, find=self.find, clock=clock
         )
         self.observations = ObservationHistory()
+        self.positions = PositionObserver(
+            _make_positions(self, turn),
+            self.find,
+            clock,
+        )
         self.commits = CommitTracker()
         self.selector = selector
         self.loads = EndpointLoads()
@@ -323,13 +342,25 @@
             if record.endpoint not in tried
         ]
         drawn = None if self._draw is None else self._draw()
-        ranking = self._balancer.rank(untried, primary, now, drawn)
+        ranking, handling = rank_with_trials(
+            partial(self._balancer.rank, untried, primary, now, drawn),
+            self.positions.expected_to_lag(
+                [record for record in untried if record.endpoint != primary],
+                position_needed(requirements, self.observations),
+                requirements.sent_at,
+            ),
+            # A read that was refused once does not try another replica.
+            lambda endpoint: (
+                not tried
+                and self.positions.may_try(endpoint, requirements.sent_at)
+            ),
+        )
         target = choose_read_target(
             requirements, ranking.records, primary, self.observations, tried
         )
         if target is None or target.requires_primary_proof:
             return target
-        return replace(target, choice=ranking.kind)
+        return replace(target, choice=ranking.kind, lag_handling=handling)
 
     def choose_begin_target(
         self, requirements: ReadRequirements
@@ -392,3 +423,36 @@
                 waited_s=round(now - sent_at, 3),
             )
         return suspended
+
+
+def record_lagging(
+    cluster: ClusterState, service: str, endpoint: str, now: float
+) -> None:
+    """Record that a replica did not have the position of a read.
+
+    If its lag can be estimated, endpoints are chosen by that.
+
+    Args:
+        cluster: state of this node.
+        service: service name.
+        endpoint: endpoint id.
+        now: monotonic time.
+
+    """
+    if not cluster.positions.knows_lag(service, endpoint):
+        cluster.selector.mark_lagging(endpoint, now + AVOID_LAGGING_S)
+
+
+def _make_positions(
+    cluster: ClusterState, turn: Callable[[], Turn] | None
+) -> LogPositions | None:
+    if turn is None:
+        return None
+    return LogPositions(cluster.observations, turn, partial(_is_far, cluster))
+
+
+def _is_far(cluster: ClusterState, endpoint: str) -> bool:
+    record = cluster.find(endpoint)
+    return record is None or (
+        cluster.selector.distance(record.data_centre) == OTHER_REGION
+    )
--- a/trefoilhitch/pooler/endpoint_failures.py
+++ b/trefoilhitch/pooler/endpoint_failures.py
@@ -9,9 +9,9 @@
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.cluster_state import (
     AVOID_CLOSED_S,
-    AVOID_LAGGING_S,
     AVOID_SILENT_S,
     ClusterState,
+    record_lagging,
 )
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import EndpointConnectionError
@@ -150,8 +150,9 @@
         if response.refusal == Refusal.BUSY:
             self._record_failed_attempt(run, endpoint)
         if response.refusal == Refusal.TOO_OLD:
-            until = current_time() + AVOID_LAGGING_S
-            self._cluster.selector.mark_lagging(endpoint, until)
+            record_lagging(
+                self._cluster, run.route.service, endpoint, current_time()
+            )
         elif response.refusal == Refusal.NOT_PRIMARY:
             self._cluster.record_not_primary(
                 run.route.service, endpoint, 'statement'
--- a/trefoilhitch/pooler/endpoint_selection.py
+++ b/trefoilhitch/pooler/endpoint_selection.py
@@ -10,6 +10,7 @@
 from trefoilhitch.pooler.observations import (
     AGE_MARGIN_S,
     ObservationHistory,
+    PrimaryObservation,
     later_position,
 )
 
@@ -22,6 +23,8 @@
 ChoiceKind = Literal['only', 'nearest', 'weighted', 'retry']
 # Whether an endpoint failed recently, and whether it is known to lag.
 Setback = tuple[bool, bool]
+# Whether a replica that is expected to lag was tried or passed over.
+LagHandling = Literal['', 'tried', 'avoided']
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +41,8 @@
         requires_primary_proof: whether the response counts only with proof
             that the endpoint was the primary after it received the statement.
         choice: how the endpoint was chosen.
+        lag_handling: what became of a replica that would have been chosen and
+            is not expected to have the position; empty if there was none.
 
     """
 
@@ -46,6 +51,7 @@
     proof_sent_at: float | None
     requires_primary_proof: bool
     choice: ChoiceKind = 'only'
+    lag_handling: LagHandling = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,27 +154,41 @@
         return OTHER_REGION
 
     def rank(
-        self, records: Sequence[EndpointRecord], now: float
+        self,
+        records: Sequence[EndpointRecord],
+        now: float,
+        lagging: Collection[str] = (),
     ) -> list[EndpointRecord]:
         """Sort endpoints by preference for a read.
 
         Args:
             records: usable endpoints.
             now: monotonic time.
+            lagging: endpoints that are not expected to have the position that
+                the read requires.
 
         Returns:
             Endpoints without recent failures first, among these the ones that
             are not known to lag, among these the nearest.
 
         """
-        return sorted(records, key=lambda record: self._rank_key(record, now))
+        return sorted(
+            records, key=lambda record: self._rank_key(record, now, lagging)
+        )
 
-    def setback(self, record: EndpointRecord, now: float) -> Setback:
+    def setback(
+        self,
+        record: EndpointRecord,
+        now: float,
+        lagging: Collection[str] = (),
+    ) -> Setback:
         """Return what ranks an endpoint behind others, wherever they are.
 
         Args:
             record: the endpoint.
             now: monotonic time.
+            lagging: endpoints that are not expected to have the position that
+                the read requires.
 
         Returns:
             Whether it failed recently, and whether it is known to lag.
@@ -176,19 +196,41 @@
         """
         return (
             self.is_avoided(record.endpoint, now),
-            self._lagging_until.get(record.endpoint, 0) > now,
+            record.endpoint in lagging
+            or self._lagging_until.get(record.endpoint, 0) > now,
         )
 
     def _rank_key(
-        self, record: EndpointRecord, now: float
+        self, record: EndpointRecord, now: float, lagging: Collection[str]
     ) -> tuple[Setback, int, str]:
         return (
-            self.setback(record, now),
+            self.setback(record, now, lagging),
             self.distance(record.data_centre),
             record.endpoint,
         )
 
 
+def position_needed(
+    requirements: ReadRequirements, observations: ObservationHistory
+) -> LogPosition | None:
+    """Return the position that an endpoint needs in order to run a read.
+
+    Args:
+        requirements: requirements of the read.
+        observations: observations of primaries.
+
+    Returns:
+        The position, None if only the primary may run the read.
+
+    """
+    observation = _find_observation(requirements, observations)
+    if observation is None:
+        return None
+    return later_position(
+        observation.position, requirements.last_commit_position
+    )
+
+
 def choose_read_target(
     requirements: ReadRequirements,
     ranked: Sequence[EndpointRecord],
@@ -213,11 +255,7 @@
         The target, or None if no endpoint can run the read now.
 
     """
-    observation = None
-    if requirements.route.freshness != Freshness.LATEST:
-        observation = observations.oldest_since(
-            requirements.route.service, requirements.not_before
-        )
+    observation = _find_observation(requirements, observations)
     if observation is not None:
         minimum_position = later_position(
             observation.position, requirements.last_commit_position
@@ -255,11 +293,7 @@
     """
     if primary is None:
         return None
-    observation = None
-    if requirements.route.freshness != Freshness.LATEST:
-        observation = observations.oldest_since(
-            requirements.route.service, requirements.not_before
-        )
+    observation = _find_observation(requirements, observations)
     if observation is None or observation.endpoint != primary:
         return _proved_target(requirements, primary)
     return Target(
@@ -270,6 +304,17 @@
     )
 
 
+def _find_observation(
+    requirements: ReadRequirements, observations: ObservationHistory
+) -> PrimaryObservation | None:
+    """Return the observation that shows a read what it has to see."""
+    if requirements.route.freshness == Freshness.LATEST:
+        return None
+    return observations.oldest_since(
+        requirements.route.service, requirements.not_before
+    )
+
+
 def _proved_target(requirements: ReadRequirements, primary: str) -> Target:
     return Target(
         primary,
--- a/trefoilhitch/pooler/gateway_server.py
+++ b/trefoilhitch/pooler/gateway_server.py
@@ -155,7 +155,11 @@
             return reply
         if _shows_refusal(reply):
             self._loads.record_refusal(message.endpoint)
-        return structs.replace(reply, load=self._loads.report(message.endpoint))
+        # The position of a response is newer than any that was seen before.
+        load = self._loads.report(
+            message.endpoint, states_position=reply.position is None
+        )
+        return structs.replace(reply, load=load)
 
     async def _start(self, message: RunRequest) -> RunReply:
         if self.is_draining or not self._accepts(message.endpoint):
--- a/trefoilhitch/pooler/observations.py
+++ b/trefoilhitch/pooler/observations.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from trefoilhitch._generated.messages import LogPosition
@@ -88,6 +89,15 @@
         """Return the latest observation of each service."""
         return [history[-1] for history in self._history.values() if history]
 
+    def history(self, service: str) -> Sequence[PrimaryObservation]:
+        """Return the observations of a service, the oldest first.
+
+        Args:
+            service: service name.
+
+        """
+        return self._history.get(service, ())
+
     def oldest_since(
         self, service: str, not_before: float
     ) -> PrimaryObservation | None:
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -15,7 +15,11 @@
 from trefoilhitch.pooler.evacuation.evacuations import Evacuations
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.membership_view import MembershipView
-from trefoilhitch.pooler.peer_messages import commit_reports, primary_proofs
+from trefoilhitch.pooler.peer_messages import (
+    commit_reports,
+    load_reports,
+    primary_proofs,
+)
 from trefoilhitch.pooler.store_era import StoreEra
 
 PEER_PREFIX = '/v1/pooler'
@@ -92,7 +96,7 @@
     deps.membership.update_revision(deps.declaration.revision)
     loads = []
     if deps.takes_loads(address):
-        loads = deps.cluster.loads.reports(current_time())
+        loads = load_reports(deps.cluster, current_time())
     return Exchange(
         beats=[
             *deps.membership.heartbeats_to_send(),
--- a/trefoilhitch/pooler/peer_messages.py
+++ b/trefoilhitch/pooler/peer_messages.py
@@ -3,6 +3,7 @@
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.peer import CommitReport, EndpointLoad, LeadProof
 from trefoilhitch.pooler.balancing.endpoint_loads import MAX_REPORTS
+from trefoilhitch.pooler.balancing.position_observer import add_position
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.commit_tracker import CommitProgress
 from trefoilhitch.pooler.observations import PrimaryObservation
@@ -146,8 +147,31 @@
             )
 
 
+def load_reports(cluster: ClusterState, now: float) -> list[EndpointLoad]:
+    """Return what this node observed of endpoints, for another node.
+
+    Args:
+        cluster: state of this node.
+        now: monotonic time.
+
+    Returns:
+        Reports of at most 16 endpoints; replicas that lag come first.
+
+    """
+    loads = {load.endpoint: load for load in cluster.loads.reports(now)}
+    lagging = [
+        add_position(loads.pop(position.endpoint, None), position)
+        for position in cluster.positions.reports()
+    ]
+    reports = [*lagging, *loads.values()]
+    return [report for report in reports if report is not None][:MAX_REPORTS]
+
+
 def apply_load_reports(
-    cluster: ClusterState, reports: list[EndpointLoad], sent_at: float
+    cluster: ClusterState,
+    reports: list[EndpointLoad],
+    sent_at: float,
+    clock_sent_at: float,
 ) -> None:
     """Apply what another node of the data centre observed of endpoints.
 
@@ -156,11 +180,13 @@
         reports: reports that the other node sent; those of unknown endpoints
             are ignored.
         sent_at: monotonic time from which their ages count back.
+        clock_sent_at: the same time on the clock of this node's state.
 
     """
     for report in reports[:MAX_REPORTS]:
         if cluster.find(report.endpoint) is not None:
             cluster.loads.apply_peer_report(report, sent_at)
+            cluster.positions.apply_peer_report(report, clock_sent_at)
 
 
 def _age_ms(moment: float | None, now: float) -> int | None:
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -76,8 +76,9 @@
         # Between data centres, proofs are sent when a read needs one.
         is_near = membership.is_near(sender)
         if self._deps.takes_loads(sender.address):
+            cluster = self._deps.cluster
             apply_load_reports(
-                self._deps.cluster, exchange.loads, current_time()
+                cluster, exchange.loads, current_time(), cluster.clock()
             )
         self._services.sync.follow(exchange)
         return make_exchange(
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -112,7 +112,9 @@
         apply_proofs(self._deps.cluster, reply.proofs, sent_at)
         apply_commit_reports(self._deps.cluster, reply.commits)
         if self._deps.takes_loads(address):
-            apply_load_reports(self._deps.cluster, reply.loads, loads_sent_at)
+            apply_load_reports(
+                self._deps.cluster, reply.loads, loads_sent_at, sent_at
+            )
         self.follow(reply)
         if self._deps.evacuations:
             self._deps.evacuations.confirm(sent_at)
--- a/trefoilhitch/pooler/state_components.py
+++ b/trefoilhitch/pooler/state_components.py
@@ -1,9 +1,12 @@
 """Creates the state that the parts of a node share."""
 
+from functools import partial
+
 from trio import current_time
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
+from trefoilhitch.pooler.balancing.log_positions import Turn
 from trefoilhitch.pooler.circuit_breakers import (
     TRIAL_INTERVAL_S,
     TRIAL_TIMEOUT_S,
@@ -49,11 +52,11 @@
 
     """
     declaration = CurrentDeclaration()
-    cluster = _make_cluster(cfg, runtime)
+    membership = _make_membership(cfg, runtime)
+    cluster = _make_cluster(cfg, runtime, membership)
     declaration.add_listener(
         lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
     )
-    membership = _make_membership(cfg, runtime)
     directory = GatewayDirectory(
         membership=membership,
         declaration=declaration,
@@ -92,12 +95,16 @@
         connector=connector,
         client=make_client(cfg, runtime),
         runtime=runtime,
-        loads=LoadObserver(cluster.loads, cluster.selector, cluster.find),
+        loads=LoadObserver(
+            cluster.loads, cluster.selector, cluster.find, cluster.positions
+        ),
         options=cfg.options,
     )
 
 
-def _make_cluster(cfg: PoolerSettings, runtime: NodeRuntime) -> ClusterState:
+def _make_cluster(
+    cfg: PoolerSettings, runtime: NodeRuntime, membership: MembershipView
+) -> ClusterState:
     options = cfg.options
     single_trial = options.retries.with_backoff
     return ClusterState(
@@ -112,9 +119,26 @@
         breakers=CircuitBreakers(
             TRIAL_TIMEOUT_S if single_trial else TRIAL_INTERVAL_S
         ),
+        turn=(
+            partial(_turn, membership)
+            if options.balancing.reads_by_position
+            else None
+        ),
     )
 
 
+def _turn(membership: MembershipView) -> Turn:
+    """Return the place of this node among those of its data centre."""
+    own = membership.heartbeat.node
+    near = {
+        member.node
+        for member in membership.live()
+        if membership.is_near(member)
+    }
+    before = sum(node < own for node in near)
+    return Turn(before, len(near | {own}))
+
+
 def _make_scheduler(
     cfg: PoolerSettings,
     runtime: NodeRuntime,
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -258,6 +258,7 @@
                 reply = await self._run_counted(kind, send)
         finally:
             self.is_running = False
+        self._loads.record_position(self.endpoint, reply.response.position)
         if reply.response.state == SessionState.IDLE:
             self._end(request.statement.verb)
         return reply
@@ -332,7 +333,9 @@
         admitted = await self._admit(job)
         with self._loads.running(job.endpoint) as times:
             started = await self._start_admitted(job, admitted, times)
-            if started.reply.response.ok:
+            response = started.reply.response
+            self._loads.record_position(job.endpoint, response.position)
+            if response.ok:
                 self._loads.record_answer(job.endpoint, job.request, times)
             return started
 
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -267,6 +267,10 @@
                 'lead' if target.requires_primary_proof else 'proved_position'
             )
             self._metrics.count('read_targets', proof)
+            if target.lag_handling:
+                self._metrics.count('reads_lagging', target.lag_handling)
+            if target.lag_handling == 'tried':
+                self._cluster.positions.record_trial(target.endpoint)
 
     async def _on_not_opened(
         self, run: StatementRun, target: Target, exc: ConnectionNotOpenedError
