A refusal counts more than the position in it; positions of replicas that only received entries

Endpoints may report the end of a log that they have not applied, as the stand-in does. A refused read then sets the bound, and statements that require no position show nothing.

--- a/tests/lag_model.py
+++ b/tests/lag_model.py
@@ -21,6 +21,8 @@
 from trefoilhitch.pooler.cluster_state import ClusterState, record_lagging
 from trefoilhitch.pooler.endpoint_selection import ReadRequirements
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.response import Refusal, Response
+from trefoilhitch.position import ORIGIN
 
 PRIMARY = 'a'
 MAX_AGE_S = 1.5
@@ -62,6 +64,8 @@
         nodes: data centre of each node.
         lagging: the replicas that lag for a while.
         by_position: whether nodes take account of positions.
+        reports_received: whether replicas report the end of their log, also if
+            they have not applied it.
 
     """
 
@@ -74,6 +78,7 @@
         nodes: list[str],
         lagging: str,
         by_position: bool,
+        reports_received: bool,
     ) -> None:
         """Start idle at time 0."""
         super().__init__(
@@ -82,6 +87,7 @@
         self.primary = PRIMARY
         self.counts = LagCounts()
         self._lagging = lagging
+        self._reports_received = reports_received
         self._clusters = {
             node: self._make_cluster(node, by_position=by_position)
             for node in self.nodes
@@ -200,30 +206,39 @@
             if needed is None or reached.position >= needed.position:
                 self._arrive(read)
             else:
-                self._refuse_for_lag(read, tried)
+                self._refuse_for_lag(read, needed, tried)
 
         self.at(self.now + self._one_way_s(read), arrive)
 
-    def _refuse_for_lag(self, read: ModelRead, tried: frozenset[str]) -> None:
+    def _refuse_for_lag(
+        self, read: ModelRead, needed: LogPosition, tried: frozenset[str]
+    ) -> None:
         name = read.endpoint.record.endpoint
-        position = self._position(name)
+        response = Response(
+            refusal=Refusal.TOO_OLD, position=self._reported(name)
+        )
         self.counts.lagging.append((self.now, read.node, name))
 
         def receive() -> None:
             read.node.loads.attempts[name] -= 1
             cluster = self._clusters[read.node]
-            cluster.positions.record(name, position)
-            record_lagging(cluster, SERVICE, name, self.now)
+            cluster.positions.record(name, response, needed)
+            record_lagging(cluster, name, self.now)
             self._attempt(read.node, tried | {name})
 
         self.at(self.now + self._one_way_s(read), receive)
 
+    def _reported(self, endpoint: str) -> LogPosition:
+        """Return the position that an endpoint's responses contain."""
+        return self._position(PRIMARY if self._reports_received else endpoint)
+
     def _reply(self, read: ModelRead, *, is_refused: bool) -> None:
         name = read.endpoint.record.endpoint
-        position = self._position(name)
+        response = Response(position=self._reported(name))
         self.counts.served.append((self.now, read.node, name))
+        cluster = self._clusters[read.node]
         self.at(
             self.now + self._one_way_s(read),
-            lambda: self._clusters[read.node].positions.record(name, position),
+            lambda: cluster.positions.record(name, response, ORIGIN),
         )
         super()._reply(read, is_refused=is_refused)
--- a/tests/test_lagging_replicas.py
+++ b/tests/test_lagging_replicas.py
@@ -44,6 +44,7 @@
 from trefoilhitch.pooler.observations import PrimaryObservation
 from trefoilhitch.pooler.peer_messages import apply_load_reports, load_reports
 from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.response import Refusal, Response
 
 SEEDS = (1, 2, 3, 4, 5, 6)
 NODES = 82
@@ -65,7 +66,13 @@
 
 
 @cache
-def played(seed: int, lagging: str, *, by_position: bool) -> LaggingModel:
+def played(
+    seed: int,
+    lagging: str,
+    *,
+    by_position: bool = True,
+    reports_received: bool = False,
+) -> LaggingModel:
     """Return a model after replicas lagged by 3 s for 6 s."""
     names = list(REGIONS)
     model = LaggingModel(
@@ -75,6 +82,7 @@
         nodes=[names[number % len(names)] for number in range(NODES)],
         lagging=lagging,
         by_position=by_position,
+        reports_received=reports_received,
     )
     model.prove_primary(until=RUN_S)
     model.exchange_loads(until=RUN_S)
@@ -109,6 +117,17 @@
     assert max(refused_parts(lagging, by_position=True)) <= 0.02
 
 
+@pytest.mark.parametrize(('lagging', 'most'), [('b', 0.01), ('bc', 0.025)])
+def test_positions_of_received_entries_cost_each_node_one_refusal(
+    lagging: str, most: float
+) -> None:
+    """Replicas report the end of a log of which they lack the last 3 s."""
+    played_models = [
+        played(seed, lagging, reports_received=True) for seed in SEEDS
+    ]
+    assert max(model.refused_part(0, RUN_S) for model in played_models) <= most
+
+
 def test_replicas_are_read_again_soon_after_they_caught_up() -> None:
     """Without turns, no node may try the replica for a second."""
     returns = [
@@ -313,11 +332,16 @@
         assert target is not None
         return target
 
-    def respond(self, number: int) -> None:
-        """Have 'b' respond, with a refusal if it lacks the position."""
-        self.cluster.positions.record('b', needs(number))
-        if number < 90:
-            record_lagging(self.cluster, SERVICE, 'b', self.clock.now)
+    def respond(self, number: int, applied: int | None = None) -> None:
+        """Have 'b' respond to a read, with a refusal if it lags."""
+        needed = self.choose('a', 'c').minimum_position
+        assert needed is not None
+        has_position = (applied or number) >= needed.position
+        refusal = None if has_position else Refusal.TOO_OLD
+        response = Response(refusal=refusal, position=needs(number))
+        self.cluster.positions.record('b', response, needed)
+        if refusal:
+            record_lagging(self.cluster, 'b', self.clock.now)
 
 
 def test_replica_that_lags_ranks_behind_the_others() -> None:
@@ -351,6 +375,19 @@
     assert not target.lag_handling
 
 
+def test_refusal_counts_more_than_the_reported_position() -> None:
+    """An endpoint may report what it has received and not applied."""
+    node = Node()
+    node.respond(100, applied=70)
+    assert node.choose().endpoint != 'b'
+    # A statement that requires no position shows nothing.
+    response = Response(position=needs(100))
+    node.cluster.positions.record('b', response)
+    assert node.choose().endpoint != 'b'
+    node.respond(100)
+    assert node.choose().endpoint == 'b'
+
+
 def test_lag_is_forgotten_through_a_trial() -> None:
     node = Node()
     node.respond(70)
@@ -364,7 +401,7 @@
 def test_fixed_pause_stays_if_the_lag_is_unknown() -> None:
     """The endpoint reported no position with its refusal."""
     node = Node()
-    record_lagging(node.cluster, SERVICE, 'b', node.clock.now)
+    record_lagging(node.cluster, 'b', node.clock.now)
     assert node.choose().endpoint != 'b'
     node.clock.now += AVOID_LAGGING_S
     assert node.choose().endpoint == 'b'
@@ -384,7 +421,9 @@
 # Reports of other nodes
 
 
-def report_of(number: int, age_ms: int = 0) -> EndpointLoad:
+def report_of(
+    number: int, age_ms: int = 0, *, refused: bool = False
+) -> EndpointLoad:
     """Return a report that states only the position of 'b'."""
     return EndpointLoad(
         endpoint='b',
@@ -392,6 +431,7 @@
         position_term=1,
         position=number,
         position_age_ms=age_ms,
+        refused=refused,
     )
 
 
@@ -435,12 +475,14 @@
 def test_node_reports_only_what_it_observed_of_replicas_that_lag() -> None:
     """Hearsay that is sent on would never age out; other bytes are wasted."""
     node = Node()
-    node.cluster.positions.record('c', needs(100))
+    node.cluster.positions.record('c', Response(position=needs(100)))
     node.cluster.positions.apply_peer_report(report_of(70), node.clock.now)
     assert not load_reports(node.cluster, 5)
     node.respond(71)
     node.clock.now += 0.5
-    assert load_reports(node.cluster, 5) == [report_of(71, age_ms=500)]
+    assert load_reports(node.cluster, 5) == [
+        report_of(71, age_ms=500, refused=True)
+    ]
     node.clock.now += 2
     assert not load_reports(node.cluster, 5)
 
--- a/tests/test_wire_balancing.py
+++ b/tests/test_wire_balancing.py
@@ -385,3 +385,58 @@
         await read_often(stack, 'node-1')
         loads = (await exchange_as(stack, near)).loads
         assert [load.endpoint for load in loads] == ['ledger-1']
+
+
+# Replicas that lag
+
+
+async def reads_answered_with_lagging(options: PoolerOptions) -> int:
+    """Return how many of 900 reads a replica refused that is 3 s behind.
+
+    Three nodes of its data centre read through gateways while another one
+    writes.
+    """
+    async with running_wire_stack(nodes=9, options=options) as stack:
+        stack.store_state.put('config', 'main', declaration(2))
+        await sleep(5)
+        replica = replica_near(stack, 'node-1')
+        async with open_nursery() as nursery:
+            nursery.start_soon(write_often, stack)
+            await sleep(2)
+            replica.faults.apply_lag_s = 3
+            await sleep(2)
+            async with open_nursery() as readers:
+                for node in ('node-1', 'node-4', 'node-7'):
+                    readers.start_soon(
+                        read_often, stack, node, 'key-org-1', 3 * READS
+                    )
+            nursery.cancel_scope.cancel()
+        return sum(
+            counter(stack, node, 'endpoint_refusals') for node in stack.nodes
+        )
+
+
+async def write_often(stack: WireStack) -> None:
+    """Write until cancelled."""
+    async with wire_client(stack.nodes['node-0'].address) as client:
+        await client.start('orders', 'key-org-1')
+        while True:
+            await client.query('WRITE a1 x')
+            await sleep(0.05)
+
+
+def without_positions() -> PoolerOptions:
+    """Return options with which positions of logs do not count."""
+    return replace(
+        default_options(), balancing=BalancingOptions(reads_by_position=False)
+    )
+
+
+def test_nodes_share_the_positions_of_a_replica_that_lags() -> None:
+    """Without the part, each node tries it 0.4 s after each refusal."""
+    former = run_virtual(
+        lambda: reads_answered_with_lagging(without_positions())
+    )
+    now = run_virtual(lambda: reads_answered_with_lagging(default_options()))
+    assert former >= 15
+    assert now <= former / 2
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -398,6 +398,12 @@
     position_age_ms: Annotated[
         Duration, Meta(description='Age of the position.')
     ] = 0
+    refused: Annotated[
+        bool,
+        Meta(
+            description='Whether the endpoint refused a read because of this position, so that it may have stopped there.'
+        ),
+    ] = False
 
 
 class EvacuationReport(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/pooler/balancing/load_observer.py
+++ b/trefoilhitch/pooler/balancing/load_observer.py
@@ -16,6 +16,7 @@
 )
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import EndpointSelector
+from trefoilhitch.pooler.response import Response
 from trefoilhitch.pooler.statement import Verb
 from trefoilhitch.pooler.statement_request import StatementRequest
 
@@ -123,16 +124,20 @@
         )
 
     def record_position(
-        self, endpoint: str, position: LogPosition | None
+        self,
+        endpoint: str,
+        response: Response,
+        minimum: LogPosition | None = None,
     ) -> None:
         """Record the position in a response, also in a refusal.
 
         Args:
             endpoint: endpoint id.
-            position: position of its log, None if it reported none.
+            response: its response.
+            minimum: position that the statement required, None for any.
 
         """
-        self._positions.record(endpoint, position)
+        self._positions.record(endpoint, response, minimum)
 
     def record_refusal(self, endpoint: str) -> None:
         """Record that an endpoint refused a statement or lost one.
--- a/trefoilhitch/pooler/balancing/log_lag.py
+++ b/trefoilhitch/pooler/balancing/log_lag.py
@@ -18,6 +18,8 @@
 NOTABLE_LAG_S = 0.25
 # From this lag on, it is taken into account whether it grows.
 GROWING_LAG_S = NOTABLE_LAG_S / 2
+# Times are rounded to a millisecond in messages.
+TIME_ERROR_S = 0.001
 # Shortest time over which the growth of a lag is measured.
 GROWTH_TIME_S = 0.2
 
@@ -30,11 +32,14 @@
         position: end of the log.
         at: when it was observed, in seconds on the clock of the observations
             of primaries.
+        refused: whether the endpoint refused a read because of it, so that it
+            may have stopped there, or before.
 
     """
 
     position: LogPosition
     at: float
+    refused: bool = False
 
 
 def is_expected_at(
@@ -60,6 +65,8 @@
     """
     if at_least(seen.position, needed):
         return True
+    if seen.refused:
+        return False
     lag_s = _lag_at(seen, reference, history, now)
     if lag_s is None or lag_s < NOTABLE_LAG_S:
         return True
@@ -67,7 +74,7 @@
     if needed_since is None:
         # The primary itself was not seen there: the newest known time.
         needed_since = history[-1].sent_at
-    return needed_since <= now - lag_s
+    return needed_since < now - lag_s - TIME_ERROR_S
 
 
 def observed_lag_s(
@@ -119,7 +126,7 @@
         return 0
     if reference is None or seen.at - reference.at < GROWTH_TIME_S:
         # Stopped, for all that is known.
-        return 1
+        return 1 if lag_s >= NOTABLE_LAG_S else 0
     former_s = observed_lag_s(reference, history)
     if former_s is None:
         return 1
--- a/trefoilhitch/pooler/balancing/log_positions.py
+++ b/trefoilhitch/pooler/balancing/log_positions.py
@@ -14,6 +14,7 @@
 from trefoilhitch.pooler.balancing.log_lag import (
     GROWING_LAG_S,
     GROWTH_TIME_S,
+    NOTABLE_LAG_S,
     Sighting,
     is_expected_at,
     observed_lag_s,
@@ -28,7 +29,7 @@
 # between those of all nodes of a data centre.
 TRIAL_INTERVAL_S = 0.4
 # Reads of other regions mostly go elsewhere, so their nodes try less often.
-FAR_INTERVAL_S = 1.6
+FAR_INTERVAL_S = 0.8
 _MS_PER_S = 1000
 
 
@@ -87,7 +88,8 @@
         own: the newest one of this node or its gateways.
         references: two earlier sightings, from which the growth of the lag is
             measured; the later one last.
-        lagged_at: when a notable lag was seen last.
+        is_lagging: whether the newest sighting showed a notable lag.
+        changed_at: when a notable lag, or its end, was seen last.
         trial_at: when this node may try the replica.
 
     """
@@ -95,7 +97,8 @@
     newest: Sighting | None = None
     own: Sighting | None = None
     references: list[Sighting] = field(default_factory=list)
-    lagged_at: float = -math.inf
+    is_lagging: bool = False
+    changed_at: float = -math.inf
     trial_at: float = -math.inf
 
     def add(self, seen: Sighting, *, is_own: bool) -> bool:
@@ -112,6 +115,17 @@
             self.references = [*self.references[-1:], seen]
         return True
 
+    def await_turn(
+        self, turn: Turn, missing_since: float, interval_s: float
+    ) -> None:
+        """Wait for this node's turn to try the replica, unless it waits."""
+        if self.newest is None:
+            return
+        if self.trial_at < self.newest.at - SIGHTING_VALID_S:
+            self.trial_at = turn.first_at(
+                missing_since, self.newest.at, interval_s
+            )
+
     def is_outdated(self, now: float) -> bool:
         """Return whether the newest sighting does not count any more.
 
@@ -120,7 +134,7 @@
         if self.newest is None:
             return True
         until = self.newest.at + SIGHTING_VALID_S
-        if self.lagged_at == self.newest.at:
+        if self.is_lagging:
             until = max(until, self.trial_at + TRIAL_INTERVAL_S)
         return now >= until
 
@@ -175,15 +189,18 @@
 
         """
         log = self._logs.setdefault(endpoint, _EndpointLog())
+        was_lagging = log.is_lagging
         if not log.add(seen, is_own=is_own):
             return
-        lag_s = observed_lag_s(seen, self._observations.history(service))
-        if lag_s is not None and lag_s >= GROWING_LAG_S:
-            log.lagged_at = seen.at
-            if log.trial_at < seen.at - SIGHTING_VALID_S:
-                log.trial_at = self._turn().first_at(
-                    seen.at - lag_s, seen.at, self._interval_s(endpoint)
-                )
+        history = self._observations.history(service)
+        lag_s = observed_lag_s(seen, history) or 0
+        log.is_lagging = seen.refused or lag_s >= NOTABLE_LAG_S
+        if log.is_lagging or was_lagging:
+            log.changed_at = seen.at
+        if seen.refused or lag_s >= GROWING_LAG_S:
+            log.await_turn(
+                self._turn(), seen.at - lag_s, self._interval_s(endpoint)
+            )
 
     def is_expected_at(
         self, service: str, endpoint: str, needed: LogPosition, now: float
@@ -213,23 +230,16 @@
             now,
         )
 
-    def knows_lag(self, service: str, endpoint: str, now: float) -> bool:
-        """Return whether the lag of an endpoint can be estimated.
+    def is_known(self, endpoint: str, now: float) -> bool:
+        """Return whether the position of an endpoint's log is known.
 
         Args:
-            service: service name.
             endpoint: endpoint id.
             now: time on the clock of the sightings.
 
         """
         log = self._logs.get(endpoint)
-        if log is None or log.newest is None:
-            return False
-        history = self._observations.history(service)
-        return (
-            not log.is_outdated(now)
-            and observed_lag_s(log.newest, history) is not None
-        )
+        return log is not None and not log.is_outdated(now)
 
     def may_try(self, endpoint: str, now: float) -> bool:
         """Return whether this node may try a replica that lags.
@@ -276,8 +286,8 @@
         if log is None or log.own is None:
             return None
         age_s = now - log.own.at
-        has_lagged = now - log.lagged_at < SIGHTING_VALID_S
-        if age_s >= REPORT_VALID_S or not has_lagged:
+        is_news = now - log.changed_at < SIGHTING_VALID_S
+        if age_s >= REPORT_VALID_S or not is_news:
             return None
         return EndpointLoad(
             endpoint=endpoint,
@@ -285,6 +295,7 @@
             position_term=log.own.position.term,
             position=log.own.position.position,
             position_age_ms=max(0, round(age_s * _MS_PER_S)),
+            refused=log.own.refused,
         )
 
     def reports(self, now: float) -> list[EndpointLoad]:
@@ -326,4 +337,5 @@
     return Sighting(
         LogPosition(term=report.position_term, position=report.position),
         sent_at - age_s,
+        report.refused,
     )
--- a/trefoilhitch/pooler/balancing/position_observer.py
+++ b/trefoilhitch/pooler/balancing/position_observer.py
@@ -12,6 +12,12 @@
     read_sighting,
 )
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
+from trefoilhitch.pooler.response import Refusal, Response
+from trefoilhitch.position import at_least
+
+# How long after such a refusal an endpoint counts as reporting more than reads
+# see. Lags that last are noticed by the trials in this time.
+OVERSTATED_S = 10.0
 
 
 class PositionObserver:
@@ -31,21 +37,43 @@
         clock: Callable[[], float],
     ) -> None:
         """Store the dependencies."""
+        # Until when endpoints count as reporting entries that reads do not see.
+        self._overstated_until: dict[str, float] = {}
         self._positions = positions
         self._find = find
         self._clock = clock
 
-    def record(self, endpoint: str, position: LogPosition | None) -> None:
+    def record(
+        self,
+        endpoint: str,
+        response: Response,
+        minimum: LogPosition | None = None,
+    ) -> None:
         """Record the position in a response that has just arrived.
 
+        An endpoint may report the end of a log of which it has not applied
+        everything. If it refuses a read of an entry that it reports, its
+        responses count only if they were checked against a position.
+
         Args:
             endpoint: endpoint id.
-            position: position of its log, None if it reported none.
+            response: its response, also a refusal.
+            minimum: position that the statement required, None for any.
 
         """
-        if position is not None:
-            seen = Sighting(position, self._clock())
-            self._observe(endpoint, seen, is_own=True)
+        now = self._clock()
+        position = response.position
+        if position is None:
+            return
+        refused = response.refusal == Refusal.TOO_OLD
+        if refused and minimum is not None:
+            if at_least(position, minimum):
+                position = _before(minimum)
+                self._overstated_until[endpoint] = now + OVERSTATED_S
+        elif minimum is None and now < self._overstated_until.get(endpoint, 0):
+            return
+        seen = Sighting(position, now, refused)
+        self._observe(endpoint, seen, is_own=True)
 
     def apply_gateway_report(self, report: EndpointLoad) -> None:
         """Apply what the gateway of a statement has just reported.
@@ -142,16 +170,15 @@
         if self._positions is not None:
             self._positions.record_trial(endpoint, self._clock())
 
-    def knows_lag(self, service: str, endpoint: str) -> bool:
-        """Return whether the lag of an endpoint can be estimated.
+    def is_known(self, endpoint: str) -> bool:
+        """Return whether the position of an endpoint's log is known.
 
         Args:
-            service: service name.
             endpoint: endpoint id.
 
         """
         return self._positions is not None and (
-            self._positions.knows_lag(service, endpoint, self._clock())
+            self._positions.is_known(endpoint, self._clock())
         )
 
     def _observe(self, endpoint: str, seen: Sighting, *, is_own: bool) -> None:
@@ -162,6 +189,10 @@
             )
 
 
+def _before(position: LogPosition) -> LogPosition:
+    return structs.replace(position, position=max(0, position.position - 1))
+
+
 def add_position(
     load: EndpointLoad | None, position: EndpointLoad | None
 ) -> EndpointLoad | None:
@@ -182,4 +213,5 @@
         position_term=position.position_term,
         position=position.position,
         position_age_ms=position.position_age_ms,
+        refused=position.refused,
     )
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -425,21 +425,18 @@
         return suspended
 
 
-def record_lagging(
-    cluster: ClusterState, service: str, endpoint: str, now: float
-) -> None:
+def record_lagging(cluster: ClusterState, endpoint: str, now: float) -> None:
     """Record that a replica did not have the position of a read.
 
-    If its lag can be estimated, endpoints are chosen by that.
+    If the position of its log is known, endpoints are chosen by that.
 
     Args:
         cluster: state of this node.
-        service: service name.
         endpoint: endpoint id.
         now: monotonic time.
 
     """
-    if not cluster.positions.knows_lag(service, endpoint):
+    if not cluster.positions.is_known(endpoint):
         cluster.selector.mark_lagging(endpoint, now + AVOID_LAGGING_S)
 
 
--- a/trefoilhitch/pooler/endpoint_failures.py
+++ b/trefoilhitch/pooler/endpoint_failures.py
@@ -150,9 +150,7 @@
         if response.refusal == Refusal.BUSY:
             self._record_failed_attempt(run, endpoint)
         if response.refusal == Refusal.TOO_OLD:
-            record_lagging(
-                self._cluster, run.route.service, endpoint, current_time()
-            )
+            record_lagging(self._cluster, endpoint, current_time())
         elif response.refusal == Refusal.NOT_PRIMARY:
             self._cluster.record_not_primary(
                 run.route.service, endpoint, 'statement'
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -258,7 +258,7 @@
                 reply = await self._run_counted(kind, send)
         finally:
             self.is_running = False
-        self._loads.record_position(self.endpoint, reply.response.position)
+        self._loads.record_position(self.endpoint, reply.response)
         if reply.response.state == SessionState.IDLE:
             self._end(request.statement.verb)
         return reply
@@ -334,7 +334,9 @@
         with self._loads.running(job.endpoint) as times:
             started = await self._start_admitted(job, admitted, times)
             response = started.reply.response
-            self._loads.record_position(job.endpoint, response.position)
+            self._loads.record_position(
+                job.endpoint, response, job.request.minimum_position
+            )
             if response.ok:
                 self._loads.record_answer(job.endpoint, job.request, times)
             return started
--- a/trefoilhitch/pooler/statement_sender.py
+++ b/trefoilhitch/pooler/statement_sender.py
@@ -72,8 +72,9 @@
         )
         with self._loads.attempting(target.endpoint):
             started, replicas = await self._start(job, primary)
-        position = started.reply.response.position
-        self._loads.record_position(target.endpoint, position)
+        self._loads.record_position(
+            target.endpoint, started.reply.response, target.minimum_position
+        )
         return started, PrimaryProof(primary, permitted, replicas, sent_at)
 
     def _primary(self, run: StatementRun, target: Target) -> Primary:
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -119,7 +119,7 @@
             return self._on_connection_lost(
                 session, transaction, statement, exc.loss, proof.sent_at
             )
-        self._cluster.positions.record(endpoint, reply.response.position)
+        self._cluster.positions.record(endpoint, reply.response)
         if reply.response.state == SessionState.IDLE:
             session.transaction = None
             if statement.verb == Verb.COMMIT and transaction.wrote:
