--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -147,7 +147,7 @@
 def drawn_parts(cluster: ClusterState, run: StatementRun) -> dict[str, float]:
     """Return which part of reads each endpoint gets by evenly spread draws."""
     draw = SettableDraw()
-    cluster.draw = draw
+    cluster.balancer.random = draw
     chosen: Counter[str] = Counter()
     for number in range(DRAWS):
         draw.number = (number + 0.5) / DRAWS
@@ -187,7 +187,7 @@
 async def test_reads_go_to_the_nearest_without_the_option() -> None:
     # Guards against shares by load where reads are not divided by load.
     cluster = make_cluster()
-    cluster.draw = None
+    cluster.balancer.random = None
     expected = make_finder(cluster).expect(make_run())
     assert expected.shares == {'b': 1}
 
@@ -213,7 +213,7 @@
         cluster.breakers.record_failure('b', current_time())
     await sleep(TRIAL_INTERVAL_S)
     draws: list[float] = []
-    cluster.draw = lambda: draws.append(0.5) or 0.5
+    cluster.balancer.random = lambda: draws.append(0.5) or 0.5
     run = make_run()
     before = fingerprint(cluster)
     expected = make_finder(cluster).expect(run)
--- a/trefoilhitch/pooler/balancing/read_balancer.py
+++ b/trefoilhitch/pooler/balancing/read_balancer.py
@@ -4,7 +4,7 @@
 while others are idle.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
@@ -41,22 +41,37 @@
     Args:
         selector: knows recent failures, lag and distance.
         loads: knows the load of the endpoints.
+        random: returns a random number from 0 to 1; None to ignore the load.
 
     """
 
     def __init__(
-        self, selector: EndpointSelector, loads: EndpointLoads
+        self,
+        selector: EndpointSelector,
+        loads: EndpointLoads,
+        random: Callable[[], float] | None = None,
     ) -> None:
         """Store the dependencies."""
+        self.random = random
         self._selector = selector
         self._loads = loads
 
+    @property
+    def divides_by_load(self) -> bool:
+        """Whether reads are divided among endpoints by their load."""
+        return self.random is not None
+
+    def draw(self) -> float | None:
+        """Return a random number for `rank`, None to ignore the load."""
+        return None if self.random is None else self.random()
+
     def rank(
         self,
         records: Sequence[EndpointRecord],
         primary: str | None,
         now: float,
         drawn: float | None,
+        lagging: Collection[str] = (),
     ) -> ReadRanking:
         """Rank endpoints for one read.
 
@@ -65,6 +80,8 @@
             primary: id of the known primary, None if there is none.
             now: monotonic time.
             drawn: random number from 0 to 1, None to ignore the load.
+            lagging: endpoints that are not expected to have the position that
+                the read requires.
 
         Returns:
             Endpoints without recent failures first, among these the ones that
@@ -72,12 +89,12 @@
             load, the others follow by the same.
 
         """
-        ranked = self._selector.rank(records, now)
+        ranked = self._selector.rank(records, now, lagging)
         if len(ranked) < 2:
             return ReadRanking(ranked, 'only')
         if drawn is None:
             return ReadRanking(ranked, 'nearest')
-        equal = self._equal_to_first(ranked, now)
+        equal = self._equal_to_first(ranked, now, lagging)
         if len(equal) == 1:
             return ReadRanking(ranked, 'only')
         candidates = [self._candidate(record, primary, now) for record in equal]
@@ -95,6 +112,7 @@
         records: Sequence[EndpointRecord],
         primary: str | None,
         now: float,
+        lagging: Collection[str] = (),
     ) -> dict[str, float]:
         """Return by which parts `rank` draws the first endpoint.
 
@@ -102,27 +120,32 @@
             records: usable endpoints.
             primary: id of the known primary, None if there is none.
             now: monotonic time.
+            lagging: endpoints that are not expected to have the position that
+                the reads require.
 
         Returns:
             Parts by endpoint id, 1 together, without the endpoints that rank
             behind others; empty without endpoints.
 
         """
-        ranked = self._selector.rank(records, now)
-        equal = self._equal_to_first(ranked, now) if ranked else []
+        ranked = self._selector.rank(records, now, lagging)
+        equal = self._equal_to_first(ranked, now, lagging) if ranked else []
         return read_shares(
             [self._candidate(record, primary, now) for record in equal]
         )
 
     def _equal_to_first(
-        self, ranked: Sequence[EndpointRecord], now: float
+        self,
+        ranked: Sequence[EndpointRecord],
+        now: float,
+        lagging: Collection[str],
     ) -> list[EndpointRecord]:
         """Return the endpoints that rank as the first, but for distance."""
-        setback = self._selector.setback(ranked[0], now)
+        setback = self._selector.setback(ranked[0], now, lagging)
         return [
             record
             for record in ranked
-            if self._selector.setback(record, now) == setback
+            if self._selector.setback(record, now, lagging) == setback
         ]
 
     def _candidate(
--- a/trefoilhitch/pooler/expected_target.py
+++ b/trefoilhitch/pooler/expected_target.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 
 from trefoilhitch.pooler.balancing.read_choice import most_likely_draw
-from trefoilhitch.pooler.cluster_state import ClusterState, usable_untried
+from trefoilhitch.pooler.cluster_state import (
+    ClusterState,
+    expected_to_lag,
+    usable_untried,
+)
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_selection import (
     ReadRequirements,
@@ -52,9 +56,12 @@
     service = requirements.route.service
     primary = _permitted_primary(cluster, service)
     untried = usable_untried(cluster.endpoints, service, tried)
-    shares = cluster.balancer.shares(untried, primary, now)
-    drawn = most_likely_draw(shares) if cluster.draw and shares else None
-    ranking = cluster.balancer.rank(untried, primary, now, drawn)
+    lagging = expected_to_lag(cluster, untried, primary, requirements)
+    shares = cluster.balancer.shares(untried, primary, now, lagging)
+    drawn = None
+    if cluster.balancer.divides_by_load and shares:
+        drawn = most_likely_draw(shares)
+    ranking = cluster.balancer.rank(untried, primary, now, drawn, lagging)
     target = choose_read_target(
         requirements, ranking.records, primary, cluster.observations, tried
     )
--- a/trefoilhitch/pooler/explaining/endpoint_explainer.py
+++ b/trefoilhitch/pooler/explaining/endpoint_explainer.py
@@ -114,7 +114,7 @@
             delay_ms=round(delay_s * _MS_PER_S, _DELAY_DIGITS),
             age_ms=self._age_ms(record.endpoint, now),
             failed_recently=failed,
-            lagging=lagging,
+            lagging=lagging or cluster.positions.is_lagging(record.endpoint),
             blocked=cluster.breakers.is_blocked(record.endpoint, now),
             evacuated=cluster.evacuated.contains(record.endpoint),
             leaving=record.leaving,
