The promotion delay counts from the acquisition after an ended attempt

A lease whose attempt was found ended was treated like any that was not idle: the promotion delay counted from when its revision was first read. Control statements of the ended attempt (PAUSE, STEPDOWN, RESUME) carry no token and may reach an endpoint after the successor has fenced it. The delay now counts from the acquisition, as after a release.

--- a/tests/test_lease_view.py
+++ b/tests/test_lease_view.py
@@ -76,6 +76,14 @@
     assert promotion_time(pending, acquired_at=6) == 2 + PROMOTION_DELAY_S
 
 
+@pytest.mark.parametrize('candidate', ['', 'i-2'])
+def test_promotion_waits_after_an_ended_attempt(candidate: str) -> None:
+    """Guards against late statements that lift or set a successor's fences."""
+    lease = LeaseRecord(holder='n-1', candidate=candidate)
+    ended = ObservedLease(lease, first_seen_at=2, has_ended=True)
+    assert promotion_time(ended, acquired_at=6) == 6 + PROMOTION_DELAY_S
+
+
 class Store:
     """A store that counts how often the leases are read."""
 
--- a/trefoilhitch/pooler/lease_view.py
+++ b/trefoilhitch/pooler/lease_view.py
@@ -98,6 +98,10 @@
     was not idle before it was acquired, the last such view is older than the
     revision that this node had seen.
 
+    If the attempt of the former holder has ended, the full delay applies as
+    well: control statements carry no token, so that its last ones may reach
+    endpoints after the acquisition.
+
     Args:
         seen: the lease that was replaced, and when its revision was first read.
         acquired_at: when the store confirmed the acquisition, on the same
@@ -107,5 +111,6 @@
         The time.
 
     """
-    last_idle = acquired_at if is_idle(seen.record) else seen.first_seen_at
-    return last_idle + PROMOTION_DELAY_S
+    counts_from_now = seen.has_ended or is_idle(seen.record)
+    starts_at = acquired_at if counts_from_now else seen.first_seen_at
+    return starts_at + PROMOTION_DELAY_S
