A failover lifts fences only while it holds the lease

A holder that was frozen beyond its lease lifted its fences as it gave up. Another node may have acquired the lease meanwhile and rely on fences of its own, so both places that lift fences now check the lease.

tests/test_expired_holder.py failed before: a holder that was frozen for 8 s after fencing sent RESUME after it woke up.

--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -84,8 +84,8 @@
             try:
                 await self._run_steps()
             finally:
-                if self._fence is not None and not self._command.was_sent:
-                    await self._fence.lift()
+                if not self._command.was_sent:
+                    await self._lift_fences()
                 await self._lease.release(keep_candidate=self._is_pending)
 
     @property
@@ -318,18 +318,18 @@
             status = await deps.control.status(endpoint)
             if status is not None and status.is_primary:
                 self._record_primary(endpoint, status, sent_at)
-                await self._lift_later_fences(status.term)
+                await self._lift_fences(above=status.term)
                 return
             await sleep(CONFIRM_INTERVAL_S)
         raise FailoverStoppedError('the new primary did not report its role')
 
-    async def _lift_later_fences(self, term: int) -> None:
-        """Lift fences of a later term, unless another node may have set them.
+    async def _lift_fences(self, above: int = 0) -> None:
+        """Lift fences above a term, unless another node may have set them.
 
         Without the lease, another failover may rely on its own fences.
         """
         fence = self._fence
-        if fence and fence.outlasts(term) and self._lease.is_valid():
+        if fence and fence.outlasts(above) and self._lease.is_valid():
             await fence.lift()
 
     def _record_primary(
