Only the holder that a lease names denies its attempt

Any node that answered at the address of a lease denied an attempt that it did not run, also one that had taken over the address of a holder which goes on elsewhere. LeaseAttemptRequest now names the holder in place of the unused service, a node of another name answers that the attempt may run, and a node does not ask at its own address.

tests/test_odd_peer_messages.py, tests/test_seen_leases.py: 3 of the 4 new cases failed without the two rules, none now.

--- a/tests/test_ended_holder_model.py
+++ b/tests/test_ended_holder_model.py
@@ -102,7 +102,7 @@
         if seen is None or self.random.random() < NO_ANSWER_SHARE:
             return
         if not lease_module.may_ask_holder(
-            seen, node.name, self.now, -math.inf
+            seen, node.name, node.name, self.now, -math.inf
         ):
             return
         holder = self.processes[seen.record.address]
--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -13,6 +13,8 @@
 from tests.support import run_virtual
 from tests.test_unreadable_objects import expect_service
 from trefoilhitch._generated.peer import (
+    LeaseAttemptReply,
+    LeaseAttemptRequest,
     MemberBeat,
     MembersReply,
 )
@@ -192,6 +194,22 @@
     run_virtual(play)
 
 
+@pytest.mark.parametrize(
+    ('holder', 'running'), [('node-0', False), ('node-1', True), ('', True)]
+)
+def test_another_node_denies_an_attempt(holder: str, running: bool) -> None:
+    """Guards against a lease that is acquired while its holder goes on."""
+
+    async def play() -> None:
+        message = LeaseAttemptRequest(node=holder, attempt=f'{holder}/1')
+        async with running_wire_stack(nodes=NODES) as stack:
+            resp = await post(stack, 'node-0', 'lease_attempt', encode(message))
+        reply = decode(resp.body, type=LeaseAttemptReply)
+        assert reply.running is running
+
+    run_virtual(play)
+
+
 class ReportLog(NullLog):
     """Keeps the unexpected exceptions."""
 
--- a/tests/test_seen_leases.py
+++ b/tests/test_seen_leases.py
@@ -31,6 +31,7 @@
 SERVICE = 'ledger'
 NODE = 'node-1'
 ADDRESS = '127.0.0.1:7100'
+OWN_ADDRESS = '127.0.0.1:7101'
 HELD = LeaseRecord(
     revision=3,
     token=7,
@@ -101,6 +102,7 @@
         leases=LeaseClient(store),
         client=holder,
         node=NODE,
+        address=OWN_ADDRESS,
         clock=current_time,
         store_era=era,
         log=NullLog(),
@@ -119,7 +121,7 @@
     leases = seen_leases(Store(), holder)
     assert await is_free(leases)
     assert await is_free(leases)
-    message = LeaseAttemptRequest(service=SERVICE, attempt=HELD.attempt)
+    message = LeaseAttemptRequest(node=HELD.holder, attempt=HELD.attempt)
     assert holder.requests == [(ADDRESS, message)]
 
 
@@ -147,6 +149,7 @@
     'lease',
     [
         replace(HELD, address=''),
+        replace(HELD, address=OWN_ADDRESS),
         replace(HELD, attempt=''),
         replace(HELD, holder=''),
         replace(HELD, holder=NODE),
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -483,7 +483,9 @@
     Asks the holder of a lease whether its process still runs the failover that acquired it.
     """
 
-    service: str
+    node: Annotated[
+        str, Meta(description='Name of the holder, from the lease.')
+    ]
     attempt: Annotated[
         str, Meta(description='Id of the failover, from the lease.')
     ]
@@ -497,7 +499,7 @@
     running: Annotated[
         bool,
         Meta(
-            description='False only if no failover with that id runs in the process, the release of its lease included.'
+            description='False only if the node is the holder and no failover with that id runs in its process, the release of its lease included.'
         ),
     ]
 
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -150,7 +150,11 @@
 
 
 def may_ask_holder(
-    observed: ObservedLease, node: str, now: float, next_query_at: float
+    observed: ObservedLease,
+    node: str,
+    address: str,
+    now: float,
+    next_query_at: float,
 ) -> bool:
     """Return whether the holder may be asked if its attempt still runs.
 
@@ -160,18 +164,21 @@
     Args:
         observed: the lease.
         node: name of the node that wants to acquire it.
+        address: peer address of that node.
         now: time in seconds.
         next_query_at: time from which a holder may be asked again.
 
     Returns:
-        True if another node holds it in the present era, its address is known
-        and it is not known to have ended.
+        True if another node holds it in the present era at a known address
+        other than this node's, and it is not known to have ended.
 
     """
     record = observed.record
     if observed.has_ended or not record.belongs_to_era:
         return False
-    if record.holder in {'', node} or not (record.address and record.attempt):
+    if record.holder in {'', node} or not record.attempt:
+        return False
+    if record.address in {'', address}:
         return False
     return now >= next_query_at
 
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -277,6 +277,7 @@
             leases=failover.leases,
             client=self._parts.state.client,
             node=failover.node,
+            address=failover.address,
             clock=failover.cluster.clock,
             store_era=failover.store_era,
             log=failover.log,
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -132,8 +132,11 @@
 
     async def _lease_attempt(self, req: HttpRequest) -> LeaseAttemptReply:
         request = read_message(req, LeaseAttemptRequest)
+        # Only the holder knows whether its failover has ended.
+        is_holder = request.node == self._deps.membership.heartbeat.node
+        attempts = self._services.attempts
         return LeaseAttemptReply(
-            running=self._services.attempts.is_running(request.attempt)
+            running=not is_holder or attempts.is_running(request.attempt)
         )
 
     async def _proof(self, req: HttpRequest) -> ProofReply:
--- a/trefoilhitch/pooler/seen_leases.py
+++ b/trefoilhitch/pooler/seen_leases.py
@@ -33,6 +33,7 @@
         leases: reads leases from the store.
         client: sends requests to other nodes.
         node: name of this node.
+        address: peer address of this node.
         clock: returns seconds on a clock that includes suspended time.
         store_era: era of the store.
         log: records leases whose holder does not run the attempt any more.
@@ -45,6 +46,7 @@
         leases: LeaseClient,
         client: PeerClient,
         node: str,
+        address: str,
         clock: Callable[[], float],
         store_era: StoreEra,
         log: DecisionLog,
@@ -53,6 +55,7 @@
         self._leases = leases
         self._client = client
         self._node = node
+        self._address = address
         self._clock = clock
         self._store_era = store_era
         self._log = log
@@ -104,7 +107,7 @@
         if not self._should_ask(service, seen):
             return seen
         self._next_query_at[service] = self._clock() + HOLDER_QUERY_INTERVAL_S
-        if not await self._has_ended(service, seen):
+        if not await self._has_ended(seen):
             return seen
         ended = replace(seen, has_ended=True)
         if self._seen.get(service) is seen:
@@ -123,14 +126,18 @@
         if may_acquire(seen, self._node, now, self._store_era.seen_at):
             return False
         next_query_at = self._next_query_at.get(service, -math.inf)
-        return may_ask_holder(seen, self._node, now, next_query_at)
+        return may_ask_holder(
+            seen, self._node, self._address, now, next_query_at
+        )
 
-    async def _has_ended(self, service: str, seen: ObservedLease) -> bool:
+    async def _has_ended(self, seen: ObservedLease) -> bool:
         """Ask the holder; return True only if it denies the attempt."""
         reply = await self._client.request(
             seen.record.address,
             'lease_attempt',
-            LeaseAttemptRequest(service=service, attempt=seen.record.attempt),
+            LeaseAttemptRequest(
+                node=seen.record.holder, attempt=seen.record.attempt
+            ),
             LeaseAttemptReply,
             timeout_s=HOLDER_TIMEOUT_S,
         )
