A store check that gets an outdated copy counts as answered

A response of an earlier era, which allow_stale permits for some seconds after a restoration, made the first monitor report the store as lost. It is now an error of its own (EarlierEraError, a StoreUnavailableError), which the check passes over. All other reads still refuse such a response.

tests/test_object_store_eras.py: the new test failed before, passes now.

--- a/tests/test_object_store_eras.py
+++ b/tests/test_object_store_eras.py
@@ -102,6 +102,31 @@
         assert await leases.write_lease('ledger', lease, deadline) is None
 
 
+@with_virtual_clock
+async def test_check_takes_an_outdated_copy_for_a_lost_store() -> None:
+    """Guards against a monitor that leaves its place after a restoration."""
+    responses = [
+        HttpResponse(status, b'', {ERA_HEADER: str(era)})
+        for status, era in (
+            (HTTPStatus.NOT_FOUND, 2),
+            (HTTPStatus.NOT_FOUND, 1),
+            (HTTPStatus.NOT_FOUND, 1),
+            (HTTPStatus.SERVICE_UNAVAILABLE, 2),
+        )
+    ]
+    async with client_of(*responses) as store:
+        reporter = UnreadableReporter(NullLog(), Metrics())
+        leases = PlatformLeaseStore(store, reporter)
+        deadline = current_time() + TIMEOUT_S
+        await leases.read_lease('ledger', deadline)
+        await leases.check('ledger', deadline)
+        # A lease of the earlier era is still refused.
+        with pytest.raises(StoreUnavailableError):
+            await leases.read_lease('ledger', deadline)
+        with pytest.raises(StoreUnavailableError):
+            await leases.check('ledger', deadline)
+
+
 @with_virtual_clock
 async def test_pages_of_one_era_are_refused() -> None:
     for era in (0, 2):
--- a/trefoilhitch/errors.py
+++ b/trefoilhitch/errors.py
@@ -253,6 +253,10 @@
     """The object API did not respond; a write may have taken effect."""
 
 
+class EarlierEraError(StoreUnavailableError):
+    """The object API responded with a copy from before it was restored."""
+
+
 class UnreadableLeaseError(StoreError):
     """The object API responded with a lease whose content cannot be read."""
 
--- a/trefoilhitch/platform/lease_store.py
+++ b/trefoilhitch/platform/lease_store.py
@@ -1,7 +1,10 @@
 """Leases and node entries in the platform's store."""
 
+from contextlib import suppress
+
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import (
+    EarlierEraError,
     StoreConflictError,
     StoreUnavailableError,
     UnreadableLeaseError,
@@ -93,6 +96,8 @@
     async def check(self, service: str, deadline: float) -> None:
         """Check that the store answers, with a lease that may be outdated.
 
+        A copy from before a restoration is an answer as well.
+
         Args:
             service: service that the lease is for.
             deadline: monotonic time in seconds.
@@ -101,7 +106,10 @@
             StoreUnavailableError: no valid response.
 
         """
-        await self._store.get(LEASE_KIND, service, deadline, may_be_stale=True)
+        with suppress(EarlierEraError):
+            await self._store.get(
+                LEASE_KIND, service, deadline, may_be_stale=True
+            )
 
     async def write_lease(
         self, service: str, lease: LeaseRecord, deadline: float
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -12,6 +12,7 @@
 from trefoilhitch.errors import (
     ConnectionLostError,
     DeadlineError,
+    EarlierEraError,
     StoreConflictError,
     StoreHistoryGoneError,
     StoreUnavailableError,
@@ -291,7 +292,7 @@
     def _check_era(self, era: int) -> None:
         self._era.observe(era, 'store')
         if era and era != self._era.current:
-            raise StoreUnavailableError(f'response of the earlier era {era}')
+            raise EarlierEraError(f'response of the earlier era {era}')
 
 
 def _list_path(kind: str, after: str, *, may_be_stale: bool) -> str:
