Names and comments of leases whose holder has ended

The test of the era and the query of a holder are named after what they do, docstrings state what was sent before an attempt ended, and HeldLease requires the address, since a lease without one is never found ended.

--- a/tests/test_expired_holder.py
+++ b/tests/test_expired_holder.py
@@ -46,7 +46,7 @@
         monkeypatch.setattr(EndpointControl, 'unfence', unfence)
 
 
-def test_frozen_holder_lifts_fences_of_its_successor(
+def test_frozen_holder_keeps_fences_of_its_successor(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a replica that an old primary reaches again."""
--- a/tests/test_lease_eras.py
+++ b/tests/test_lease_eras.py
@@ -75,6 +75,7 @@
         LeaseClient(store),
         service=SERVICE,
         node='node-1',
+        address='127.0.0.1:7100',
         clock=current_time,
         store_era=era,
         log=NullLog(),
--- a/tests/test_object_store_eras.py
+++ b/tests/test_object_store_eras.py
@@ -103,7 +103,7 @@
 
 
 @with_virtual_clock
-async def test_check_takes_an_outdated_copy_for_a_lost_store() -> None:
+async def test_check_accepts_an_outdated_copy() -> None:
     """Guards against a monitor that leaves its place after a restoration."""
     responses = [
         HttpResponse(status, b'', {ERA_HEADER: str(era)})
--- a/tests/test_store_check.py
+++ b/tests/test_store_check.py
@@ -174,7 +174,7 @@
 
 
 @with_virtual_clock
-async def test_outdated_response_confirms_the_era() -> None:
+async def test_only_a_fresh_response_confirms_the_era() -> None:
     """Guards against a lease that replaces one of a later era."""
     state = StoreState()
     async with open_nursery() as nursery:
--- a/trefoilhitch/pooler/held_lease.py
+++ b/trefoilhitch/pooler/held_lease.py
@@ -43,10 +43,10 @@
         *,
         service: str,
         node: str,
+        address: str,
         clock: Callable[[], float],
         store_era: StoreEra,
         log: DecisionLog,
-        address: str = '',
     ) -> None:
         """Start without the lease."""
         self.record = LeaseRecord()
--- a/trefoilhitch/pooler/lease.py
+++ b/trefoilhitch/pooler/lease.py
@@ -158,8 +158,7 @@
 ) -> bool:
     """Return whether the holder may be asked if its attempt still runs.
 
-    A lease of an earlier era of the store counts as held for its full duration
-    whatever the holder answers, so that the holder is not asked.
+    A lease of an earlier era has to expire whatever the holder answers.
 
     Args:
         observed: the lease.
--- a/trefoilhitch/pooler/running_attempts.py
+++ b/trefoilhitch/pooler/running_attempts.py
@@ -8,7 +8,8 @@
     """Knows which failovers run in this process.
 
     Other nodes acquire the lease of an attempt that does not run any more, so
-    an attempt runs until nothing more is sent on its behalf.
+    an attempt runs until nothing more is sent on its behalf. Statements that
+    were already sent may still arrive at endpoints afterwards.
     """
 
     def __init__(self) -> None:
--- a/trefoilhitch/pooler/seen_leases.py
+++ b/trefoilhitch/pooler/seen_leases.py
@@ -1,4 +1,4 @@
-"""The leases as this node has read them, and whether their holders go on."""
+"""The leases as this node has read them, and whether their attempts run."""
 
 import math
 from collections.abc import Callable
@@ -89,7 +89,7 @@
     async def read_for_failover(
         self, service: str, on_failure: Callable[[], None]
     ) -> ObservedLease:
-        """Read a lease; if another node holds it, ask whether it goes on.
+        """Read a lease; if another node holds it, ask whether its attempt runs.
 
         Args:
             service: service name.
@@ -107,7 +107,7 @@
         if not self._should_ask(service, seen):
             return seen
         self._next_query_at[service] = self._clock() + HOLDER_QUERY_INTERVAL_S
-        if not await self._has_ended(seen):
+        if not await self._request_denial(seen):
             return seen
         ended = replace(seen, has_ended=True)
         if self._seen.get(service) is seen:
@@ -130,8 +130,8 @@
             seen, self._node, self._address, now, next_query_at
         )
 
-    async def _has_ended(self, seen: ObservedLease) -> bool:
-        """Ask the holder; return True only if it denies the attempt."""
+    async def _request_denial(self, seen: ObservedLease) -> bool:
+        """Ask the holder; return whether it denies the attempt."""
         reply = await self._client.request(
             seen.record.address,
             'lease_attempt',
