A failover stops if one of its fences was lifted before the promotion

A RESUME of an earlier failover that arrives late lifts a fence, so that the replica may receive commits after the choice. The statuses of the endpoints that confirmed a fence are requested once more while the promotion is delayed; the request ends with the delay and prolongs nothing.

--- a/tests/test_odd_peer_messages.py
+++ b/tests/test_odd_peer_messages.py
@@ -197,7 +197,9 @@
 @pytest.mark.parametrize(
     ('holder', 'running'), [('node-0', False), ('node-1', True), ('', True)]
 )
-def test_only_the_named_holder_denies_an_attempt(holder: str, running: bool) -> None:
+def test_only_the_named_holder_denies_an_attempt(
+    holder: str, running: bool
+) -> None:
     """Guards against a lease that is acquired while its holder goes on."""
 
     async def play() -> None:
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -1,7 +1,7 @@
 """Failover of a service: lease, fencing, choice, promotion, confirmation."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from trio import current_time, open_nursery, sleep
 
@@ -99,16 +99,17 @@
         self._ensure_no_newer_primary()
         if not await self._deps.groups.learn(self._service):
             raise FailoverStoppedError('some members may not be known yet')
-        await self._wait_until(self._promote_at - DECISION_TIME_S)
+        clock = self._deps.cluster.clock
+        await _sleep_until(clock, self._promote_at - DECISION_TIME_S)
         ids = self._holders()
-        sent_at = self._deps.cluster.clock()
+        sent_at = clock()
         statuses = await self._request_statuses(ids)
         primary = self._current_primary(statuses)
         if self._keep_reported_primary(statuses, primary, sent_at):
             return
         # A primary that still answers serves until shortly before its
         # successor does.
-        await self._wait_until(self._promote_at - FENCE_TIME_S)
+        await _sleep_until(clock, self._promote_at - FENCE_TIME_S)
         self._ensure_needed()
         await self._replace(ids, primary, statuses)
 
@@ -135,7 +136,7 @@
         if chosen is None:
             raise FailoverStoppedError('too few endpoints could be fenced')
         await self._lease.record_candidate(chosen.endpoint)
-        await self._wait_until(self._promote_at)
+        await self._check_fence_until_promotion()
         await self._command.send(chosen.endpoint, self._ensure_unchanged)
         await self._confirm(chosen.endpoint)
 
@@ -150,13 +151,23 @@
         """Check that what the choice relied on still holds.
 
         Raises:
-            FailoverStoppedError: another primary became known, or an endpoint
-                joined that could receive commits.
+            FailoverStoppedError: another primary became known, an endpoint
+                joined that could receive commits, or a fence was lifted.
 
         """
         self._ensure_no_newer_primary()
         if self._fence and not self._fence.covers(self._holders()):
             raise FailoverStoppedError('an endpoint has joined')
+        if self._fence and not self._fence.stands:
+            raise FailoverStoppedError('a fence was lifted')
+
+    async def _check_fence_until_promotion(self) -> None:
+        """Check the fences while the promotion is delayed, and no longer."""
+        async with open_nursery() as nursery:
+            if self._fence is not None:
+                nursery.start_soon(self._fence.check)
+            await _sleep_until(self._deps.cluster.clock, self._promote_at)
+            nursery.cancel_scope.cancel()
 
     def _unusable(self) -> set[str]:
         """Return the endpoints that should not be promoted."""
@@ -169,12 +180,6 @@
             or self._deps.cluster.evacuated.contains(record.endpoint)
         }
 
-    async def _wait_until(self, moment: float) -> None:
-        """Sleep until a moment on the clock that counts suspended time."""
-        cluster = self._deps.cluster
-        while cluster.clock() < moment:
-            await sleep(moment - cluster.clock())
-
     async def _request_statuses(
         self, ids: list[str]
     ) -> dict[str, EndpointStatus]:
@@ -343,3 +348,9 @@
             cluster.record_proof(primary, status.position, sent_at, 'promotion')
         else:
             cluster.record_primary(primary, 'promotion')
+
+
+async def _sleep_until(clock: Callable[[], float], moment: float) -> None:
+    """Sleep until a moment on the clock that counts suspended time."""
+    while clock() < moment:
+        await sleep(moment - clock())
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -33,6 +33,13 @@
         self._term = term
         self._sent_to: set[str] = set()
         self._members: set[str] = set()
+        self._confirmed: set[str] = set()
+        self._lifted: set[str] = set()
+
+    @property
+    def stands(self) -> bool:
+        """Whether no endpoint is known whose fence was lifted."""
+        return not self._lifted
 
     def covers(self, endpoints: Collection[str]) -> bool:
         """Return whether no endpoint has joined since the fence was set.
@@ -100,6 +107,13 @@
             if status.fenced_term >= self._term
         ]
 
+    async def check(self) -> None:
+        """Request the statuses of the fenced endpoints again.
+
+        A RESUME of an earlier failover that arrives late lifts a fence.
+        """
+        await request_all(sorted(self._confirmed), self._check_one)
+
     async def lift(self) -> None:
         """Let the endpoints receive commits again."""
         await request_all(sorted(self._sent_to), self._control.unfence)
@@ -128,4 +142,14 @@
         return await self._control.demote(endpoint, self._term)
 
     async def _fence(self, endpoint: str) -> EndpointStatus | None:
-        return await self._control.fence(endpoint, self._term)
+        status = await self._control.fence(endpoint, self._term)
+        if status is not None and status.fenced_term >= self._term:
+            self._confirmed.add(endpoint)
+        return status
+
+    async def _check_one(self, endpoint: str) -> EndpointStatus | None:
+        status = await self._control.status(endpoint)
+        # A promotion to a term as late as the fence's lifts it rightly.
+        if status and max(status.term, status.fenced_term) < self._term:
+            self._lifted.add(endpoint)
+        return status
