--- a/tests/test_ended_holder_model.py
+++ b/tests/test_ended_holder_model.py
@@ -1,8 +1,9 @@
 """Random interleavings of failovers that end without releasing their lease.
 
 Beside the steps of `test_lease_era_model`, failovers end while a write of the
-lease or a promotion command is in flight. A node that finds such a lease asks
-the holder whether the failover still runs, and acquires it if not.
+lease, a promotion command or a control statement is in flight. A node that
+finds such a lease asks the holder whether the failover still runs, and acquires
+it if not.
 """
 
 import math
@@ -15,7 +16,9 @@
 
 from tests.test_lease_era_model import Model, ModelError, Node
 from trefoilhitch.pooler import lease as lease_module
-from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.failover_runner import FENCE_TIME_S
+from trefoilhitch.pooler.lease import LeaseRecord, ObservedLease
+from trefoilhitch.pooler.lease_view import PROMOTION_DELAY_S, is_idle
 from trefoilhitch.pooler.running_attempts import RunningAttempts
 
 SEEDS = 2000
@@ -25,6 +28,8 @@
 NO_ANSWER_SHARE = 0.3
 # Longest time that a write is in flight.
 LATE_WRITE_S = 0.6
+# Longest time that a control statement is in flight.
+LATE_CONTROL_S = 0.6
 MIN_REACHED = 100
 
 
@@ -48,6 +53,7 @@
     processes: dict[str, Process] = field(default_factory=dict)
     late_writes: list[tuple[float, LeaseRecord]] = field(default_factory=list)
     late_commands: list[tuple[int, str]] = field(default_factory=list)
+    late_controls: list[tuple[float, str]] = field(default_factory=list)
     attempt_count: int = 0
 
     def run(self) -> None:
@@ -86,6 +92,7 @@
             return
         if sum(self.holds(each) for each in self.nodes) > 1:
             raise ModelError('two nodes hold the lease')
+        self.check_controls(node)
         if seen is not None and seen.has_ended:
             self.count('acquired of an ended failover')
 
@@ -114,6 +121,8 @@
         held = node.held
         if held is None:
             return
+        if self.holds(node):
+            self.late_controls.append((self.now, node.name))
         if self.holds(node) and self.now >= node.promote_at:
             self.leave_command(node, held)
         elif self.random.random() < LATE_SHARE:
@@ -155,6 +164,21 @@
         self.primary = candidate
         self.count('command took effect')
 
+    def check_controls(self, node: Node) -> None:
+        """Check that no earlier control statement arrives after a fence.
+
+        Control statements carry no token, so that endpoints obey them. A node
+        pauses between its own failovers.
+        """
+        fenced_at = max(self.now, node.promote_at - FENCE_TIME_S)
+        for sent_at, sender in self.late_controls:
+            arrives_at = sent_at + LATE_CONTROL_S
+            if sender == node.name or arrives_at <= self.now:
+                continue
+            self.count('acquired before a control statement arrived')
+            if arrives_at > fenced_at:
+                raise ModelError('a fence of the holder was lifted')
+
 
 def search() -> dict[str, int]:
     """Run the model with all seeds; return what was reached."""
@@ -175,6 +199,7 @@
         'released late',
         'command refused',
         'command took effect',
+        'acquired before a control statement arrived',
         'promoted in a later era',
     ):
         assert reached[name] > MIN_REACHED, reached
@@ -191,3 +216,17 @@
         pytest.raises(ModelError),
     ):
         search()
+
+
+def count_from_first_read(seen: ObservedLease, acquired_at: float) -> float:
+    """Treat an ended attempt like one that still runs."""
+    last_idle = acquired_at if is_idle(seen.record) else seen.first_seen_at
+    return last_idle + PROMOTION_DELAY_S
+
+
+def test_model_detects_a_delay_that_began_before_the_acquisition() -> None:
+    with (
+        patch(f'{Model.__module__}.promotion_time', count_from_first_read),
+        pytest.raises(ModelError, match='fence'),
+    ):
+        search()
