Tokens are requested for the need, without whole tokens of each holder

Each holder was asked for at least one whole token. What an operation did not use expired and counted at the granters for 5.5 s, so organisations with small rates were refused within their rate. The need is now divided among the holders that are asked, those that failed to respond lately not counted: the parts of the others suffice, and a failed one is asked for the same part as a trial.

--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -31,8 +31,6 @@
 # A round ends after this time. An operation waits slightly longer (0.15 s), so
 # that it learns whether any node responded.
 ROUND_TIMEOUT_S = 0.14
-# With less than a whole token, one reachable node could not cover an operation.
-MIN_WANTED = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +200,10 @@
     ) -> frozenset[str]:
         """Divide the missing tokens among those nodes that may be asked.
 
+        The part of each suffices without the nodes that failed to respond
+        lately, which are asked as a trial. Larger parts would expire unused
+        and exceed what small rates can spare.
+
         Returns:
             Peer addresses of the nodes that are asked.
 
@@ -211,7 +213,8 @@
             for peer in nodes
             if peer.address not in current.in_flight and self._may_ask(peer)
         ]
-        part = max(MIN_WANTED, current.missing / max(1, len(chosen)))
+        expected = sum(not self._asked.has_failed(each.node) for each in chosen)
+        part = current.missing / max(1, expected)
         for holder in chosen:
             current.add_request(holder.address)
             nursery.start_soon(self._request_from, holder, part, current)
