A partial yield that suffices for its operation begins no pause

A request for tokens that yielded less than one began a pause of 0.15 s even if the operation ran with it and tokens that were there before. Further operations were refused without asking. The pause now follows a request that yielded nothing, or too little for its operation.

test_partial_yield_that_suffices_begins_no_pause failed before: the second of three operations was refused.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -36,6 +36,23 @@
         return self.spare
 
 
+class OneShare:
+    """Rates of one organisation.
+
+    Args:
+        share: its share.
+
+    """
+
+    def __init__(self, share: RateShare) -> None:
+        """Store the share."""
+        self._share = share
+
+    def share(self, organisation: str) -> RateShare:
+        """Return the share."""
+        return self._share
+
+
 def admission(tokens: Tokens) -> Admission:
     """Return the admission of a node that has no tokens of its own."""
     rates = RateShares(RateRule(), current_time())
@@ -76,3 +93,39 @@
     await sleep(MAX_PAUSE_S)
     admitted = [await admitting.admit(NAME) for _ in range(5)]
     assert all(admitted)
+
+
+@with_virtual_clock
+async def test_partial_yield_that_suffices_begins_no_pause() -> None:
+    """Guards against refusals after an operation that ran."""
+    tokens = Tokens()
+    tokens.spare = 0.9
+    share = RateShare(current_time())
+    admitting = Admission(
+        rates=OneShare(share),
+        tokens=tokens,
+        clock=current_time,
+        metrics=Metrics(),
+    )
+    for _ in range(3):
+        # Grants for another priority do not end a pause.
+        share.add_grant(0.2, current_time(), 1)
+        assert await admitting.admit(NAME)
+    assert len(tokens.requested_at) == 3
+
+
+@with_virtual_clock
+async def test_partial_yield_of_a_refused_operation_begins_a_pause() -> None:
+    """Guards against requests with each operation while tokens are few."""
+    tokens = Tokens()
+    tokens.spare = 0.2
+    share = RateShare(current_time())
+    admitting = Admission(
+        rates=OneShare(share),
+        tokens=tokens,
+        clock=current_time,
+        metrics=Metrics(),
+    )
+    for _ in range(3):
+        assert not await admitting.admit(NAME)
+    assert len(tokens.requested_at) == 1
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -77,7 +77,16 @@
         """Return whether no pause is on; a late grant ends it."""
         return now >= self.paused_until or grant_count != self.paused_at_count
 
-    def back_off(self, now: float, grant_count: int) -> None:
+    def record_result(
+        self, given: float, now: float, grant_count: int, *, is_admitted: bool
+    ) -> None:
+        """Begin a pause unless the tokens sufficed for an operation."""
+        if given >= 1 or (given > 0 and is_admitted):
+            self.pause_s = 0
+        else:
+            self._back_off(now, grant_count)
+
+    def _back_off(self, now: float, grant_count: int) -> None:
         self.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
         self.paused_until = now + self.pause_s
         self.paused_at_count = grant_count
@@ -220,38 +229,51 @@
                 while spent is None and request_state.may_request(
                     self._clock(), share.grant_count(priority)
                 ):
-                    await self._request_tokens(
+                    spent = await self._spend_requested(
                         organisation, share, request_state, priority
                     )
-                    spent = share.try_spend(self._clock(), priority)
         finally:
             share.reserve.end_wait(priority)
         return spent or share.try_spend(self._clock(), priority)
 
+    async def _spend_requested(
+        self,
+        organisation: str,
+        share: RateShare,
+        request_state: _TokenRequestState,
+        priority: int,
+    ) -> SpentTokens | None:
+        given = await self._request_tokens(
+            organisation, share, request_state, priority
+        )
+        spent = share.try_spend(self._clock(), priority)
+        if given is not None:
+            request_state.record_result(
+                given,
+                self._clock(),
+                share.grant_count(priority),
+                is_admitted=spent is not None,
+            )
+        return spent
+
     async def _request_tokens(
         self,
         organisation: str,
         share: RateShare,
         request_state: _TokenRequestState,
         priority: int,
-    ) -> None:
+    ) -> float | None:
+        """Return the tokens given, None if unknown or requested by another."""
         if request_state.pending is not None:
             await request_state.pending.wait()
-            return
+            return None
         finished = Event()
         request_state.pending = finished
         wanted = share.tokens_to_request(self._clock(), priority)
-        given: float | None = None
         try:
-            given = await self._tokens.request_tokens(
+            return await self._tokens.request_tokens(
                 organisation, wanted, share, priority
             )
         finally:
             request_state.pending = None
             finished.set()
-        if given is None:
-            return
-        if given < 1:
-            request_state.back_off(self._clock(), share.grant_count(priority))
-        else:
-            request_state.pause_s = 0
