No growing pause while all holders are left alone

A round in which no holder may be asked, since all failed to respond lately, counted as a refusal, and the pause doubled up to 1.2 s. Holders that could be asked again were left alone for longer. Such a round now begins a pause of 0.02 s that does not grow; looking for a holder sends no messages. Holders that are known to accept no connections are treated as before.

test_holder_that_may_be_asked_again_is_asked failed before: no holder was asked within 0.3 s of the time from which all could be asked.

--- a/tests/test_token_requests.py
+++ b/tests/test_token_requests.py
@@ -22,8 +22,10 @@
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
     TOKEN_WAIT_S,
+    UNASKED_PAUSE_S,
     Admission,
 )
+from trefoilhitch.pooler.control.failure_backoff import NoBackoff
 from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
@@ -146,16 +148,20 @@
 
 
 def make_requester(
-    holders: Holders, seed: int = 1, membership: Any = None
+    holders: Holders,
+    seed: int = 1,
+    membership: Any = None,
+    backoff: PeerBackoff | None = None,
 ) -> TokenRequester:
     """Return what requests tokens on the node that stands in."""
+    usual = PeerBackoff.with_backoff(Random(seed), trial_s=PEER_TIMEOUT_S)
     known = membership or SimpleNamespace(heartbeat=beat(0))
     return TokenRequester(
         membership=known,
         directory=cast(GatewayDirectory, holders),
         client=cast(PeerClient, holders),
         clock=current_time,
-        asked=PeerBackoff.with_backoff(Random(seed), trial_s=PEER_TIMEOUT_S),
+        asked=backoff or usual,
         metrics=Metrics(),
     )
 
@@ -164,12 +170,16 @@
     """A node that serves an organisation and holds no part of its rate."""
 
     def __init__(
-        self, holders: Holders, nursery: Nursery, seed: int = 1
+        self,
+        holders: Holders,
+        nursery: Nursery,
+        seed: int = 1,
+        backoff: PeerBackoff | None = None,
     ) -> None:
         """Start its requests."""
         self.own_share = RateShare(current_time())
         self.own_share.suspend(LIMIT)
-        self.requester = make_requester(holders, seed)
+        self.requester = make_requester(holders, seed, backoff=backoff)
         self.admission = Admission(
             rates=self,
             tokens=self.requester,
@@ -497,6 +507,42 @@
     assert not holders.asked
 
 
+class LeftAlone(NoBackoff):
+    """Leaves all nodes alone for some time.
+
+    Args:
+        until: monotonic time at which they may be asked again.
+
+    """
+
+    def __init__(self, until: float) -> None:
+        """Store the time."""
+        self._until = until
+
+    def may_ask(self, name: str, now: float) -> bool:
+        """Return whether the time has passed."""
+        return now >= self._until
+
+
+@with_virtual_clock
+async def test_holder_that_may_be_asked_again_is_asked() -> None:
+    """Guards against pauses that outlast those of silent holders."""
+    holders = Holders(frozenset(range(HOLDERS)), grant=give_all)
+    until = current_time() + MAX_PAUSE_S
+    backoff = PeerBackoff(LeftAlone(until), Random(1))
+    async with open_nursery() as nursery:
+        node = StandIn(holders, nursery, backoff=backoff)
+        await wait_all_tasks_blocked()
+        began = current_time()
+        await node.admit()
+        # Operations do not wait while nobody can be asked.
+        assert node.refused == [began]
+        await node.play([STEP_S * number for number in range(1500)])
+        nursery.cancel_scope.cancel()
+    _, first_asked_at, _ = holders.asked[0]
+    assert first_asked_at <= until + UNASKED_PAUSE_S + STEP_S
+
+
 @with_virtual_clock
 async def test_late_tokens_end_the_pause() -> None:
     """Guards against refusals after holders have tokens to spare again."""
--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -14,6 +14,7 @@
     AvailableTokens,
     RateShare,
 )
+from trefoilhitch.pooler.token_round import TokenOutcome, Unasked
 
 # Longest wait of an operation for tokens of other nodes.
 TOKEN_WAIT_S = 0.15
@@ -22,6 +23,9 @@
 # request that no node responded to, which tells nothing about their tokens.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.2
+# Pause while all nodes are left alone because they did not respond. Looking
+# for one that may be asked again sends no messages, so the pause is short.
+UNASKED_PAUSE_S = 0.02
 
 
 class RateSource(Protocol):
@@ -40,7 +44,7 @@
         wanted: float,
         share: RateShare,
         priority: int = HIGHEST_PRIORITY,
-    ) -> float | None:
+    ) -> TokenOutcome:
         """Request tokens, and wait until some arrive or no more will.
 
         Args:
@@ -51,7 +55,8 @@
 
         Returns:
             Number of tokens given; None while further nodes may respond, or
-            if none of those that were asked responded.
+            if none of those that were asked responded; the reason if none was
+            asked since all failed to respond lately.
 
         """
 
@@ -62,7 +67,8 @@
 
     Args:
         pending: set when the request that is under way has returned.
-        pause_s: length of the last pause in seconds, 0 after a success.
+        pause_s: length of the last pause after a refusal in seconds, 0 after
+            a success.
         paused_until: end of the pause.
         paused_at_count: grants that had arrived when the pause began.
 
@@ -78,17 +84,26 @@
         return now >= self.paused_until or grant_count != self.paused_at_count
 
     def record_result(
-        self, given: float, now: float, grant_count: int, *, is_admitted: bool
+        self,
+        given: float | Unasked,
+        now: float,
+        grant_count: int,
+        *,
+        is_admitted: bool,
     ) -> None:
         """Begin a pause unless the tokens sufficed for an operation."""
-        if given >= 1 or (given > 0 and is_admitted):
+        if isinstance(given, Unasked):
+            self._pause(UNASKED_PAUSE_S, now, grant_count)
+        elif given >= 1 or (given > 0 and is_admitted):
             self.pause_s = 0
         else:
-            self._back_off(now, grant_count)
+            self.pause_s = min(
+                MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s)
+            )
+            self._pause(self.pause_s, now, grant_count)
 
-    def _back_off(self, now: float, grant_count: int) -> None:
-        self.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
-        self.paused_until = now + self.pause_s
+    def _pause(self, pause_s: float, now: float, grant_count: int) -> None:
+        self.paused_until = now + pause_s
         self.paused_at_count = grant_count
 
 
@@ -262,7 +277,7 @@
         share: RateShare,
         request_state: _TokenRequestState,
         priority: int,
-    ) -> float | None:
+    ) -> TokenOutcome:
         """Return the tokens given, None if unknown or requested by another."""
         if request_state.pending is not None:
             await request_state.pending.wait()
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -16,7 +16,11 @@
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
-from trefoilhitch.pooler.token_round import TokenNeed, TokenRound
+from trefoilhitch.pooler.token_round import (
+    TokenNeed,
+    TokenOutcome,
+    TokenRound,
+)
 
 # Number of nodes from which the ones to ask are chosen.
 SAMPLE_SIZE = 16
@@ -96,7 +100,7 @@
         wanted: float,
         share: RateShare,
         priority: int = HIGHEST_PRIORITY,
-    ) -> float | None:
+    ) -> TokenOutcome:
         """Request tokens from other nodes, and wait for a response.
 
         A call joins an earlier round for the same need that has not ended.
@@ -109,7 +113,8 @@
 
         Returns:
             Number of tokens given; None while further nodes may respond, or
-            if none of those that were asked responded.
+            if none of those that were asked responded; the reason if none was
+            asked since all failed to respond lately.
 
         """
         if self._nursery is None:
@@ -211,7 +216,8 @@
         chosen = [
             peer
             for peer in nodes
-            if peer.address not in current.in_flight and self._may_ask(peer)
+            if peer.address not in current.in_flight
+            and self._may_ask(peer, current)
         ]
         expected = sum(not self._asked.has_failed(each.node) for each in chosen)
         part = current.missing / max(1, expected)
@@ -220,10 +226,13 @@
             nursery.start_soon(self._request_from, holder, part, current)
         return frozenset(peer.address for peer in chosen)
 
-    def _may_ask(self, peer: MemberBeat) -> bool:
+    def _may_ask(self, peer: MemberBeat, current: TokenRound) -> bool:
         if not self._client.may_reach(peer.address):
             return False
-        return self._asked.may_ask(peer.node)
+        if self._asked.may_ask(peer.node):
+            return True
+        current.leave_alone()
+        return False
 
     async def _request_from(
         self, peer: MemberBeat, wanted: float, asked_in: TokenRound
--- a/trefoilhitch/pooler/token_round.py
+++ b/trefoilhitch/pooler/token_round.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from trio import Event, move_on_at
 
@@ -10,6 +11,16 @@
 _ROUNDING = 1e-9
 
 
+class Unasked(Enum):
+    """Why no node was asked for tokens."""
+
+    LEFT_ALONE = 'left alone'
+
+
+# Number of tokens given; None if it is not known.
+TokenOutcome = float | Unasked | None
+
+
 @dataclass(frozen=True, slots=True)
 class TokenNeed:
     """Operations that need tokens.
@@ -52,6 +63,7 @@
         self._given: float = 0
         self._awaits_responses = bool(in_flight)
         self._has_response = False
+        self._leaves_nodes_alone = False
         self._is_settled = False
         self._changed = Event()
 
@@ -89,6 +101,10 @@
         self._awaits_responses = True
         self.in_flight.add(address)
 
+    def leave_alone(self) -> None:
+        """Record that a node is not asked because it did not respond."""
+        self._leaves_nodes_alone = True
+
     def record_result(self, granted: float | None) -> None:
         """Record that a request ended.
 
@@ -126,18 +142,22 @@
             while not condition():
                 await self._changed.wait()
 
-    def outcome(self) -> float | None:
+    def outcome(self) -> TokenOutcome:
         """Return what is known about the tokens of the nodes.
 
         Returns:
             Number of tokens given, at least 1 or final; None if further nodes
-            may respond or if none of those that were asked responded.
+            may respond or if none of those that were asked responded; the
+            reason if none was asked since all failed to respond lately.
 
         """
         if self.covers_operation:
             return self._given
-        is_known = self._has_response or not self._awaits_responses
-        return self._given if self._is_settled and is_known else None
+        if not self._is_settled:
+            return None
+        if self._awaits_responses:
+            return self._given if self._has_response else None
+        return Unasked.LEFT_ALONE if self._leaves_nodes_alone else self._given
 
     def _notify(self) -> None:
         changed = self._changed
