Grants that arrive after their expiry end no round

Tokens expire 0.5 s after they were requested, but a request may take longer. Expired tokens counted as given, so a round could end with tokens that cannot be spent, and they ended the pause. They now count as none; the node that granted them still counts as one that responds.

test_grant_that_arrives_after_its_expiry_ends_no_round failed before: a round ended with 2 tokens, none of which could be spent.

--- a/tests/test_token_requests.py
+++ b/tests/test_token_requests.py
@@ -597,3 +597,27 @@
         nursery.cancel_scope.cancel()
     spent = [share.try_spend(0) is not None for _ in range(3)]
     assert spent == [True, True, False]
+
+
+@with_virtual_clock
+async def test_grant_that_arrives_after_its_expiry_ends_no_round() -> None:
+    """Guards against rounds that end with tokens that nobody can spend."""
+    late_s = GRANT_LIFETIME_S + 0.01
+    holders = Holders(
+        frozenset((0, 1)), grant=give_all, delays_s={0: late_s, 1: late_s}
+    )
+    requester = make_requester(holders)
+    share = RateShare(current_time())
+    share.suspend(LIMIT)
+    async with open_nursery() as nursery:
+        nursery.start_soon(requester.run)
+        await wait_all_tasks_blocked()
+        began = current_time()
+        await requester.request_tokens(NAME, 2, share)
+        await sleep_until(began + late_s - STEP_S)
+        # The late grants arrive during this round.
+        outcome = await requester.request_tokens(NAME, 2, share)
+        nursery.cancel_scope.cancel()
+    assert not outcome
+    assert share.try_spend(current_time()) is None
+    assert not share.grant_count(0)
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -15,7 +15,11 @@
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PeerClient
-from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
+from trefoilhitch.pooler.rate_share import (
+    GRANT_LIFETIME_S,
+    HIGHEST_PRIORITY,
+    RateShare,
+)
 from trefoilhitch.pooler.token_round import (
     TokenNeed,
     TokenOutcome,
@@ -248,7 +252,10 @@
     async def _receive_grant(
         self, peer: MemberBeat, wanted: float, asked_in: TokenRound
     ) -> float | None:
-        """Return the tokens that a node grants, None if it does not respond."""
+        """Return the usable tokens that a node grants.
+
+        None if it does not respond.
+        """
         need = asked_in.need
         request = TokenRequest(
             organisation=need.organisation,
@@ -262,6 +269,8 @@
         self._asked.record(peer.node, answered=reply is not None)
         if reply is None:
             return None
+        if self._clock() >= sent_at + GRANT_LIFETIME_S:
+            return 0
         # More than requested would exceed the rate of the organisation.
         granted = min(reply.given, wanted)
         if granted > 0:
