Token requests drop the state of needs that ended

The set of awaited responses of each organisation and priority was kept for the life of the process. It is dropped once it is empty and no round uses it.

test_state_of_a_need_is_dropped failed before in both cases: the state of 3 of 3 needs remained.

--- a/tests/test_token_requests.py
+++ b/tests/test_token_requests.py
@@ -3,7 +3,7 @@
 They run with small fakes for the other nodes, on the virtual clock.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -621,3 +621,44 @@
     assert not outcome
     assert share.try_spend(current_time()) is None
     assert not share.grant_count(0)
+
+
+async def count_needs(reachable: Iterable[int]) -> tuple[int, int]:
+    """Return the needs with state while tokens are requested, and later."""
+    holders = Holders(frozenset(reachable), grant=give_none)
+    requester = make_requester(holders)
+    share = RateShare(current_time())
+    async with open_nursery() as nursery:
+        nursery.start_soon(requester.run)
+        await wait_all_tasks_blocked()
+        for number in range(3):
+            nursery.start_soon(
+                requester.request_tokens, f'{NAME}-{number}', 1, share
+            )
+        await wait_all_tasks_blocked()
+        during = requester.need_count
+        await sleep(2 * PEER_TIMEOUT_S)
+        nursery.cancel_scope.cancel()
+    return during, requester.need_count
+
+
+@pytest.mark.parametrize('reachable', [(), range(HOLDERS)])
+def test_state_of_a_need_is_dropped(reachable: Iterable[int]) -> None:
+    """Guards against state of organisations that ask for nothing any more."""
+    assert run_virtual(partial(count_needs, reachable)) == (3, 0)
+
+
+@with_virtual_clock
+async def test_awaited_response_outlives_its_round() -> None:
+    """Guards against a second request to a holder that has not responded."""
+    holders = Holders(frozenset())
+    requester = make_requester(holders)
+    share = RateShare(current_time())
+    async with open_nursery() as nursery:
+        nursery.start_soon(requester.run)
+        await wait_all_tasks_blocked()
+        await requester.request_tokens(NAME, 1, share)
+        await sleep(TOKEN_WAIT_S)
+        await requester.request_tokens(NAME, 1, share)
+        nursery.cancel_scope.cancel()
+    assert sorted(holders.asked_numbers()) == list(range(HOLDERS))
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -89,6 +89,11 @@
         self._rounds: dict[TokenNeed, TokenRound] = {}
         self._in_flight: dict[TokenNeed, set[str]] = {}
 
+    @property
+    def need_count(self) -> int:
+        """Number of needs with a round or an awaited response."""
+        return len(self._in_flight)
+
     async def run(self) -> None:
         """Run the requests, until cancelled."""
         try:
@@ -153,8 +158,17 @@
         try:
             await self._ask_in_turn(current, nursery, settled_by)
         finally:
-            self._rounds.pop(current.need)
-            current.settle()
+            self._end_round(current)
+
+    def _end_round(self, current: TokenRound) -> None:
+        self._rounds.pop(current.need)
+        self._drop_unused(current.need)
+        current.settle()
+
+    def _drop_unused(self, need: TokenNeed) -> None:
+        """Drop the state of a need without a round or an awaited response."""
+        if need not in self._rounds and not self._in_flight.get(need):
+            self._in_flight.pop(need, None)
 
     async def _ask_in_turn(
         self, current: TokenRound, nursery: Nursery, settled_by: float
@@ -245,6 +259,7 @@
             granted = await self._receive_grant(peer, wanted, asked_in)
         finally:
             asked_in.in_flight.discard(peer.address)
+            self._drop_unused(asked_in.need)
         # The response may arrive during a later round, or between two.
         current = self._rounds.get(asked_in.need, asked_in)
         current.record_result(granted)
