Names of token rounds and requesters state what they are

`covers_operation` and `is_satisfied` of a round are `has_whole_token` and `has_all_wanted`; the argument `asked` of the requester is `backoff`, which it is. The end of a round is derived from TOKEN_WAIT_S. No change of behaviour.

--- a/tests/test_token_requests.py
+++ b/tests/test_token_requests.py
@@ -161,7 +161,7 @@
         directory=cast(GatewayDirectory, holders),
         client=cast(PeerClient, holders),
         clock=current_time,
-        asked=backoff or usual,
+        backoff=backoff or usual,
         metrics=Metrics(),
     )
 
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -48,7 +48,9 @@
         directory=state.directory,
         client=state.client,
         clock=runtime.clock,
-        asked=PeerBackoff.with_backoff(runtime.random, trial_s=PEER_TIMEOUT_S),
+        backoff=PeerBackoff.with_backoff(
+            runtime.random, trial_s=PEER_TIMEOUT_S
+        ),
         metrics=runtime.metrics,
     )
 
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -11,6 +11,7 @@
 
 from trefoilhitch._generated.peer import MemberBeat, TokenReply, TokenRequest
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.admission import TOKEN_WAIT_S
 from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
@@ -36,9 +37,10 @@
 # Round trip between regions. More operations arrive while tokens of far nodes
 # are on their way, and could not wait for another round.
 FAR_DELAY_S = 0.1
-# A round ends after this time. An operation waits slightly longer (0.15 s), so
-# that it learns whether any node responded.
-ROUND_TIMEOUT_S = 0.14
+# A round ends this long before the operations that began it stop waiting, so
+# that they learn whether any node responded.
+ROUND_MARGIN_S = 0.01
+ROUND_TIMEOUT_S = TOKEN_WAIT_S - ROUND_MARGIN_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,7 @@
         directory: tells which nodes hold the rates.
         client: sends requests to other nodes.
         clock: seconds, on a clock that counts suspended time.
-        asked: tells which nodes may be asked.
+        backoff: tells which nodes may be asked.
         metrics: counts the rounds of requests.
 
     """
@@ -75,7 +77,7 @@
         directory: GatewayDirectory,
         client: PeerClient,
         clock: Callable[[], float],
-        asked: PeerBackoff,
+        backoff: PeerBackoff,
         metrics: Metrics,
     ) -> None:
         """Start without requests."""
@@ -83,7 +85,7 @@
         self._directory = directory
         self._client = client
         self._clock = clock
-        self._asked = asked
+        self._backoff = backoff
         self._metrics = metrics
         self._nursery: Nursery | None = None
         self._rounds: dict[TokenNeed, TokenRound] = {}
@@ -177,10 +179,12 @@
         candidates = self._candidates(current.need.organisation)
         near = self._ask_each(candidates.near, current, nursery)
         await current.wait_until(
-            lambda: current.is_satisfied or near.isdisjoint(current.in_flight),
+            lambda: (
+                current.has_all_wanted or near.isdisjoint(current.in_flight)
+            ),
             current_time() + NEAR_WAIT_S,
         )
-        if current.covers_operation:
+        if current.has_whole_token:
             return
         current.raise_wanted(
             current.share.tokens_to_request(
@@ -189,12 +193,12 @@
         )
         self._ask_each(candidates.far, current, nursery)
         await current.wait_until(
-            lambda: current.covers_operation or not current.in_flight,
+            lambda: current.has_whole_token or not current.in_flight,
             settled_by,
         )
         # Far nodes respond at about the same time.
         await current.wait_until(
-            lambda: current.is_satisfied or not current.in_flight,
+            lambda: current.has_all_wanted or not current.in_flight,
             min(settled_by, current_time() + NEAR_WAIT_S),
         )
 
@@ -237,7 +241,9 @@
             if peer.address not in current.in_flight
             and self._may_ask(peer, current)
         ]
-        expected = sum(not self._asked.has_failed(each.node) for each in chosen)
+        expected = sum(
+            not self._backoff.has_failed(each.node) for each in chosen
+        )
         part = current.missing / max(1, expected)
         for holder in chosen:
             current.add_request(holder.address)
@@ -247,7 +253,7 @@
     def _may_ask(self, peer: MemberBeat, current: TokenRound) -> bool:
         if not self._client.may_reach(peer.address):
             return False
-        if self._asked.may_ask(peer.node):
+        if self._backoff.may_ask(peer.node):
             return True
         current.leave_alone()
         return False
@@ -281,7 +287,7 @@
         reply = await self._client.request(
             peer.address, 'tokens', request, TokenReply
         )
-        self._asked.record(peer.node, answered=reply is not None)
+        self._backoff.record(peer.node, answered=reply is not None)
         if reply is None:
             return None
         if self._clock() >= sent_at + GRANT_LIFETIME_S:
--- a/trefoilhitch/pooler/token_round.py
+++ b/trefoilhitch/pooler/token_round.py
@@ -73,12 +73,12 @@
         return max(0, self._wanted - self._given)
 
     @property
-    def is_satisfied(self) -> bool:
+    def has_all_wanted(self) -> bool:
         """Whether all tokens that are needed have arrived."""
         return self.missing <= _ROUNDING
 
     @property
-    def covers_operation(self) -> bool:
+    def has_whole_token(self) -> bool:
         """Whether enough tokens for one operation have arrived."""
         return self._given >= 1
 
@@ -151,7 +151,7 @@
             reason if none was asked since all failed to respond lately.
 
         """
-        if self.covers_operation:
+        if self.has_whole_token:
             return self._given
         if not self._is_settled:
             return None
