Parts of the tokens needed are large enough to be granted

Divided among many holders, or when most of a token had arrived, the need was requested in smaller parts, none of which could be granted. A part is now at least MIN_GRANT_TOKENS.

test_missing_part_of_a_token_is_large_enough_to_be_granted failed before: the operation was refused.

--- a/tests/test_token_requests.py
+++ b/tests/test_token_requests.py
@@ -31,7 +31,11 @@
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PEER_TIMEOUT_S, PeerClient
 from trefoilhitch.pooler.rate_limit import RateLimit, RateRule
-from trefoilhitch.pooler.rate_share import GRANT_LIFETIME_S, RateShare
+from trefoilhitch.pooler.rate_share import (
+    GRANT_LIFETIME_S,
+    MIN_GRANT_TOKENS,
+    RateShare,
+)
 from trefoilhitch.pooler.token_requester import NEAR_WAIT_S, TokenRequester
 
 NAME = 'himal'
@@ -335,6 +339,19 @@
     assert sum(far) == pytest.approx(1)
 
 
+@with_virtual_clock
+async def test_missing_part_of_a_token_is_large_enough_to_be_granted() -> None:
+    """Guards against requests for less than holders grant at a time."""
+
+    def grant(number: int, message: TokenRequest) -> float:
+        if number < 2:
+            return 0.4
+        return message.wanted * (message.wanted >= MIN_GRANT_TOKENS)
+
+    node, _ = await admit_once(Holders(frozenset(range(HOLDERS)), grant=grant))
+    assert node.admitted
+
+
 # Refused with the need divided evenly, and with a whole token of each holder:
 # 9.6 and 57.6 %, 2.5 and 15.9 %, 12.4 and 37.5 %, 1.1 and 8.1 %, 0.3 and
 # 1.7 %, 3.1 and 17.8 %.
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -19,6 +19,7 @@
 from trefoilhitch.pooler.rate_share import (
     GRANT_LIFETIME_S,
     HIGHEST_PRIORITY,
+    MIN_GRANT_TOKENS,
     RateShare,
 )
 from trefoilhitch.pooler.token_round import (
@@ -229,7 +230,8 @@
 
         The part of each suffices without the nodes that failed to respond
         lately, which are asked as a trial. Larger parts would expire unused
-        and exceed what small rates can spare.
+        and exceed what small rates can spare; smaller ones than
+        `MIN_GRANT_TOKENS` are not granted.
 
         Returns:
             Peer addresses of the nodes that are asked.
@@ -244,7 +246,7 @@
         expected = sum(
             not self._backoff.has_failed(each.node) for each in chosen
         )
-        part = current.missing / max(1, expected)
+        part = max(MIN_GRANT_TOKENS, current.missing / max(1, expected))
         for holder in chosen:
             current.add_request(holder.address)
             nursery.start_soon(self._request_from, holder, part, current)
