--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -11,12 +11,22 @@
 
 from trefoilhitch._generated.peer import MemberBeat, TokenReply, TokenRequest
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.admission import TOKEN_WAIT_S
 from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_client import PeerClient
-from trefoilhitch.pooler.rate_share import HIGHEST_PRIORITY, RateShare
-from trefoilhitch.pooler.token_round import TokenNeed, TokenRound
+from trefoilhitch.pooler.rate_share import (
+    GRANT_LIFETIME_S,
+    HIGHEST_PRIORITY,
+    MIN_GRANT_TOKENS,
+    RateShare,
+)
+from trefoilhitch.pooler.token_round import (
+    TokenNeed,
+    TokenOutcome,
+    TokenRound,
+)
 
 # Number of nodes from which the ones to ask are chosen.
 SAMPLE_SIZE = 16
@@ -28,11 +38,10 @@
 # Round trip between regions. More operations arrive while tokens of far nodes
 # are on their way, and could not wait for another round.
 FAR_DELAY_S = 0.1
-# A round ends after this time. An operation waits slightly longer (0.15 s), so
-# that it learns whether any node responded.
-ROUND_TIMEOUT_S = 0.14
-# With less than a whole token, one reachable node could not cover an operation.
-MIN_WANTED = 1.0
+# A round ends this long before the operations that began it stop waiting, so
+# that they learn whether any node responded.
+ROUND_MARGIN_S = 0.01
+ROUND_TIMEOUT_S = TOKEN_WAIT_S - ROUND_MARGIN_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +66,7 @@
         directory: tells which nodes hold the rates.
         client: sends requests to other nodes.
         clock: seconds, on a clock that counts suspended time.
-        asked: tells which nodes may be asked.
+        backoff: tells which nodes may be asked.
         metrics: counts the rounds of requests.
 
     """
@@ -69,7 +78,7 @@
         directory: GatewayDirectory,
         client: PeerClient,
         clock: Callable[[], float],
-        asked: PeerBackoff,
+        backoff: PeerBackoff,
         metrics: Metrics,
     ) -> None:
         """Start without requests."""
@@ -77,12 +86,17 @@
         self._directory = directory
         self._client = client
         self._clock = clock
-        self._asked = asked
+        self._backoff = backoff
         self._metrics = metrics
         self._nursery: Nursery | None = None
         self._rounds: dict[TokenNeed, TokenRound] = {}
         self._in_flight: dict[TokenNeed, set[str]] = {}
 
+    @property
+    def need_count(self) -> int:
+        """Number of needs with a round or an awaited response."""
+        return len(self._in_flight)
+
     async def run(self) -> None:
         """Run the requests, until cancelled."""
         try:
@@ -98,7 +112,7 @@
         wanted: float,
         share: RateShare,
         priority: int = HIGHEST_PRIORITY,
-    ) -> float | None:
+    ) -> TokenOutcome:
         """Request tokens from other nodes, and wait for a response.
 
         A call joins an earlier round for the same need that has not ended.
@@ -111,7 +125,8 @@
 
         Returns:
             Number of tokens given; None while further nodes may respond, or
-            if none of those that were asked responded.
+            if none of those that were asked responded; the reason if none was
+            asked since all failed to respond lately.
 
         """
         if self._nursery is None:
@@ -146,8 +161,17 @@
         try:
             await self._ask_in_turn(current, nursery, settled_by)
         finally:
-            self._rounds.pop(current.need)
-            current.settle()
+            self._end_round(current)
+
+    def _end_round(self, current: TokenRound) -> None:
+        self._rounds.pop(current.need)
+        self._drop_unused(current.need)
+        current.settle()
+
+    def _drop_unused(self, need: TokenNeed) -> None:
+        """Drop the state of a need without a round or an awaited response."""
+        if need not in self._rounds and not self._in_flight.get(need):
+            self._in_flight.pop(need, None)
 
     async def _ask_in_turn(
         self, current: TokenRound, nursery: Nursery, settled_by: float
@@ -156,10 +180,12 @@
         candidates = self._candidates(current.need.organisation)
         near = self._ask_each(candidates.near, current, nursery)
         await current.wait_until(
-            lambda: current.is_satisfied or near.isdisjoint(current.in_flight),
+            lambda: (
+                current.has_all_wanted or near.isdisjoint(current.in_flight)
+            ),
             current_time() + NEAR_WAIT_S,
         )
-        if current.covers_operation:
+        if current.has_whole_token:
             return
         current.raise_wanted(
             current.share.tokens_to_request(
@@ -168,12 +194,12 @@
         )
         self._ask_each(candidates.far, current, nursery)
         await current.wait_until(
-            lambda: current.covers_operation or not current.in_flight,
+            lambda: current.has_whole_token or not current.in_flight,
             settled_by,
         )
         # Far nodes respond at about the same time.
         await current.wait_until(
-            lambda: current.is_satisfied or not current.in_flight,
+            lambda: current.has_all_wanted or not current.in_flight,
             min(settled_by, current_time() + NEAR_WAIT_S),
         )
 
@@ -202,6 +228,11 @@
     ) -> frozenset[str]:
         """Divide the missing tokens among those nodes that may be asked.
 
+        The part of each suffices without the nodes that failed to respond
+        lately, which are asked as a trial. Larger parts would expire unused
+        and exceed what small rates can spare; smaller ones than
+        `MIN_GRANT_TOKENS` are not granted.
+
         Returns:
             Peer addresses of the nodes that are asked.
 
@@ -209,18 +240,25 @@
         chosen = [
             peer
             for peer in nodes
-            if peer.address not in current.in_flight and self._may_ask(peer)
+            if peer.address not in current.in_flight
+            and self._may_ask(peer, current)
         ]
-        part = max(MIN_WANTED, current.missing / max(1, len(chosen)))
+        expected = sum(
+            not self._backoff.has_failed(each.node) for each in chosen
+        )
+        part = max(MIN_GRANT_TOKENS, current.missing / max(1, expected))
         for holder in chosen:
             current.add_request(holder.address)
             nursery.start_soon(self._request_from, holder, part, current)
         return frozenset(peer.address for peer in chosen)
 
-    def _may_ask(self, peer: MemberBeat) -> bool:
+    def _may_ask(self, peer: MemberBeat, current: TokenRound) -> bool:
         if not self._client.may_reach(peer.address):
             return False
-        return self._asked.may_ask(peer.node)
+        if self._backoff.may_ask(peer.node):
+            return True
+        current.leave_alone()
+        return False
 
     async def _request_from(
         self, peer: MemberBeat, wanted: float, asked_in: TokenRound
@@ -229,6 +267,7 @@
             granted = await self._receive_grant(peer, wanted, asked_in)
         finally:
             asked_in.in_flight.discard(peer.address)
+            self._drop_unused(asked_in.need)
         # The response may arrive during a later round, or between two.
         current = self._rounds.get(asked_in.need, asked_in)
         current.record_result(granted)
@@ -236,7 +275,10 @@
     async def _receive_grant(
         self, peer: MemberBeat, wanted: float, asked_in: TokenRound
     ) -> float | None:
-        """Return the tokens that a node grants, None if it does not respond."""
+        """Return the usable tokens that a node grants.
+
+        None if it does not respond.
+        """
         need = asked_in.need
         request = TokenRequest(
             organisation=need.organisation,
@@ -247,9 +289,11 @@
         reply = await self._client.request(
             peer.address, 'tokens', request, TokenReply
         )
-        self._asked.record(peer.node, answered=reply is not None)
+        self._backoff.record(peer.node, answered=reply is not None)
         if reply is None:
             return None
+        if self._clock() >= sent_at + GRANT_LIFETIME_S:
+            return 0
         # More than requested would exceed the rate of the organisation.
         granted = min(reply.given, wanted)
         if granted > 0:
--- a/trefoilhitch/pooler/token_round.py
+++ b/trefoilhitch/pooler/token_round.py
@@ -2,14 +2,26 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from trio import Event, move_on_at
 
 from trefoilhitch.pooler.rate_share import RateShare
 
+# Parts of a token, such as six sixths, may add up to slightly less than one.
 _ROUNDING = 1e-9
 
 
+class Unasked(Enum):
+    """Why no node was asked for tokens."""
+
+    LEFT_ALONE = 'left alone'
+
+
+# Number of tokens given; None if it is not known.
+TokenOutcome = float | Unasked | None
+
+
 @dataclass(frozen=True, slots=True)
 class TokenNeed:
     """Operations that need tokens.
@@ -52,6 +64,7 @@
         self._given: float = 0
         self._awaits_responses = bool(in_flight)
         self._has_response = False
+        self._leaves_nodes_alone = False
         self._is_settled = False
         self._changed = Event()
 
@@ -61,14 +74,14 @@
         return max(0, self._wanted - self._given)
 
     @property
-    def is_satisfied(self) -> bool:
+    def has_all_wanted(self) -> bool:
         """Whether all tokens that are needed have arrived."""
         return self.missing <= _ROUNDING
 
     @property
-    def covers_operation(self) -> bool:
+    def has_whole_token(self) -> bool:
         """Whether enough tokens for one operation have arrived."""
-        return self._given >= 1
+        return self._given >= 1 - _ROUNDING
 
     def raise_wanted(self, wanted: float) -> None:
         """Take into account that more tokens are needed than at the start.
@@ -89,6 +102,10 @@
         self._awaits_responses = True
         self.in_flight.add(address)
 
+    def leave_alone(self) -> None:
+        """Record that a node is not asked because it did not respond."""
+        self._leaves_nodes_alone = True
+
     def record_result(self, granted: float | None) -> None:
         """Record that a request ended.
 
@@ -126,18 +143,22 @@
             while not condition():
                 await self._changed.wait()
 
-    def outcome(self) -> float | None:
+    def outcome(self) -> TokenOutcome:
         """Return what is known about the tokens of the nodes.
 
         Returns:
             Number of tokens given, at least 1 or final; None if further nodes
-            may respond or if none of those that were asked responded.
+            may respond or if none of those that were asked responded; the
+            reason if none was asked since all failed to respond lately.
 
         """
-        if self.covers_operation:
+        if self.has_whole_token:
             return self._given
-        is_known = self._has_response or not self._awaits_responses
-        return self._given if self._is_settled and is_known else None
+        if not self._is_settled:
+            return None
+        if self._awaits_responses:
+            return self._given if self._has_response else None
+        return Unasked.LEFT_ALONE if self._leaves_nodes_alone else self._given
 
     def _notify(self) -> None:
         changed = self._changed
