--- a/trefoilhitch/pooler/admission.py
+++ b/trefoilhitch/pooler/admission.py
@@ -23,7 +23,7 @@
 # request that no node responded to, which tells nothing about their tokens.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 1.2
-# Pause while all nodes are left alone because they did not respond. Looking
+# Pause while this node backs off from all nodes, since none responded. Looking
 # for one that may be asked again sends no messages, so the pause is short.
 UNASKED_PAUSE_S = 0.02
 
@@ -193,11 +193,11 @@
         share = self._rates.share(organisation)
         if share is None:
             return AdmittedOperation()
-        rank = self._rank(priority)
-        share.record_request(self._clock(), rank)
-        spent = share.try_spend(self._clock(), rank)
+        effective = self._effective_priority(priority)
+        share.record_request(self._clock(), effective)
+        spent = share.try_spend(self._clock(), effective)
         if spent is None:
-            spent = await self._wait_for_tokens(organisation, share, rank)
+            spent = await self._wait_for_tokens(organisation, share, effective)
         if spent is None:
             self._metrics.count('rate_refusals', organisation)
             self._metrics.count('rate_refusals_by_priority', str(priority))
@@ -218,17 +218,17 @@
             The tokens, and whether other nodes would be asked for more.
 
         """
-        rank = self._rank(priority)
+        effective = self._effective_priority(priority)
         now = self._clock()
         # The accounts of the share itself stay as they are.
-        available = deepcopy(share).available(now, rank)
-        request_state = self._request_states.get((organisation, rank))
+        available = deepcopy(share).available(now, effective)
+        request_state = self._request_states.get((organisation, effective))
         may_ask = request_state is None or request_state.may_request(
-            now, share.grant_count(rank)
+            now, share.grant_count(effective)
         )
         return TokenOutlook(available, may_ask and not available.suffice)
 
-    def _rank(self, priority: int) -> int:
+    def _effective_priority(self, priority: int) -> int:
         return priority if self._by_priority else HIGHEST_PRIORITY
 
     async def _wait_for_tokens(
--- a/trefoilhitch/pooler/rate_share.py
+++ b/trefoilhitch/pooler/rate_share.py
@@ -37,7 +37,8 @@
 REQUEST_AHEAD_S = 0.1
 MIN_GRANT_TOKENS = 0.1
 HIGHEST_PRIORITY = 0
-_ROUNDING = 1e-9
+# Parts of a token, such as six sixths, may add up to slightly less than one.
+TOKEN_ROUNDING = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +59,7 @@
     @property
     def suffice(self) -> bool:
         """Whether the operation may spend one."""
-        return self.own + self.granted >= 1 + self.reserved - _ROUNDING
+        return self.own + self.granted >= 1 + self.reserved - TOKEN_ROUNDING
 
 
 class RateShare:
--- a/trefoilhitch/pooler/token_requester.py
+++ b/trefoilhitch/pooler/token_requester.py
@@ -157,9 +157,9 @@
         return started
 
     async def _run_round(self, current: TokenRound, nursery: Nursery) -> None:
-        settled_by = current_time() + ROUND_TIMEOUT_S
+        deadline = current_time() + ROUND_TIMEOUT_S
         try:
-            await self._ask_in_turn(current, nursery, settled_by)
+            await self._ask_in_turn(current, nursery, deadline)
         finally:
             self._end_round(current)
 
@@ -174,7 +174,7 @@
             self._in_flight.pop(need, None)
 
     async def _ask_in_turn(
-        self, current: TokenRound, nursery: Nursery, settled_by: float
+        self, current: TokenRound, nursery: Nursery, deadline: float
     ) -> None:
         """Ask near nodes, and far ones if these give too little."""
         candidates = self._candidates(current.need.organisation)
@@ -195,12 +195,12 @@
         self._ask_each(candidates.far, current, nursery)
         await current.wait_until(
             lambda: current.has_whole_token or not current.in_flight,
-            settled_by,
+            deadline,
         )
         # Far nodes respond at about the same time.
         await current.wait_until(
             lambda: current.has_all_wanted or not current.in_flight,
-            min(settled_by, current_time() + NEAR_WAIT_S),
+            min(deadline, current_time() + NEAR_WAIT_S),
         )
 
     def _candidates(self, organisation: str) -> _Candidates:
@@ -257,7 +257,7 @@
             return False
         if self._backoff.may_ask(peer.node):
             return True
-        current.leave_alone()
+        current.record_backoff()
         return False
 
     async def _request_from(
--- a/trefoilhitch/pooler/token_round.py
+++ b/trefoilhitch/pooler/token_round.py
@@ -6,19 +6,16 @@
 
 from trio import Event, move_on_at
 
-from trefoilhitch.pooler.rate_share import RateShare
-
-# Parts of a token, such as six sixths, may add up to slightly less than one.
-_ROUNDING = 1e-9
+from trefoilhitch.pooler.rate_share import TOKEN_ROUNDING, RateShare
 
 
 class Unasked(Enum):
     """Why no node was asked for tokens."""
 
-    LEFT_ALONE = 'left alone'
+    BACKED_OFF = 'backed off'
 
 
-# Number of tokens given; None if it is not known.
+# Number of tokens given, None if it is not known, or why no node was asked.
 TokenOutcome = float | Unasked | None
 
 
@@ -64,7 +61,7 @@
         self._given: float = 0
         self._awaits_responses = bool(in_flight)
         self._has_response = False
-        self._leaves_nodes_alone = False
+        self._has_backed_off = False
         self._is_settled = False
         self._changed = Event()
 
@@ -76,12 +73,12 @@
     @property
     def has_all_wanted(self) -> bool:
         """Whether all tokens that are needed have arrived."""
-        return self.missing <= _ROUNDING
+        return self.missing <= TOKEN_ROUNDING
 
     @property
     def has_whole_token(self) -> bool:
         """Whether enough tokens for one operation have arrived."""
-        return self._given >= 1 - _ROUNDING
+        return self._given >= 1 - TOKEN_ROUNDING
 
     def raise_wanted(self, wanted: float) -> None:
         """Take into account that more tokens are needed than at the start.
@@ -102,9 +99,9 @@
         self._awaits_responses = True
         self.in_flight.add(address)
 
-    def leave_alone(self) -> None:
+    def record_backoff(self) -> None:
         """Record that a node is not asked because it did not respond."""
-        self._leaves_nodes_alone = True
+        self._has_backed_off = True
 
     def record_result(self, granted: float | None) -> None:
         """Record that a request ended.
@@ -158,7 +155,7 @@
             return None
         if self._awaits_responses:
             return self._given if self._has_response else None
-        return Unasked.LEFT_ALONE if self._leaves_nodes_alone else self._given
+        return Unasked.BACKED_OFF if self._has_backed_off else self._given
 
     def _notify(self) -> None:
         changed = self._changed
