--- a/trefoilhitch/pooler/member_registry.py
+++ b/trefoilhitch/pooler/member_registry.py
@@ -7,12 +7,13 @@
 failed after a timeout. Changes travel on messages that are sent anyway, each a
 number of times that grows with the logarithm of the number of members. As in
 Lifeguard (Dadgar, Phillips, Currey 2018), a node whose own requests fail
-often waits longer before it declares others failed. A node that no helper
-reaches either is no failure of the node's own.
+often waits longer before it declares others failed. A silent node counts as
+such a failure only if none of the nodes that were asked to probe it responded.
 """
 
+from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import ceil, log2
 from types import MappingProxyType
 
@@ -32,6 +33,13 @@
 # are expensive.
 MAX_NEAR_CHANGES = 24
 MAX_FAR_CHANGES = 10
+# Both by whether the receiver is in the data centre of this node.
+_SPREAD_FACTORS = MappingProxyType(
+    {True: NEAR_SPREAD_FACTOR, False: FAR_SPREAD_FACTOR}
+)
+_MAX_CHANGES = MappingProxyType(
+    {True: MAX_NEAR_CHANGES, False: MAX_FAR_CHANGES}
+)
 # Highest number of own failures that lengthen the suspicion timeout.
 MAX_OWN_FAILURES = 4
 # Counter from which a node begins another incarnation to contradict others.
@@ -50,16 +58,14 @@
     Args:
         beat: newest state.
         changed_at: when the state was learnt, in seconds.
-        near_sends_left: how often the state is still to be sent within the data
-            centre.
-        far_sends_left: how often it is still to be sent to others.
+        sends_left: how often the state is still to be sent, by whether the
+            receivers are in the data centre of this node.
 
     """
 
     beat: MemberBeat
     changed_at: float
-    near_sends_left: int = 0
-    far_sends_left: int = 0
+    sends_left: Counter[bool] = field(default_factory=Counter)
 
 
 class MemberRegistry:
@@ -167,7 +173,13 @@
             near: whether the receiver is in the data centre of this node.
 
         """
-        chosen = self._near_changes() if near else self._far_changes()
+        pending = [
+            each for each in self._members.values() if each.sends_left[near]
+        ]
+        pending.sort(key=lambda each: -each.sends_left[near])
+        chosen = pending[: _MAX_CHANGES[near]]
+        for member in chosen:
+            member.sends_left[near] -= 1
         return [each.beat for each in chosen]
 
     def beats(self) -> list[MemberBeat]:
@@ -205,34 +217,15 @@
             self._own = replace_message(own, incarnation=incarnation, counter=1)
         self._store(self._own, now)
 
-    def _near_changes(self) -> list[Member]:
-        pending = [
-            each for each in self._members.values() if each.near_sends_left
-        ]
-        pending.sort(key=lambda each: -each.near_sends_left)
-        chosen = pending[:MAX_NEAR_CHANGES]
-        for member in chosen:
-            member.near_sends_left -= 1
-        return chosen
-
-    def _far_changes(self) -> list[Member]:
-        pending = [
-            each for each in self._members.values() if each.far_sends_left
-        ]
-        pending.sort(key=lambda each: -each.far_sends_left)
-        chosen = pending[:MAX_FAR_CHANGES]
-        for member in chosen:
-            member.far_sends_left -= 1
-        return chosen
-
     def _store(self, beat: MemberBeat, now: float) -> None:
         logarithm = ceil(log2(len(self._members) + 1))
-        self._members[beat.node] = Member(
-            beat,
-            now,
-            near_sends_left=NEAR_SPREAD_FACTOR * logarithm,
-            far_sends_left=ceil(FAR_SPREAD_FACTOR * logarithm),
+        sends = Counter(
+            {
+                near: ceil(factor * logarithm)
+                for near, factor in _SPREAD_FACTORS.items()
+            }
         )
+        self._members[beat.node] = Member(beat, now, sends)
         self.version += 1
 
     def _forget(self, now: float) -> None:
