--- a/tests/test_lease_eras.py
+++ b/tests/test_lease_eras.py
@@ -58,14 +58,14 @@
 
     def restore(self) -> None:
         """Return to the first lease, in a new era."""
-        self._era.observe(self._era.current + 1, 'store')
+        self._era.observe(self._era.current + 1)
         self.lease = replace(OLD, era=self._era.current)
 
 
 def new_era() -> StoreEra:
     """Return the first era."""
     era = StoreEra(clock=current_time, log=NullLog())
-    era.observe(1, 'store')
+    era.observe(1)
     return era
 
 
--- a/tests/test_object_watcher.py
+++ b/tests/test_object_watcher.py
@@ -60,7 +60,7 @@
         self.listed: list[int] = []
         self.changed: list[int] = []
         self.era = StoreEra(clock=current_time, log=NullLog())
-        self.era.observe(1, 'store')
+        self.era.observe(1)
         self.watcher = ObjectWatcher[int](
             kind='declaration',
             source=self.source,
@@ -86,7 +86,7 @@
         nursery.start_soon(watched.watcher.run)
         await sleep(SOON_S)
         watched.restore()
-        watched.era.observe(2, 'peer')
+        watched.era.observe(2)
         await sleep(SOON_S)
         assert watched.listed == [1, 2]
         assert watched.watcher.era == 2
@@ -101,7 +101,7 @@
         await sleep(SOON_S)
         watched.restore()
         # Nothing but the response of the watch names the new era.
-        watched.era.observe(2, 'store')
+        watched.era.observe(2)
         await sleep(3 * SOON_S)
         assert watched.listed == [1, 2]
         nursery.cancel_scope.cancel()
--- a/tests/test_seen_leases.py
+++ b/tests/test_seen_leases.py
@@ -97,7 +97,7 @@
 def seen_leases(store: Store, holder: Any) -> SeenLeases:
     """Return the leases as a node sees them."""
     era = StoreEra(clock=current_time, log=NullLog())
-    era.observe(store.lease.era, 'store')
+    era.observe(store.lease.era)
     return SeenLeases(
         leases=LeaseClient(store),
         client=holder,
--- a/tests/test_store_era_hints.py
+++ b/tests/test_store_era_hints.py
@@ -36,7 +36,7 @@
         self.is_away = False
         self.asked_at: list[float] = []
         self.era = StoreEra(clock=current_time, log=NullLog())
-        self.era.observe(1, 'store')
+        self.era.observe(1)
         self.era.confirm(current_time())
         self.checker = EraChecker(
             era=self.era, ask=self.ask, random=Random(1), log=NullLog()
@@ -49,7 +49,7 @@
         await sleep(ROUND_TRIP_S)
         if self.is_away:
             raise StoreUnavailableError('away')
-        self.era.observe(self.named, 'store')
+        self.era.observe(self.named)
         self.era.confirm(sent_at)
 
 
--- a/trefoilhitch/platform/object_store.py
+++ b/trefoilhitch/platform/object_store.py
@@ -290,7 +290,7 @@
         return resp
 
     def _check_era(self, era: int) -> None:
-        self._era.observe(era, 'store')
+        self._era.observe(era)
         if era and era != self._era.current:
             raise EarlierEraError(f'response of the earlier era {era}')
 
--- a/trefoilhitch/pooler/store_era.py
+++ b/trefoilhitch/pooler/store_era.py
@@ -86,12 +86,11 @@
             self._is_hinted = Event()
             await self._is_hinted.wait()
 
-    def observe(self, era: int, source: str) -> None:
+    def observe(self, era: int) -> None:
         """Record an era that the store named.
 
         Args:
             era: the era; an older one changes nothing.
-            source: who named it, for the log.
 
         """
         if era <= self.current:
@@ -100,7 +99,7 @@
             'store_era_changed',
             previous=self.current,
             era=era,
-            source=source,
+            source='store',
         )
         self.current = era
         self.seen_at = self._clock()
