--- a/tests/lag_model.py
+++ b/tests/lag_model.py
@@ -16,7 +16,7 @@
 )
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import NullLog
-from trefoilhitch.pooler.balancing.log_positions import TrialTurn
+from trefoilhitch.pooler.balancing.trial_turn import TrialTurn
 from trefoilhitch.pooler.catalogue import Freshness, Route
 from trefoilhitch.pooler.cluster_state import ClusterState, record_lagging
 from trefoilhitch.pooler.endpoint_selection import ReadRequirements
--- a/tests/test_lagging_replicas.py
+++ b/tests/test_lagging_replicas.py
@@ -28,7 +28,7 @@
     is_expected_at,
     observed_lag_s,
 )
-from trefoilhitch.pooler.balancing.log_positions import (
+from trefoilhitch.pooler.balancing.trial_turn import (
     TRIAL_INTERVAL_S,
     TrialTurn,
 )
--- a/trefoilhitch/pooler/balancing/position_observer.py
+++ b/trefoilhitch/pooler/balancing/position_observer.py
@@ -6,9 +6,9 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.peer import EndpointLoad
+from trefoilhitch.pooler.balancing.endpoint_log import SIGHTING_VALID_S
 from trefoilhitch.pooler.balancing.log_lag import Sighting
 from trefoilhitch.pooler.balancing.log_positions import (
-    SIGHTING_VALID_S,
     LogPositions,
     read_sighting,
 )
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -11,16 +11,14 @@
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.lag_ranking import rank_with_trials
-from trefoilhitch.pooler.balancing.log_positions import (
-    LogPositions,
-    TrialTurn,
-)
+from trefoilhitch.pooler.balancing.log_positions import LogPositions
 from trefoilhitch.pooler.balancing.position_observer import (
     PositionObserver,
 )
 from trefoilhitch.pooler.balancing.read_balancer import (
     ReadBalancer,
 )
+from trefoilhitch.pooler.balancing.trial_turn import TrialTurn
 from trefoilhitch.pooler.circuit_breakers import CircuitBreakers
 from trefoilhitch.pooler.commit_tracker import CommitTracker
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
@@ -55,7 +53,8 @@
 AVOID_SILENT_S = 2.0
 # How long an endpoint is avoided that closed a connection.
 AVOID_CLOSED_S = 0.5
-# How long a replica is avoided for reads after its log lagged.
+# How long a replica is avoided after it refused a read because of its position,
+# unless its log is known to be behind: then reads are chosen by its position.
 AVOID_LAGGING_S = 0.4
 # A planned change of the primary is complete within this time.
 PLANNED_CHANGE_S = 1.0
@@ -175,26 +174,6 @@
         record = self.find(primary) if primary else None
         return record.data_centre if record else ''
 
-    def service_with_oldest_proof(self, older_than_s: float) -> str | None:
-        """Return the service whose newest proof is the oldest.
-
-        Args:
-            older_than_s: minimum age of the proof in seconds.
-
-        Returns:
-            The service, None if all proofs are newer.
-
-        """
-        max_sent_at = self.clock() - older_than_s
-        oldest = min(
-            self.observations.newest_per_service(),
-            key=lambda observation: observation.sent_at,
-            default=None,
-        )
-        if oldest is None or oldest.sent_at > max_sent_at:
-            return None
-        return oldest.service
-
     def proved_term(self, service: str) -> int:
         """Return the latest proved term of a service.
 
--- a/trefoilhitch/pooler/state_components.py
+++ b/trefoilhitch/pooler/state_components.py
@@ -6,7 +6,7 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
-from trefoilhitch.pooler.balancing.log_positions import TrialTurn
+from trefoilhitch.pooler.balancing.trial_turn import TrialTurn
 from trefoilhitch.pooler.circuit_breakers import (
     TRIAL_INTERVAL_S,
     TRIAL_TIMEOUT_S,
