--- a/trefoilhitch/pooler/balancing/lag_ranking.py
+++ b/trefoilhitch/pooler/balancing/lag_ranking.py
@@ -25,12 +25,12 @@
     """
     if not lagging:
         return rank(()), ''
-    former = rank(())
-    preferred = _first(former)
+    unrestricted = rank(())
+    preferred = _first(unrestricted)
     if preferred not in lagging:
         return rank(lagging), ''
     if may_try(preferred):
-        return former, 'tried'
+        return unrestricted, 'tried'
     ranking = rank(lagging)
     return ranking, '' if _first(ranking) in lagging else 'avoided'
 
--- a/trefoilhitch/pooler/endpoint_selection.py
+++ b/trefoilhitch/pooler/endpoint_selection.py
@@ -226,9 +226,7 @@
     observation = _find_observation(requirements, observations)
     if observation is None:
         return None
-    return later_position(
-        observation.position, requirements.last_commit_position
-    )
+    return _minimum_position(requirements, observation)
 
 
 def choose_read_target(
@@ -257,9 +255,7 @@
     """
     observation = _find_observation(requirements, observations)
     if observation is not None:
-        minimum_position = later_position(
-            observation.position, requirements.last_commit_position
-        )
+        minimum_position = _minimum_position(requirements, observation)
         for record in ranked:
             if record.endpoint not in tried:
                 return Target(
@@ -298,7 +294,7 @@
         return _proved_target(requirements, primary)
     return Target(
         primary,
-        later_position(observation.position, requirements.last_commit_position),
+        _minimum_position(requirements, observation),
         observation.sent_at,
         requires_primary_proof=False,
     )
@@ -330,6 +326,14 @@
     )
 
 
+def _minimum_position(
+    requirements: ReadRequirements, observation: PrimaryObservation
+) -> LogPosition | None:
+    return later_position(
+        observation.position, requirements.last_commit_position
+    )
+
+
 def _proved_target(requirements: ReadRequirements, primary: str) -> Target:
     return Target(
         primary,
--- a/trefoilhitch/pooler/explaining/endpoint_explainer.py
+++ b/trefoilhitch/pooler/explaining/endpoint_explainer.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Candidate:
+class _Candidate:
     """An endpoint that may run a request.
 
     Args:
@@ -85,17 +85,17 @@
 
     def _candidates(
         self, expected: ExpectedTarget, others: Sequence[str]
-    ) -> Iterator[Candidate]:
+    ) -> Iterator[_Candidate]:
         target = expected.target
         first = [target.endpoint] if target else []
         ranked = [record.endpoint for record in expected.ranking]
         for endpoint in dict.fromkeys((*first, *ranked, *others)):
             record = self._cluster.find(endpoint)
             if record is not None:
-                yield Candidate(record, expected.shares.get(endpoint, 0))
+                yield _Candidate(record, expected.shares.get(endpoint, 0))
 
     def _explain_one(
-        self, candidate: Candidate, organisation: str
+        self, candidate: _Candidate, organisation: str
     ) -> ExplainedEndpoint:
         cluster = self._cluster
         record = candidate.record
--- a/trefoilhitch/pooler/gateway_directory.py
+++ b/trefoilhitch/pooler/gateway_directory.py
@@ -1,4 +1,4 @@
-"""The gateways as this node sees them, computed when the members change."""
+"""The gateways and the holders of rates, as this node sees the members."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
