--- /dev/null
+++ b/review/cases_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the cases of the second review."""
