--- a/review/cases_2/backends.py
+++ b/review/cases_2/backends.py
@@ -254,14 +254,16 @@
             return await self._control(verb, words)
         if self.state == 'E' and verb not in {'COMMIT', 'ROLLBACK'}:
             return self._error('MALFORMED')
-        if verb in {'SET', 'RESET', 'PREPARE', 'DEALLOC', 'ROLLBACK'}:
-            return self._local(verb, words)
+        if verb == 'PREPARE':
+            return self._prepare(text)
+        if verb in {'SET', 'RESET', 'DEALLOC', 'ROLLBACK'}:
+            return self._local(verb)
         if verb == 'BEGIN':
             return self._begin(read_only=bool(words))
         if verb == 'COMMIT':
             return await self._commit(request_id)
         await asyncio.sleep(WORK_S)
-        return await self._run_access(request_id, verb, words)
+        return await self._run_access(request_id, verb, text.split(' ')[1:])
 
     async def _control(self, verb: str, words: list[str]) -> list[str]:
         backend = self._backend
@@ -279,10 +281,15 @@
             backend.group.note(f'order {verb} {term}', backend.status())
         return [backend.status(), 'COMPLETE -']
 
-    def _local(self, verb: str, words: list[str]) -> list[str]:
-        if verb == 'PREPARE':
-            self._prepared[words[0]] = words[1], words[2]
-        elif verb == 'RESET':
+    def _prepare(self, text: str) -> list[str]:
+        words = text.split(' ', 3)
+        if len(words) < 4 or words[2] not in {'READ', 'WRITE'}:
+            return self._error('MALFORMED')
+        self._prepared[words[1]] = words[2], words[3]
+        return ['COMPLETE -']
+
+    def _local(self, verb: str) -> list[str]:
+        if verb == 'RESET':
             self._prepared.clear()
         elif verb == 'ROLLBACK':
             self._end()
@@ -301,7 +308,8 @@
         if verb == 'EXECUTE':
             if words[0] not in self._prepared:
                 return self._error('NOSTMT')
-            verb, words = self._prepared[words[0]][0], words[1:]
+            (verb, shape), words = self._prepared[words[0]], words[1:]
+            self._backend.group.executed.append((request_id, shape, words))
         backend = self._backend
         if (self._plain or verb == 'WRITE') and backend.role != 'primary':
             self.state = 'I' if self.state == 'I' else 'E'
@@ -311,7 +319,7 @@
             for entry in backend.log:
                 found = entry.writes.get(words[0], found)
             return [f'DATAROW {found}', f'COMPLETE {self._receipt(request_id)}']
-        self._writes[words[0]] = words[1]
+        self._writes[words[0]] = ' '.join(words[1:])
         self._ids = (*self._ids, request_id)
         if self.state == 'I':
             return await self._commit(request_id)
@@ -369,6 +377,8 @@
         # Acknowledged commits that a promoted back end lacked.
         self.lost: list[tuple[str, Entry]] = []
         self.promotions = 0
+        # Prepared statements that ran: request id, shape, item and data.
+        self.executed: list[tuple[str, str, list[str]]] = []
         self._change = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
