--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,24 +1,21 @@
-"""A fenced replica restarts while a failover call is unanswered."""
+"""Two orders of a planned replacement of a primary are left unanswered."""
 
 import asyncio
 from pathlib import Path
 
 from review.cases_2.stack import Stack, Writers, judge_lost, run_case
 
-SERVICES = ('ledger', 'catalogue', 'visits')
-# A call without an answer is carried out 2 to 12 s later.
-LATE_S = 6.0
-PRIMARY_DOWN_S = 2.0
-REPLICA_DOWN_S = 0.5
+SERVICES = ('ledger', 'catalogue')
+# Orders that are left unanswered are carried out 2 to 12 s later.
+LATE_S = 5.0
 
 
 async def play(stack: Stack, trouble: bool) -> bool:
-    """Crash the primaries for two seconds while clients write.
+    """Let the primaries of two services leave while clients write.
 
     Args:
         stack: the stack.
-        trouble: whether the first failover call of a service is left
-            unanswered, and one of its replicas restarts then.
+        trouble: whether two of the eight orders are left unanswered.
 
     Returns:
         Whether the rule held.
@@ -26,39 +23,24 @@
     """
     writers = [Writers(stack, service) for service in SERVICES]
     for each in writers:
-        each.start(pause_s=0.5)
+        each.start(pause_s=1.6)
     await asyncio.sleep(4)
+    primary = stack.groups['ledger'].backends['i-ledger-0']
     replica = stack.groups['ledger'].backends['i-ledger-2']
-    loop = asyncio.get_running_loop()
-    left: list[str] = []
-
-    async def restart() -> None:
-        stack.record.note('a replica crashes', replica.status())
-        replica.crash()
-        await asyncio.sleep(REPLICA_DOWN_S)
-        replica.forget()
-        await replica.start()
-        stack.record.note('the replica is back', replica.status())
-
-    def delay(service: str) -> float | None:
-        if not trouble or service != 'ledger' or left:
-            return None
-        left.append(service)
-        loop.create_task(restart())
-        return LATE_S
-
-    stack.failover.delay = delay
-    primaries = [
-        next(iter(each.backends.values())) for each in stack.groups.values()
-    ]
-    for primary in primaries:
-        stack.record.note('a primary crashes', primary.status())
-        primary.crash()
-    await asyncio.sleep(PRIMARY_DOWN_S)
-    for primary in primaries:
-        await primary.start()
-        stack.record.note('the primary is back', primary.status())
-    await asyncio.sleep(10)
+    if trouble:
+        primary.order_delay = lambda verb: (
+            LATE_S if verb == 'STEPDOWN' else None
+        )
+        replica.order_delay = lambda verb: LATE_S if verb == 'PAUSE' else None
+    for group in stack.groups.values():
+        leaving = next(iter(group.backends.values()))
+        leaving.state = 'draining'
+        leaving.register()
+        stack.record.note('the primary leaves', leaving.name)
+    await asyncio.sleep(3)
+    # Later orders are answered.
+    primary.order_delay = replica.order_delay = lambda _verb: None
+    await asyncio.sleep(7)
     for each in writers:
         await each.stop()
         stack.record.note('answers to writes', each.outcomes)
--- a/review/cases_2/backends.py
+++ b/review/cases_2/backends.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from review.cases_2.http_api import Store
+from review.cases_2.http_api import Store, free_port
 
 HOST = '127.0.0.1'
 HEARTBEAT_S = 1.2
@@ -107,10 +107,10 @@
 
     async def start(self) -> None:
         """Start, or start again under the same id and address."""
+        self.port = self.port or free_port(HOST)
         self.server = await asyncio.start_server(
             self._serve, HOST, self.port, limit=2 * 1024 * 1024
         )
-        self.port = self.server.sockets[0].getsockname()[1]
         self.up = True
         self.held = 0
         self.born = int(time.time() * _MS_PER_S)
--- a/review/cases_2/http_api.py
+++ b/review/cases_2/http_api.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import json
+import random
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
+# Below the ports that the system gives to connections, which could take the
+# port of a server that is down for a moment.
+FIRST_PORT = 12000
+LAST_PORT = 31000
 PAGE_OBJECTS = 500
 HISTORY_EVENTS = 5000
 STORE_DELAY_S = 0.004
@@ -30,6 +36,23 @@
 ]
 
 
+def free_port(host: str) -> int:
+    """Return a port on which nothing listens at an address.
+
+    Args:
+        host: loopback address.
+
+    """
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
+        return port
+
+
 async def serve_http(
     host: str, handler: Handler, headers: dict[str, str] | None = None
 ) -> tuple[asyncio.Server, str]:
@@ -59,8 +82,8 @@
         finally:
             writer.close()
 
-    server = await asyncio.start_server(on_connection, host, 0)
-    port = server.sockets[0].getsockname()[1]
+    port = free_port(host)
+    server = await asyncio.start_server(on_connection, host, port)
     return server, f'{host}:{port}'
 
 
--- a/review/cases_2/stack.py
+++ b/review/cases_2/stack.py
@@ -15,7 +15,14 @@
 from typing import Any
 
 from review.cases_2.backends import Backend, Group
-from review.cases_2.http_api import CONFLICT, OK, Answer, Store, serve_http
+from review.cases_2.http_api import (
+    CONFLICT,
+    OK,
+    Answer,
+    Store,
+    free_port,
+    serve_http,
+)
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_HOST = '127.0.0.2'
@@ -25,6 +32,7 @@
 TENANT = 'tenant-one'
 PROMOTE_S = 0.6
 READY_TIMEOUT_S = 40
+STOP_TIMEOUT_S = 3
 RULE_BROKEN = 1
 RULE_HELD = 0
 NOT_RUN = 2
@@ -205,15 +213,6 @@
             self._writer.close()
 
 
-def _free_port(host: str) -> int:
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 class Node:
     """A node of the project, as a process.
 
@@ -234,8 +233,8 @@
         self._folder = folder
         self._addresses = addresses
         self._process: subprocess.Popen[bytes] | None = None
-        ports = {name: _free_port(self.ip) for name in ('front', 'ready')}
-        ports['control'] = _free_port(self.ip)
+        ports = {name: free_port(self.ip) for name in ('front', 'ready')}
+        ports['control'] = free_port(self.ip)
         self.addresses = {
             name: f'{self.ip}:{port}' for name, port in ports.items()
         }
@@ -472,6 +471,7 @@
         self._service = service
         self._tasks: list[asyncio.Task[None]] = []
         self._count = 0
+        self._is_stopping = False
 
     def start(self, *, pause_s: float) -> None:
         """Start one client at each node."""
@@ -482,13 +482,15 @@
 
     async def stop(self) -> None:
         """End the clients."""
+        self._is_stopping = True
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # A cancellation may be lost if an answer arrives at the same moment.
+        await asyncio.wait(self._tasks, timeout=STOP_TIMEOUT_S)
 
     async def _run(self, node: Node, number: int, pause_s: float) -> None:
         await asyncio.sleep(pause_s * number / max(1, len(self._stack.nodes)))
-        while True:
+        while not self._is_stopping:
             client = Client(node.addresses['front'], f'{self._service}-primary')
             try:
                 if await client.open():
@@ -500,7 +502,7 @@
             await asyncio.sleep(0.05)
 
     async def _write(self, client: Client, number: int, pause_s: float) -> None:
-        while True:
+        while not self._is_stopping:
             self._count += 1
             request_id = f'w{number}x{self._count:06d}'
             outcome, _, state = await client.run(
@@ -560,6 +562,11 @@
     record.note('case', f'{folder.name}, TROUBLE={int(trouble)}')
 
     async def main() -> int:
+        task = asyncio.current_task()
+        if task is not None:
+            # Whoever ends the case ends its processes too.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             stack = Stack(record, Path(temporary), services)
             try:
@@ -577,7 +584,12 @@
 
     try:
         code = asyncio.run(main())
-    except (NotRunError, OSError, asyncio.TimeoutError) as exc:
+    except (
+        NotRunError,
+        OSError,
+        asyncio.TimeoutError,
+        asyncio.CancelledError,
+    ) as exc:
         record.note('the case could not run', repr(exc))
         code = NOT_RUN
     record.note('exit code', code)
