A primary that was not demoted does not count as fenced

Cause: GroupFence took every row that names the fence's term for a fence. A primary whose STEPDOWN was lost answers PAUSE with that term and its role, primary, and goes on: it acknowledged commits that the replica without a fence received, while the other, fenced one was promoted. The decision found the primary among the fenced ones and asked for no further replica.

Change: one method tells what makes an endpoint fenced (its role and the term), and the first fence, its extension and its confirmation use it. An endpoint that answers PAUSE as primary is demoted and fenced again at once, so that a lost STEPDOWN costs one more round trip and not a whole failover.

Why it works: a replica makes no commits, and a fenced one receives none, so nothing can be acknowledged that the fenced endpoints lack.

The lab's endpoints can leave control statements unanswered and carry them out late, and start again without a fence.

--- /dev/null
+++ b/tests/test_unproved_fences.py
@@ -0,0 +1,103 @@
+"""A promotion relies on a fence that an endpoint does not hold."""
+
+from collections.abc import Callable
+from functools import partial
+
+import pytest
+from trio import Nursery, current_time, open_nursery, sleep
+
+from tests import test_wire_failover as failover
+from tests.support import run_virtual
+from tests.test_wire_failover import RECORDED_S, TARGET_GAP_S, primary_of
+from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
+
+REPLICAS = ('ledger-1', 'ledger-2')
+# A late order is carried out this long after it was sent.
+LATE_S = 5.0
+# Time from the start of a planned replacement in which orders get no answer.
+ORDERS_S = 3
+POLL_S = 0.01
+WRITERS = 2
+WRITE_PAUSE_S = 0.03
+Trouble = Callable[[WireStack], None]
+
+
+async def write_always(stack: WireStack, writer: int) -> None:
+    """Write without end, as a client does that retries."""
+    number = 0
+    while True:
+        number += 1
+        await failover.write(stack, f'w{writer}-{number}')
+        await sleep(WRITE_PAUSE_S)
+
+
+def start_writers(stack: WireStack, nursery: Nursery) -> None:
+    """Start clients that write without end."""
+    for writer in range(WRITERS):
+        nursery.start_soon(write_always, stack, writer)
+
+
+def leave_unanswered(stack: WireStack, orders: dict[str, str]) -> None:
+    """Leave one control verb unanswered at each of the named endpoints."""
+    for endpoint, verb in orders.items():
+        faults = stack.group.endpoints[endpoint].faults
+        faults.late_orders = {verb: LATE_S}
+
+
+def let_leave(stack: WireStack, endpoint: str) -> None:
+    """Let an endpoint announce its planned shutdown."""
+    entry = stack.endpoint_entry(endpoint, state='draining')
+    stack.store_state.put('servers', endpoint, entry)
+
+
+async def answer_later(stack: WireStack) -> None:
+    """Let all orders be answered after a while."""
+    await sleep(ORDERS_S)
+    for each in stack.group.endpoints.values():
+        each.faults.late_orders = {}
+
+
+async def replace_leaving(orders: dict[str, str], within_s: float) -> None:
+    """Replace a leaving primary while orders are left unanswered."""
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        await sleep(RECORDED_S)
+        old = primary_of(stack)
+        start_writers(stack, nursery)
+        await sleep(1)
+        leave_unanswered(stack, orders)
+        nursery.start_soon(answer_later, stack)
+        let_leave(stack, old.endpoint)
+        began_at = current_time()
+        while stack.group.primary in {None, old}:
+            await sleep(POLL_S)
+            assert current_time() - began_at < within_s
+        assert primary_of(stack) is not old
+        assert await failover.write_until_done(stack, 'after') < 1
+        await sleep(LATE_S)
+        assert await failover.write_until_done(stack, 'later') < 1
+        nursery.cancel_scope.cancel()
+    assert stack.group.lost_entries == []
+
+
+@pytest.mark.parametrize('unfenced', REPLICAS)
+def test_primary_that_was_not_demoted_does_not_count_as_fenced(
+    unfenced: str,
+) -> None:
+    """Guards against lost orders: a primary goes on under its own fence."""
+    orders = {'ledger-0': 'STEPDOWN', unfenced: 'PAUSE'}
+    run_virtual(partial(replace_leaving, orders, ORDERS_S + TARGET_GAP_S))
+
+
+@pytest.mark.parametrize(
+    ('endpoint', 'verb'),
+    [
+        ('ledger-0', 'STEPDOWN'),
+        ('ledger-0', 'PAUSE'),
+        *((replica, 'PAUSE') for replica in REPLICAS),
+    ],
+)
+def test_one_unanswered_order_delays_no_replacement(
+    endpoint: str, verb: str
+) -> None:
+    """Guards against a service that waits for an order left unanswered."""
+    run_virtual(partial(replace_leaving, {endpoint: verb}, TARGET_GAP_S))
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -83,8 +83,8 @@
                 name, status.term, status.position, was_primary=name == primary
             )
             for name, status in replies.items()
-            if status.fenced_term >= self._term
-            or (name == primary and name in demoted)
+            if self._is_fenced(status)
+            or (name == primary and name in demoted and not status.is_primary)
         ]
 
     async def extend(self, endpoints: Collection[str]) -> list[FencedEndpoint]:
@@ -104,7 +104,7 @@
         return [
             FencedEndpoint(name, status.term, status.position)
             for name, status in replies.items()
-            if status.fenced_term >= self._term
+            if self._is_fenced(status)
         ]
 
     async def check(self) -> None:
@@ -141,9 +141,20 @@
     async def _demote(self, endpoint: str) -> EndpointStatus | None:
         return await self._control.demote(endpoint, self._term)
 
+    def _is_fenced(self, status: EndpointStatus) -> bool:
+        """Return whether an endpoint neither makes nor receives commits.
+
+        A primary that was not demoted goes on, whatever fence it reports.
+        """
+        return not status.is_primary and status.fenced_term >= self._term
+
     async def _fence(self, endpoint: str) -> EndpointStatus | None:
         status = await self._control.fence(endpoint, self._term)
-        if status is not None and status.fenced_term >= self._term:
+        if status is not None and status.is_primary:
+            # The order to demote it was lost, or it has led since.
+            await self._demote(endpoint)
+            status = await self._control.fence(endpoint, self._term)
+        if status is not None and self._is_fenced(status):
             self._confirmed.add(endpoint)
         return status
 
--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -1,7 +1,8 @@
 """Emulated endpoint of the wire protocol: log, role and fault switches."""
 
 from collections import Counter
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from trio import (
@@ -44,6 +45,8 @@
         busy: each statement is refused with BUSY.
         max_connections: maximum number of open connections.
         read_delay_s: time that each read takes, in seconds.
+        late_orders: delays in seconds by control verb; such an order gets no
+            response and is carried out later.
 
     """
 
@@ -55,6 +58,7 @@
     busy: bool = False
     max_connections: int = MAX_CONNECTIONS
     read_delay_s: float = 0
+    late_orders: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -89,6 +93,9 @@
     def catch_up(self, replica: 'WireEndpoint') -> None:
         """Copy the primary's log to a replica."""
 
+    def run_later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+
 
 class WireEndpoint:
     """An emulated endpoint that speaks the wire protocol.
@@ -159,6 +166,22 @@
         for stream in self._open_streams:
             stream.socket.close()
 
+    def restart(self, *, keeps_log: bool) -> None:
+        """Accept connections again after a crash, without a fence.
+
+        Args:
+            keeps_log: whether it still holds its log and knows its term.
+
+        """
+        self.faults.down = False
+        self.terms.fenced = 0
+        if not keeps_log:
+            self.is_primary = False
+            self.terms.known = 0
+            self.log.clear()
+            self.applied_count = 0
+        self.group.catch_up(self)
+
     def receive_entry(self, primary: 'WireEndpoint', entry: LogEntry) -> None:
         """Receive a commit and all commits before it.
 
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -155,9 +155,21 @@
         ):
             return
         replica.log = list(primary.log)
+        replica.terms.known = max(replica.terms.known, primary.terms.known)
         replica.applied_count = min(replica.applied_count, len(replica.log))
         self._schedule_apply(replica)
 
+    def run_later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay.
+
+        Args:
+            delay_s: the delay in seconds.
+            action: what to run.
+
+        """
+        if self._nursery is not None:
+            self._nursery.start_soon(_run_after, delay_s, action)
+
     def _announce(self, candidate: WireEndpoint, other: WireEndpoint) -> None:
         """Tell an endpoint that another one was promoted."""
         is_cut = other.faults.cut_from_group and other is not candidate
@@ -196,6 +208,11 @@
             )
 
 
+async def _run_after(delay_s: float, action: Callable[[], None]) -> None:
+    await sleep(delay_s)
+    action()
+
+
 async def _apply_after_lag(replica: WireEndpoint, entry_count: int) -> None:
     await sleep(replica.faults.apply_lag_s)
     replica.applied_count = max(
--- a/trefoilhitch_lab/wire_session.py
+++ b/trefoilhitch_lab/wire_session.py
@@ -1,8 +1,9 @@
 """Server side of one connection to an emulated wire endpoint."""
 
+from functools import partial
 from typing import TYPE_CHECKING
 
-from trio import sleep
+from trio import sleep, sleep_forever
 
 from trefoilhitch_lab.wire_log import (
     ExecutedStatement,
@@ -58,7 +59,7 @@
         if self._endpoint.faults.busy:
             return self._error('BUSY')
         if verb in _CONTROL_VERBS:
-            return self._control(verb, words)
+            return await self._control(verb, words)
         if verb in _SESSION_VERBS:
             return self._run_session_verb(verb, words)
         return await self._run(request_id, text, verb, words)
@@ -136,9 +137,19 @@
         self._is_read_only = read_only
         return _COMPLETE
 
-    def _control(self, verb: str, words: list[str]) -> tuple[str, ...]:
+    async def _control(self, verb: str, words: list[str]) -> tuple[str, ...]:
         endpoint = self._endpoint
         term = int(words[0]) if words else 0
+        delay_s = endpoint.faults.late_orders.get(verb)
+        if delay_s is not None:
+            carry_out = partial(self._carry_out, verb, term)
+            endpoint.group.run_later(delay_s, carry_out)
+            await sleep_forever()
+        self._carry_out(verb, term)
+        return (f'DATAROW {self._status()}', *_COMPLETE)
+
+    def _carry_out(self, verb: str, term: int) -> None:
+        endpoint = self._endpoint
         if verb == 'RESUME':
             endpoint.terms.fenced = 0
             endpoint.group.catch_up(endpoint)
@@ -146,7 +157,6 @@
             endpoint.terms.fenced = term
         if verb == 'STEPDOWN' and term > endpoint.terms.known:
             endpoint.is_primary = False
-        return (f'DATAROW {self._status()}', *_COMPLETE)
 
     def _status(self) -> str:
         endpoint = self._endpoint
