Each promotion command is a decision of its own, under fences that stand

Cause: what a choice relied on was checked before the first command only. The second to the fourth command were sent for the same endpoint without a look at fences or positions. A restart clears a fence; the primary was back, and with the restarted replica it acknowledged writes that the chosen endpoint lacked. Besides, a fence counted as standing while its endpoint did not answer.

Change: the state of fences (fence_state, promotion_evidence) is pure and tells what is proved; FencedPromotion decides before each command. It requests the statuses of the fenced endpoints, counts those that answered, and commands only if these permit the candidate: they hold every acknowledged commit, and none of them is ahead. While a command may take effect, and until the new primary reports its role, endpoints that restart, join or lead again are demoted and fenced at once (GroupFence.uphold).

Why it works: at the command, every endpoint that the choice counts has just answered that it neither makes nor receives commits, so that no commit was acknowledged that none of them holds. What may still be acknowledged between these answers and the promotion is limited by the renewed fences.

--- a/tests/test_unproved_fences.py
+++ b/tests/test_unproved_fences.py
@@ -1,6 +1,5 @@
 """A promotion relies on a fence that an endpoint does not hold."""
 
-from collections.abc import Callable
 from functools import partial
 
 import pytest
@@ -9,6 +8,7 @@
 from tests import test_wire_failover as failover
 from tests.support import run_virtual
 from tests.test_wire_failover import RECORDED_S, TARGET_GAP_S, primary_of
+from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
 
 REPLICAS = ('ledger-1', 'ledger-2')
@@ -17,9 +17,12 @@
 # Time from the start of a planned replacement in which orders get no answer.
 ORDERS_S = 3
 POLL_S = 0.01
+# How long an endpoint that restarts is down.
+RESTART_S = 0.5
+# Time without an acknowledged write after a command got no answer.
+SERVED_S = 4
 WRITERS = 2
 WRITE_PAUSE_S = 0.03
-Trouble = Callable[[WireStack], None]
 
 
 async def write_always(stack: WireStack, writer: int) -> None:
@@ -101,3 +104,61 @@
 ) -> None:
     """Guards against a service that waits for an order left unanswered."""
     run_virtual(partial(replace_leaving, {endpoint: verb}, TARGET_GAP_S))
+
+
+async def restart_soon(endpoint: WireEndpoint, *, keeps_log: bool) -> None:
+    """Crash an endpoint and start it again."""
+    endpoint.crash()
+    await sleep(RESTART_S)
+    endpoint.restart(keeps_log=keeps_log)
+
+
+async def wait_for_command(stack: WireStack) -> None:
+    """Wait until a promotion command has arrived."""
+    while not stack.promotions.received:
+        await sleep(POLL_S)
+
+
+async def replace_crashed(
+    restarting: str, *, keeps_log: bool, returns: bool
+) -> None:
+    """Leave a promotion command unanswered, and let endpoints return."""
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        await sleep(RECORDED_S)
+        old = primary_of(stack)
+        start_writers(stack, nursery)
+        await sleep(1)
+        stack.promotions.faults.late_commands = 1
+        stack.promotions.faults.late_command_delay_s = LATE_S
+        old.crash()
+        await wait_for_command(stack)
+        if returns:
+            old.restart(keeps_log=True)
+        replica = stack.group.endpoints[restarting]
+        await restart_soon(replica, keeps_log=keeps_log)
+        assert await failover.write_until_done(stack, 'after') < SERVED_S
+        await sleep(LATE_S)
+        assert await failover.write_until_done(stack, 'later') < 1
+        nursery.cancel_scope.cancel()
+    assert stack.group.lost_entries == []
+
+
+@pytest.mark.parametrize('keeps_log', [True, False])
+@pytest.mark.parametrize('restarting', REPLICAS)
+def test_repeated_command_rests_on_fences_that_still_stand(
+    restarting: str, keeps_log: bool
+) -> None:
+    """Guards against lost orders: those of a restarted replica."""
+    play = partial(
+        replace_crashed, restarting, keeps_log=keeps_log, returns=True
+    )
+    run_virtual(play)
+
+
+@pytest.mark.parametrize('restarting', REPLICAS)
+def test_service_is_served_after_an_unanswered_command(
+    restarting: str,
+) -> None:
+    """Guards against a group without a primary once its replicas are back."""
+    play = partial(replace_crashed, restarting, keeps_log=True, returns=False)
+    run_virtual(play)
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -1,19 +1,24 @@
 """Failover of a service: lease, fencing, choice, promotion, confirmation."""
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-from trio import current_time, open_nursery, sleep
+from trio import open_nursery
 
 from trefoilhitch.pooler.endpoint_control import request_all
 from trefoilhitch.pooler.failover_decision import (
     FailoverReason,
-    FencedEndpoint,
-    choose_promotion,
     newest_primary,
     next_term,
 )
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
+from trefoilhitch.pooler.fence_state import FenceState
+from trefoilhitch.pooler.fenced_promotion import (
+    FencedPromotion,
+    PromotedPrimary,
+    PromotionTerms,
+    sleep_until,
+)
 from trefoilhitch.pooler.group_fence import GroupFence
 from trefoilhitch.pooler.held_lease import FailoverStoppedError, HeldLease
 from trefoilhitch.pooler.lease import ObservedLease
@@ -22,10 +27,6 @@
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.promotion_command import PromotionCommand
 
-# How long the new primary may take to report its role after the promotion was
-# accepted.
-CONFIRM_TIMEOUT_S = 3.0
-CONFIRM_INTERVAL_S = 0.1
 # Time before the promotion at which its reason is judged again, and a silent
 # primary is asked once more.
 DECISION_TIME_S = 0.6
@@ -100,7 +101,7 @@
         if not await self._deps.groups.learn(self._service):
             raise FailoverStoppedError('some members may not be known yet')
         clock = self._deps.cluster.clock
-        await _sleep_until(clock, self._promote_at - DECISION_TIME_S)
+        await sleep_until(clock, self._promote_at - DECISION_TIME_S)
         ids = self._holders()
         sent_at = clock()
         statuses = await self._request_statuses(ids)
@@ -109,7 +110,7 @@
             return
         # A primary that still answers serves until shortly before its
         # successor does.
-        await _sleep_until(clock, self._promote_at - FENCE_TIME_S)
+        await sleep_until(clock, self._promote_at - FENCE_TIME_S)
         self._ensure_needed()
         await self._replace(ids, primary, statuses)
 
@@ -119,26 +120,22 @@
         primary: str | None,
         statuses: Mapping[str, EndpointStatus],
     ) -> None:
-        fenced = await self._fence_all(ids, primary, statuses)
-        holders = self._deps.cluster.endpoints.one_per_address(
-            self._holders(), {each.endpoint for each in fenced}, primary
-        )
-        chosen = choose_promotion(
-            fenced,
-            holders,
-            self._deps.sync_replicas(self._service),
-            primary=primary,
-            unusable=self._unusable(),
-            pending=self._deps.cluster.evacuated.unless_evacuated(
-                self._lease.record.candidate
+        fence = await self._fence_all(ids, primary, statuses)
+        promotion = FencedPromotion(
+            self._deps,
+            self._plan,
+            self._lease,
+            fence=fence,
+            command=self._command,
+            terms=PromotionTerms(
+                self._promote_at,
+                self._holders,
+                self._ensure_no_newer_primary,
             ),
         )
-        if chosen is None:
-            raise FailoverStoppedError('too few endpoints could be fenced')
-        await self._lease.record_candidate(chosen.endpoint)
-        await self._check_fence_until_promotion()
-        await self._command.send(chosen.endpoint, self._ensure_unchanged)
-        await self._confirm(chosen.endpoint)
+        promoted = await promotion.run()
+        self._record_primary(promoted)
+        await self._lift_fences(above=promoted.status.term)
 
     def _holders(self) -> list[str]:
         """Return the endpoints that may hold commits which others lack."""
@@ -147,39 +144,6 @@
             record.endpoint for record in endpoints.log_holders(self._service)
         ]
 
-    def _ensure_unchanged(self) -> None:
-        """Check that what the choice relied on still holds.
-
-        Raises:
-            FailoverStoppedError: another primary became known, an endpoint
-                joined that could receive commits, or a fence was lifted.
-
-        """
-        self._ensure_no_newer_primary()
-        if self._fence and not self._fence.covers(self._holders()):
-            raise FailoverStoppedError('an endpoint has joined')
-        if self._fence and not self._fence.stands:
-            raise FailoverStoppedError('a fence was lifted')
-
-    async def _check_fence_until_promotion(self) -> None:
-        """Check the fences while the promotion is delayed, and no longer."""
-        async with open_nursery() as nursery:
-            if self._fence is not None:
-                nursery.start_soon(self._fence.check)
-            await _sleep_until(self._deps.cluster.clock, self._promote_at)
-            nursery.cancel_scope.cancel()
-
-    def _unusable(self) -> set[str]:
-        """Return the endpoints that should not be promoted."""
-        endpoints = self._deps.cluster.endpoints
-        return {
-            record.endpoint
-            for record in endpoints.log_holders(self._service)
-            if record.leaving
-            or endpoints.is_missing(record.endpoint)
-            or self._deps.cluster.evacuated.contains(record.endpoint)
-        }
-
     async def _request_statuses(
         self, ids: list[str]
     ) -> dict[str, EndpointStatus]:
@@ -268,14 +232,18 @@
         ids: list[str],
         primary: str | None,
         statuses: Mapping[str, EndpointStatus],
-    ) -> list[FencedEndpoint]:
+    ) -> GroupFence:
         term = self._next_term(statuses)
-        self._fence = GroupFence(self._deps.control, term=term)
-        fenced = await self._fence.apply(ids, statuses, primary)
+        state = FenceState(
+            term=term, known_term=self._known_term(statuses), primary=primary
+        )
+        fence = GroupFence(self._deps.control, state)
+        self._fence = fence
+        await fence.apply(ids, statuses)
         # Of those that joined since the statuses were requested, none may
         # receive commits of a primary that goes on.
-        fenced += await self._fence.extend(self._holders())
-        if primary in {each.endpoint for each in fenced}:
+        await fence.extend(self._holders())
+        if primary in {each.endpoint for each in state.fenced}:
             self._deps.cluster.record_not_primary(
                 self._service, primary or '', 'succession'
             )
@@ -286,19 +254,21 @@
             term=term,
             lead=primary,
             members=self._holders(),
-            endpoints={each.endpoint: each.position for each in fenced},
+            endpoints={each.endpoint: each.position for each in state.fenced},
             statuses=dict(statuses),
         )
-        return fenced
+        return fence
 
     def _next_term(self, statuses: Mapping[str, EndpointStatus]) -> int:
-        known = {
-            name: max(status.term, status.fenced_term)
-            for name, status in statuses.items()
-        }
+        fenced = {name: status.fenced_term for name, status in statuses.items()}
+        return next_term(fenced, self._known_term(statuses))
+
+    def _known_term(self, statuses: Mapping[str, EndpointStatus]) -> int:
+        """Return the latest term in which a primary is known to have led."""
+        reported = (status.term for status in statuses.values())
         recorded = self._lease.record.term
         proved = self._deps.cluster.proved_term(self._service)
-        return next_term(known, max(proved, recorded))
+        return max((*reported, recorded, proved))
 
     def _ensure_no_newer_primary(self) -> None:
         cluster = self._deps.cluster
@@ -313,21 +283,6 @@
         if term > replaced.term and (replaced.term or is_other):
             raise FailoverStoppedError('a newer primary is known')
 
-    async def _confirm(self, endpoint: str) -> None:
-        deps = self._deps
-        deadline = current_time() + CONFIRM_TIMEOUT_S
-        while current_time() < deadline:
-            if self._fence is not None:
-                await self._fence.extend(self._holders())
-            sent_at = deps.cluster.clock()
-            status = await deps.control.status(endpoint)
-            if status is not None and status.is_primary:
-                self._record_primary(endpoint, status, sent_at)
-                await self._lift_fences(above=status.term)
-                return
-            await sleep(CONFIRM_INTERVAL_S)
-        raise FailoverStoppedError('the new primary did not report its role')
-
     async def _lift_fences(self, above: int = 0) -> None:
         """Lift fences above a term, unless another node may have set them.
 
@@ -337,20 +292,15 @@
         if fence and fence.outlasts(above) and self._lease.is_valid():
             await fence.lift()
 
-    def _record_primary(
-        self, endpoint: str, status: EndpointStatus, sent_at: float
-    ) -> None:
+    def _record_primary(self, promoted: PromotedPrimary) -> None:
         cluster = self._deps.cluster
-        primary = Primary(self._service, endpoint, status.term)
+        status = promoted.status
+        primary = Primary(self._service, promoted.endpoint, status.term)
         self._lease.record_promotion(primary)
         if self._lease.is_valid():
             # No other node has promoted an endpoint meanwhile.
-            cluster.record_proof(primary, status.position, sent_at, 'promotion')
+            cluster.record_proof(
+                primary, status.position, promoted.sent_at, 'promotion'
+            )
         else:
             cluster.record_primary(primary, 'promotion')
-
-
-async def _sleep_until(clock: Callable[[], float], moment: float) -> None:
-    """Sleep until a moment on the clock that counts suspended time."""
-    while clock() < moment:
-        await sleep(moment - clock())
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -1,16 +1,18 @@
 """Fences the endpoints of a service, so that no commit is acknowledged."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
-from trio import sleep
+from trio import open_nursery, sleep
 
 from trefoilhitch.pooler.endpoint_control import EndpointControl, request_all
-from trefoilhitch.pooler.failover_decision import FencedEndpoint
+from trefoilhitch.pooler.fence_state import FenceState
 from trefoilhitch.pooler.ports import EndpointStatus
 
 # How long commits in flight may take to reach replicas after a primary that
 # still answers was demoted.
 IN_FLIGHT_WAIT_S = 0.1
+# How often fences are checked while a promotion may take effect.
+CHECK_INTERVAL_S = 0.1
 
 
 class GroupFence:
@@ -23,23 +25,16 @@
 
     Args:
         control: sends the statements.
-        term: term above all known terms.
+        state: keeps what the endpoints report.
 
     """
 
-    def __init__(self, control: EndpointControl, *, term: int) -> None:
+    def __init__(self, control: EndpointControl, state: FenceState) -> None:
         """Start without fenced endpoints."""
+        self.state = state
         self._control = control
-        self._term = term
         self._sent_to: set[str] = set()
         self._members: set[str] = set()
-        self._confirmed: set[str] = set()
-        self._lifted: set[str] = set()
-
-    @property
-    def stands(self) -> bool:
-        """Whether no endpoint is known whose fence was lifted."""
-        return not self._lifted
 
     def covers(self, endpoints: Collection[str]) -> bool:
         """Return whether no endpoint has joined since the fence was set.
@@ -54,65 +49,74 @@
         self,
         endpoints: Collection[str],
         statuses: Mapping[str, EndpointStatus],
-        primary: str | None,
-    ) -> list[FencedEndpoint]:
+    ) -> None:
         """Demote the primaries, then fence all endpoints.
 
         Args:
             endpoints: ids of all endpoints of the service.
             statuses: statuses of those that answered.
-            primary: id of the current primary, None if it is unknown.
-
-        Returns:
-            The endpoints that receive no more commits.
 
         """
-        demoted = await self._demote_primaries(statuses)
-        if primary in demoted:
+        primary = self.state.primary
+        primaries = [
+            name for name, status in statuses.items() if status.is_primary
+        ]
+        await request_all(primaries, self._demote)
+        if self.state.was_demoted(primary):
             await sleep(IN_FLIGHT_WAIT_S)
         # A primary that has just failed to report its status is not waited for
         # again.
         targets = [
             name for name in endpoints if name in statuses or name != primary
         ]
-        self._sent_to.update(targets)
         self._members.update(endpoints)
-        replies = await request_all(targets, self._fence)
-        return [
-            FencedEndpoint(
-                name, status.term, status.position, was_primary=name == primary
-            )
-            for name, status in replies.items()
-            if self._is_fenced(status)
-            or (name == primary and name in demoted and not status.is_primary)
-        ]
+        await request_all(targets, self._fence)
 
-    async def extend(self, endpoints: Collection[str]) -> list[FencedEndpoint]:
+    async def extend(self, endpoints: Collection[str]) -> None:
         """Fence the endpoints that have joined since the fence was set.
 
         Args:
             endpoints: ids of all endpoints of the service.
 
-        Returns:
-            Those of them that receive no more commits.
-
         """
         joined = [name for name in endpoints if name not in self._members]
         self._members.update(joined)
-        self._sent_to.update(joined)
-        replies = await request_all(joined, self._fence)
-        return [
-            FencedEndpoint(name, status.term, status.position)
-            for name, status in replies.items()
-            if self._is_fenced(status)
-        ]
+        await request_all(joined, self._fence)
+
+    async def check(self, endpoints: Collection[str]) -> None:
+        """Request the statuses of fenced endpoints again.
+
+        A RESUME of an earlier failover that arrives late lifts a fence, and so
+        does a restart.
+
+        Args:
+            endpoints: their ids.
+
+        """
+        await request_all(endpoints, self._check_one)
 
-    async def check(self) -> None:
-        """Request the statuses of the fenced endpoints again.
+    async def uphold(
+        self, members: Callable[[], Collection[str]], candidate: str
+    ) -> None:
+        """Fence endpoints that restart or join, until cancelled.
+
+        Args:
+            members: returns the ids of all endpoints of the service.
+            candidate: id of the endpoint whose promotion was commanded; it is
+                not demoted.
 
-        A RESUME of an earlier failover that arrives late lifts a fence.
         """
-        await request_all(sorted(self._confirmed), self._check_one)
+        asked: set[str] = set()
+        async with open_nursery() as nursery:
+            while True:
+                endpoints = members()
+                self._members.update(endpoints)
+                for endpoint in set(endpoints) - asked:
+                    asked.add(endpoint)
+                    nursery.start_soon(
+                        self._uphold_one, endpoint, candidate, asked
+                    )
+                await sleep(CHECK_INTERVAL_S)
 
     async def lift(self) -> None:
         """Let the endpoints receive commits again."""
@@ -125,42 +129,41 @@
             term: term of the promoted endpoint.
 
         """
-        return self._term > term
-
-    async def _demote_primaries(
-        self, statuses: Mapping[str, EndpointStatus]
-    ) -> set[str]:
-        primaries = [
-            name for name, status in statuses.items() if status.is_primary
-        ]
-        replies = await request_all(primaries, self._demote)
-        return {
-            name for name, status in replies.items() if not status.is_primary
-        }
+        return self.state.term > term
 
     async def _demote(self, endpoint: str) -> EndpointStatus | None:
-        return await self._control.demote(endpoint, self._term)
-
-    def _is_fenced(self, status: EndpointStatus) -> bool:
-        """Return whether an endpoint neither makes nor receives commits.
-
-        A primary that was not demoted goes on, whatever fence it reports.
-        """
-        return not status.is_primary and status.fenced_term >= self._term
+        status = await self._control.demote(endpoint, self.state.term)
+        if status is not None:
+            self.state.record_demotion(endpoint, status)
+        return status
 
     async def _fence(self, endpoint: str) -> EndpointStatus | None:
-        status = await self._control.fence(endpoint, self._term)
-        if status is not None and status.is_primary:
+        status = await self._request_fence(endpoint)
+        if self.state.needs_demotion(endpoint):
             # The order to demote it was lost, or it has led since.
             await self._demote(endpoint)
-            status = await self._control.fence(endpoint, self._term)
-        if status is not None and self._is_fenced(status):
-            self._confirmed.add(endpoint)
+            status = await self._request_fence(endpoint)
+        return status
+
+    async def _request_fence(self, endpoint: str) -> EndpointStatus | None:
+        self._sent_to.add(endpoint)
+        status = await self._control.fence(endpoint, self.state.term)
+        self.state.record(endpoint, status)
         return status
 
     async def _check_one(self, endpoint: str) -> EndpointStatus | None:
         status = await self._control.status(endpoint)
-        # A promotion to a term as late as the fence's lifts it rightly.
-        if status and max(status.term, status.fenced_term) < self._term:
-            self._lifted.add(endpoint)
+        # A single response may be lost.
+        status = status or await self._control.status(endpoint)
+        self.state.record_check(endpoint, status)
         return status
+
+    async def _uphold_one(
+        self, endpoint: str, candidate: str, asked: set[str]
+    ) -> None:
+        status = await self._control.status(endpoint)
+        self.state.record(endpoint, status)
+        leads = endpoint == candidate and self.state.is_primary(endpoint)
+        if self.state.needs_fence(endpoint) and not leads:
+            await self._fence(endpoint)
+        asked.discard(endpoint)
--- a/trefoilhitch/pooler/promotion_command.py
+++ b/trefoilhitch/pooler/promotion_command.py
@@ -1,19 +1,26 @@
-"""Commands a promotion under a lease, again while no response arrives."""
+"""Commands a promotion under a lease."""
 
-from collections.abc import Callable
+from enum import Enum
 
 from trio import current_time
 
 from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
-from trefoilhitch.pooler.held_lease import FailoverStoppedError, HeldLease
+from trefoilhitch.pooler.held_lease import HeldLease
 
 PROMOTION_TIMEOUT_S = 1.2
-MAX_PROMOTION_ATTEMPTS = 4
+
+
+class CommandOutcome(Enum):
+    """What became of one promotion command."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    UNANSWERED = 'unanswered'
 
 
 class PromotionCommand:
-    """Commands the promotion of one endpoint.
+    """Commands the promotion of an endpoint.
 
     Args:
         deps: dependencies of the failover.
@@ -35,33 +42,27 @@
         self._plan = plan
         self._lease = lease
 
-    async def send(
-        self, endpoint: str, ensure_needed: Callable[[], None]
-    ) -> None:
-        """Send the command until it is answered.
+    async def send(self, endpoint: str) -> CommandOutcome:
+        """Send the command once, under the lease's fencing token.
 
         Args:
             endpoint: id of the endpoint.
-            ensure_needed: raises an error if the promotion is not needed any
-                more; not called once a command may take effect.
 
-        Raises:
-            FailoverStoppedError: the promotion was refused, or no command was
-                answered.
-            StoreUnavailableError: the store did not answer.
+        Returns:
+            What became of it; a command without an answer may still take
+            effect until one with a higher token was answered.
 
         """
-        for _ in range(MAX_PROMOTION_ATTEMPTS):
-            if not self.was_sent:
-                ensure_needed()
-            self._lease.ensure_valid()
-            self.was_sent = True
-            if await self._attempt(endpoint):
-                return
-        raise FailoverStoppedError('no promotion command was answered')
-
-    async def _attempt(self, endpoint: str) -> bool:
-        """Send the command once; return whether it was answered."""
+        self.was_sent = True
+        outcome = await self._attempt(endpoint)
+        if outcome != CommandOutcome.UNANSWERED:
+            self.was_answered = True
+            self._deps.metrics.count('promotions', outcome.value)
+        if outcome == CommandOutcome.REFUSED:
+            self.was_sent = False
+        return outcome
+
+    async def _attempt(self, endpoint: str) -> CommandOutcome:
         service = self._plan.service
         token = self._lease.record.token
         deadline = current_time() + PROMOTION_TIMEOUT_S
@@ -70,36 +71,20 @@
                 service, endpoint, token, deadline
             )
         except StoreUnavailableError as exc:
-            await self._prepare_retry(endpoint, exc)
-            return False
-        self._record_answer(endpoint, accepted=accepted)
-        return True
-
-    async def _prepare_retry(
-        self, endpoint: str, exc: StoreUnavailableError
-    ) -> None:
-        """Raise the token, so that the unanswered command has no effect."""
-        self._deps.log.event(
-            'promotion_unanswered',
-            service=self._plan.service,
-            endpoint=endpoint,
-            token=self._lease.record.token,
-            detail=str(exc),
-        )
-        await self._lease.raise_token()
-
-    def _record_answer(self, endpoint: str, *, accepted: bool) -> None:
+            self._deps.log.event(
+                'promotion_unanswered',
+                service=service,
+                endpoint=endpoint,
+                token=token,
+                detail=str(exc),
+            )
+            return CommandOutcome.UNANSWERED
         self._deps.log.event(
             'promotion_ordered',
-            service=self._plan.service,
+            service=service,
             endpoint=endpoint,
-            token=self._lease.record.token,
+            token=token,
             reason=self._plan.reason.value,
             accepted=accepted,
         )
-        self.was_answered = True
-        outcome = 'accepted' if accepted else 'refused'
-        self._deps.metrics.count('promotions', outcome)
-        if not accepted:
-            self.was_sent = False
-            raise FailoverStoppedError('the promotion was refused')
+        return CommandOutcome.ACCEPTED if accepted else CommandOutcome.REFUSED
