Fences stay while an earlier holder's promotion command may take effect

Acknowledged writes were lost in the test below.

Cause: a failover that stopped before its own command lifted its fences, also if the lease named the candidate of an earlier holder whose command had got no answer. The old primary went on with a replica, and the late command promoted the candidate.

Evidence: the test kills a holder after its command, stops the second failover after its fences (an endpoint seems to have joined) while the old primary is back and the candidate receives nothing.

Change: the fences are kept if a command, the failover's own or an earlier holder's, may take effect and the fenced endpoints hold every acknowledged commit. Fences that do not stop commits are lifted as before, since they would only keep commits from the candidate.

--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -60,6 +60,7 @@
         self._promote_at = math.inf
         self._fence: GroupFence | None = None
         self._command = PromotionCommand(deps, plan, self._lease)
+        self._promotion: FencedPromotion | None = None
         self._kept_primary = False
         # Whether an earlier holder left an unanswered command.
         self._inherited_command = False
@@ -85,10 +86,22 @@
             try:
                 await self._run_steps()
             finally:
-                if not self._command.was_sent:
+                if not self._needs_fences:
                     await self._lift_fences()
                 await self._lease.release(keep_candidate=self._is_pending)
 
+    @property
+    def _needs_fences(self) -> bool:
+        """Whether a command may take effect that relies on the fences.
+
+        Fences that do not keep a primary from acknowledging commits would only
+        keep these from the candidate of an earlier holder.
+        """
+        if self._command.was_sent:
+            return True
+        is_sealed = self._promotion is not None and self._promotion.is_sealed
+        return self._is_pending and is_sealed
+
     @property
     def _is_pending(self) -> bool:
         """Whether an unanswered promotion command may still take effect."""
@@ -121,7 +134,7 @@
         statuses: Mapping[str, EndpointStatus],
     ) -> None:
         fence = await self._fence_all(ids, primary, statuses)
-        promotion = FencedPromotion(
+        self._promotion = FencedPromotion(
             self._deps,
             self._plan,
             self._lease,
@@ -133,7 +146,7 @@
                 self._ensure_no_newer_primary,
             ),
         )
-        promoted = await promotion.run()
+        promoted = await self._promotion.run()
         self._record_primary(promoted)
         await self._lift_fences(above=promoted.status.term)
 
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -107,6 +107,11 @@
         self._command = command
         self._terms = terms
 
+    @property
+    def is_sealed(self) -> bool:
+        """Whether no commit can be acknowledged while the fences stand."""
+        return self._evidence(self._fence.state.fenced).is_complete
+
     async def run(self) -> PromotedPrimary:
         """Promote an endpoint.
 
--- a/trefoilhitch/pooler/promotion_evidence.py
+++ b/trefoilhitch/pooler/promotion_evidence.py
@@ -32,6 +32,11 @@
         """Ids of the endpoints that may still receive commits, sorted."""
         return sorted(self.members - {each.endpoint for each in self.fenced})
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the fenced endpoints hold every acknowledged commit."""
+        return self._holds_all(self.fenced)
+
     def permits(self, endpoint: str) -> bool:
         """Return whether an endpoint holds every acknowledged commit.
 
@@ -44,11 +49,11 @@
         """
         replicas = tuple(each for each in self.fenced if not each.was_primary)
         return any(
-            self._is_complete(group) and _is_most_advanced(endpoint, group)
+            self._holds_all(group) and _is_most_advanced(endpoint, group)
             for group in (replicas, self.fenced)
         )
 
-    def _is_complete(self, group: tuple[FencedEndpoint, ...]) -> bool:
+    def _holds_all(self, group: tuple[FencedEndpoint, ...]) -> bool:
         names = {each.endpoint for each in group}
         return holds_every_commit(
             names, self.primary, self.members, self.sync_replicas
