A decision notices that its own unanswered command has taken effect

What callers saw: no lost write; in virtual time the service was back 0.3 s later than before if the answer to a promotion command was lost at once (2.41 s after the crash instead of 2.09 s).

Cause: the decision that follows an unanswered command judged by statuses of before the command. Its check then found the promoted endpoint without a fence, and the promotion was withheld for the time in which fences are renewed.

Change: if the check shows that the endpoint of the last command leads, the command is sent again at once, under the higher token; the command itself knows its endpoint, not the lease, whose candidate may have changed since.

--- a/tests/test_unproved_fences.py
+++ b/tests/test_unproved_fences.py
@@ -162,3 +162,19 @@
     """Guards against a group without a primary once its replicas are back."""
     play = partial(replace_crashed, restarting, keeps_log=True, returns=False)
     run_virtual(play)
+
+
+async def replace_after_lost_answers(count: int) -> float:
+    """Return the time without service if answers to commands are lost."""
+    async with running_wire_stack() as stack:
+        await sleep(RECORDED_S)
+        stack.promotions.faults.drop_responses = count
+        primary_of(stack).crash()
+        return await failover.write_until_done(stack, 'after')
+
+
+def test_lost_answer_to_a_command_delays_no_service() -> None:
+    """Guards against a decision that overlooks its own promotion."""
+    usual_s = run_virtual(partial(replace_after_lost_answers, 0))
+    lost_s = run_virtual(partial(replace_after_lost_answers, 1))
+    assert lost_s <= usual_s + POLL_S
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -140,20 +140,27 @@
             command may take effect, so that the fences are upheld.
 
         """
-        commanded = self._lease.record.candidate
-        if self._command.was_sent and self._fence.state.is_primary(commanded):
-            # It was promoted. An answer under the newest token ensures that
-            # no earlier command takes effect later.
-            return commanded
+        if self._has_taken_effect():
+            return self._command.endpoint
         try:
             return await self._choose()
         except _WithheldError as exc:
+            if self._has_taken_effect():
+                return self._command.endpoint
             self._record_withheld(exc)
             if not self._command.was_sent:
                 raise FailoverStoppedError(str(exc)) from exc
-        await self._uphold_for(RENEWAL_S, commanded)
+        await self._uphold_for(RENEWAL_S, self._command.endpoint)
         return None
 
+    def _has_taken_effect(self) -> bool:
+        """Return whether an unanswered command has promoted its endpoint.
+
+        It is sent again: an answer under the newest token ensures that no
+        earlier command takes effect later.
+        """
+        return self._fence.state.is_primary(self._command.endpoint)
+
     async def _choose(self) -> str:
         evidence = self._evidence(self._fence.state.fenced)
         chosen = choose_promotion(
--- a/trefoilhitch/pooler/promotion_command.py
+++ b/trefoilhitch/pooler/promotion_command.py
@@ -38,6 +38,8 @@
         """Start before the first command."""
         self.was_sent = False
         self.was_answered = False
+        # Endpoint of the newest command, empty before the first one.
+        self.endpoint = ''
         self._deps = deps
         self._plan = plan
         self._lease = lease
@@ -54,6 +56,7 @@
 
         """
         self.was_sent = True
+        self.endpoint = endpoint
         outcome = await self._attempt(endpoint)
         if outcome != CommandOutcome.UNANSWERED:
             self.was_answered = True
