Uphold fences in one place; the context of a promotion is no term

The nursery that renews fences stood three times. PromotionTerms could be taken for terms of a primary. Behaviour is as before: 45 tests of failovers and of the model pass.

--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -16,7 +16,7 @@
 from trefoilhitch.pooler.fenced_promotion import (
     FencedPromotion,
     PromotedPrimary,
-    PromotionTerms,
+    PromotionContext,
     sleep_until,
 )
 from trefoilhitch.pooler.group_fence import GroupFence
@@ -140,7 +140,7 @@
             self._lease,
             fence=fence,
             command=self._command,
-            terms=PromotionTerms(
+            context=PromotionContext(
                 self._promote_at,
                 self._holders,
                 self._ensure_no_newer_primary,
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -1,6 +1,7 @@
 """Promotes an endpoint while fences prove that it holds every commit."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 from trio import current_time, open_nursery, sleep
@@ -51,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromotionTerms:
+class PromotionContext:
     """What a promotion may rely on besides its fences.
 
     Args:
@@ -85,7 +86,7 @@
         lease: lease of the service.
         fence: fences of the service.
         command: sends the commands.
-        terms: what the promotion relies on.
+        context: what the promotion relies on besides the fences.
 
     """
 
@@ -97,7 +98,7 @@
         *,
         fence: GroupFence,
         command: PromotionCommand,
-        terms: PromotionTerms,
+        context: PromotionContext,
     ) -> None:
         """Start before the first command."""
         self._deps = deps
@@ -105,7 +106,7 @@
         self._lease = lease
         self._fence = fence
         self._command = command
-        self._terms = terms
+        self._context = context
 
     @property
     def is_sealed(self) -> bool:
@@ -150,7 +151,8 @@
             self._record_withheld(exc)
             if not self._command.was_sent:
                 raise FailoverStoppedError(str(exc)) from exc
-        await self._uphold_for(RENEWAL_S, self._command.endpoint)
+        async with self._upheld_fences(self._command.endpoint):
+            await sleep(RENEWAL_S)
         return None
 
     def _has_taken_effect(self) -> bool:
@@ -179,7 +181,7 @@
             await self._lease.record_candidate(chosen.endpoint)
         await self._check_fence(chosen.endpoint)
         if not self._command.was_sent:
-            self._terms.ensure_no_newer_primary()
+            self._context.ensure_no_newer_primary()
         objection = self._objection(chosen.endpoint)
         if objection:
             raise _WithheldError(objection)
@@ -187,7 +189,7 @@
 
     def _objection(self, endpoint: str) -> str | None:
         """Return what the answers to the last check lack, None if nothing."""
-        if not self._fence.covers(self._terms.holders()):
+        if not self._fence.covers(self._context.holders()):
             return 'an endpoint has joined'
         state = self._fence.state
         return find_objection(state, self._evidence(state.checked), endpoint)
@@ -197,7 +199,9 @@
         unchecked = self._fence.state.begin_check()
         async with open_nursery() as nursery:
             nursery.start_soon(self._fence.check, unchecked)
-            await sleep_until(self._deps.cluster.clock, self._terms.promote_at)
+            await sleep_until(
+                self._deps.cluster.clock, self._context.promote_at
+            )
             while not self._fence.state.is_checked and self._objection(
                 endpoint
             ):
@@ -221,12 +225,8 @@
     async def _is_accepted(self, endpoint: str) -> bool:
         """Command the promotion; return whether the command was accepted."""
         self._lease.ensure_valid()
-        async with open_nursery() as nursery:
-            nursery.start_soon(
-                self._fence.uphold, self._terms.holders, endpoint
-            )
+        async with self._upheld_fences(endpoint):
             outcome = await self._command.send(endpoint)
-            nursery.cancel_scope.cancel()
         if outcome == CommandOutcome.REFUSED:
             raise FailoverStoppedError('the promotion was refused')
         if outcome == CommandOutcome.UNANSWERED:
@@ -234,23 +234,20 @@
             return False
         return True
 
-    async def _uphold_for(self, seconds: float, candidate: str) -> None:
+    @asynccontextmanager
+    async def _upheld_fences(self, candidate: str) -> AsyncIterator[None]:
+        """Fence endpoints that restart or join while a block runs."""
         async with open_nursery() as nursery:
             nursery.start_soon(
-                self._fence.uphold, self._terms.holders, candidate
+                self._fence.uphold, self._context.holders, candidate
             )
-            await sleep(seconds)
+            yield
             nursery.cancel_scope.cancel()
 
     async def _confirm(self, endpoint: str) -> PromotedPrimary:
         """Wait until the promoted endpoint reports its role."""
-        promoted: PromotedPrimary | None = None
-        async with open_nursery() as nursery:
-            nursery.start_soon(
-                self._fence.uphold, self._terms.holders, endpoint
-            )
+        async with self._upheld_fences(endpoint):
             promoted = await self._find_promoted(endpoint)
-            nursery.cancel_scope.cancel()
         if promoted is None:
             raise FailoverStoppedError(
                 'the new primary did not report its role'
@@ -272,7 +269,7 @@
     ) -> PromotionEvidence:
         primary = self._fence.state.primary
         members = self._deps.cluster.endpoints.one_per_address(
-            self._terms.holders(), {each.endpoint for each in fenced}, primary
+            self._context.holders(), {each.endpoint for each in fenced}, primary
         )
         return PromotionEvidence(
             fenced,
