--- a/tests/test_fence_model.py
+++ b/tests/test_fence_model.py
@@ -7,10 +7,9 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from tests.fence_model import FenceModel, Rules
+from tests.model_search import search_model
 from trefoilhitch.pooler.fence_state import FenceState
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.promotion_evidence import PromotionEvidence
@@ -68,19 +67,7 @@
 
 
 def _search(rules: Rules, examples: int) -> None:
-    model = type('Model', (FenceModel,), {'contract': rules})
-    run_state_machine_as_test(
-        model,
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=STEPS,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    search_model(FenceModel, rules, examples=examples, steps=STEPS)
 
 
 def test_no_command_loses_an_acknowledged_commit() -> None:
--- a/tests/test_group_model.py
+++ b/tests/test_group_model.py
@@ -4,10 +4,9 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
-from hypothesis.stateful import run_state_machine_as_test
 
 from tests.group_model import GroupModel, Rules
+from tests.model_search import search_model
 from trefoilhitch.pooler.failover_decision import (
     FencedEndpoint,
     choose_promotion,
@@ -48,18 +47,7 @@
 
 
 def _check(rules: Rules, examples: int) -> None:
-    run_state_machine_as_test(
-        type('Model', (GroupModel,), {'contract': rules}),
-        settings=settings(
-            derandomize=True,
-            database=None,
-            deadline=None,
-            max_examples=examples,
-            stateful_step_count=STEPS,
-            phases=(Phase.generate,),
-            suppress_health_check=list(HealthCheck),
-        ),
-    )
+    search_model(GroupModel, rules, examples=examples, steps=STEPS)
 
 
 def test_no_restart_or_outage_loses_a_commit() -> None:
--- a/tests/test_promotion_model.py
+++ b/tests/test_promotion_model.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from tests.model_search import search_model
 from tests.promotion_model import PromotionModel, Rules
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.record import Vote
@@ -101,16 +102,10 @@
 
 @pytest.mark.parametrize('name', MUTATIONS)
 def test_each_mutation_is_detected(name: str) -> None:
-    search_settings = settings(
-        derandomize=True,
-        database=None,
-        deadline=None,
-        max_examples=MUTATION_EXAMPLES,
-        stateful_step_count=STEPS,
-        phases=(Phase.generate,),
-        suppress_health_check=list(HealthCheck),
-    )
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(
-            _model(MUTATIONS[name]), settings=search_settings
+        search_model(
+            PromotionModel,
+            MUTATIONS[name],
+            examples=MUTATION_EXAMPLES,
+            steps=STEPS,
         )
