The log tells which connection holds which prepared name, and for whom

- `statement_prepared`, once for each preparation and never for an execution: the request that caused it, endpoint, connection, organisation, pooled name, access, body (80 characters and its length), and what went wrong: the endpoint's refusal, or how the response was lost.
- `connection_reset`, when the variables of another session drop the names of a connection.
A reset that drops none is not logged.
- `statement` names the connection (node and number) of the last attempt if it was sent, also if its response was lost, and for EXECUTE the client's name and the pooled name.

A gateway names its connection in the new field `connection` of RunReply; a reply without it is read as before. Connections are numbered by their pool.

--- a/tests/test_gateways.py
+++ b/tests/test_gateways.py
@@ -8,6 +8,7 @@
 from trio import current_time, open_nursery, sleep
 
 from tests.support import with_virtual_clock
+from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.http_message import HttpRequest
 from trefoilhitch_lab.wire_client import wire_client
@@ -48,9 +49,11 @@
 
 
 @asynccontextmanager
-async def gateway_stack(*, rate: float = 1000) -> AsyncIterator[WireStack]:
+async def gateway_stack(
+    log: DecisionLog | None = None, *, rate: float = 1000
+) -> AsyncIterator[WireStack]:
     """Run nodes that have to share few connections."""
-    async with running_wire_stack(nodes=NODES) as stack:
+    async with running_wire_stack(nodes=NODES, log=log) as stack:
         for endpoint in stack.group.endpoints.values():
             endpoint.faults.max_connections = MAX_CONNECTIONS
         stack.store_state.put('config', 'main', declaration(2, rate=rate))
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -733,6 +733,12 @@
     ] = ''
     admitted: bool = False
     load: EndpointLoad | None = None
+    connection: Annotated[
+        str,
+        Meta(
+            description='Node and number of the connection that the statement was sent on, empty if none was sent.'
+        ),
+    ] = ''
 
 
 class AbandonRequest(Message, frozen=True, kw_only=True):
--- a/trefoilhitch/loggable.py
+++ b/trefoilhitch/loggable.py
@@ -10,6 +10,8 @@
 MAX_LOGGED_CHARS = 10000
 MAX_LOGGED_LEVELS = 6
 _MAX_LOGGED_BITS = 63
+# Length of a text of which a line of the log shows only the beginning.
+MAX_SHOWN_CHARS = 80
 
 
 def make_loggable(logged: Any, levels: int = MAX_LOGGED_LEVELS) -> Any:
@@ -33,6 +35,21 @@
     return _convert_scalar(logged)
 
 
+def shorten(text: str) -> str:
+    """Shorten a text that others chose.
+
+    Args:
+        text: the text, of any length.
+
+    Returns:
+        The text, or its beginning and its length.
+
+    """
+    if len(text) <= MAX_SHOWN_CHARS:
+        return text
+    return f'{text[:MAX_SHOWN_CHARS]}... ({len(text)} characters)'
+
+
 def _convert_scalar(logged: Any) -> Any:
     if isinstance(logged, str):
         return _escape(logged)
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -19,6 +19,7 @@
 )
 from trefoilhitch.pooler.session import SessionData, StatementTrace
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
+from trefoilhitch.pooler.statement_records import describe_execution
 from trefoilhitch.pooler.statement_run import StatementRun
 from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
@@ -229,4 +230,16 @@
             outcome=outcome,
             detail=response.detail,
             took_ms=round(took_s * _MS_PER_S, 1),
+            **self._describe_run(statement),
         )
+
+    def _describe_run(self, statement: Statement) -> dict[str, str]:
+        """Return what only some statements have: connection and names."""
+        session = self._session
+        described = {}
+        if session.trace.connection:
+            described['connection'] = session.trace.connection
+        if statement.verb == Verb.EXECUTE:
+            prepared = session.prepared.get(statement.name)
+            described.update(describe_execution(statement.name, prepared))
+        return described
--- a/trefoilhitch/pooler/connection_pool.py
+++ b/trefoilhitch/pooler/connection_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from itertools import count
 
 from trio import Event, current_time, move_on_at, sleep_until
 
@@ -80,6 +81,7 @@
         self._endpoint_pools: dict[str, EndpointConnectionPool] = {}
         self._waiters: dict[QueuedRequest, _Waiter] = {}
         self._openings = openings or UnlimitedOpenings()
+        self._numbers = count(1)
 
     async def acquire(
         self,
@@ -323,7 +325,7 @@
             share=self._cap(endpoint),
             now=current_time(),
         )
-        return PooledConnection(opened, uses=1)
+        return PooledConnection(opened, next(self._numbers), uses=1)
 
     async def _connect(self, request: _Request) -> EndpointConnection:
         await self._wait_to_connect(request)
--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -13,6 +13,7 @@
 )
 from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
+from trefoilhitch.pooler.statement_records import StatementRecords
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
     StatementResult,
@@ -26,6 +27,7 @@
         connector: builds the pooler's own statements.
         metrics: counts the pooler's own statements.
         guard: checks whether an endpoint may be sent statements.
+        records: logs what changes the names that connections hold.
 
     """
 
@@ -35,9 +37,11 @@
         connector: EndpointConnector,
         metrics: Metrics,
         guard: SendGuard,
+        records: StatementRecords,
     ) -> None:
         """Store the dependencies."""
         self._guard = guard
+        self._records = records
         self._connector = connector
         self._metrics = metrics
 
@@ -66,7 +70,7 @@
 
         """
         await self._guard.check(conn.conn.endpoint)
-        if await self._apply_variables(conn, variables, deadline):
+        if await self._apply_variables(conn, variables, request, deadline):
             await self._guard.check(conn.conn.endpoint)
         commands = [self._command(request)]
         preparation = self._preparation(conn, request.prepared)
@@ -74,18 +78,31 @@
             commands.append(self._connector.status())
             self._count('status', 1)
             self._metrics.count('control_requests', 'statement_status')
-        responses = await conn.conn.run([*preparation, *commands], deadline)
-        if preparation and request.prepared and responses[0].ok:
-            conn.prepared.add(request.prepared.pooled_name)
+        try:
+            responses = await conn.conn.run([*preparation, *commands], deadline)
+        except EndpointConnectionError as exc:
+            self._records.record_lost(
+                conn, request, exc, prepares=bool(preparation)
+            )
+            raise
+        if preparation and request.prepared:
+            self._records.record_prepared(conn, request, responses[0])
+            if responses[0].ok:
+                conn.prepared.add(request.prepared.pooled_name)
         status = None
         if request.requires_primary_proof:
             status = self._connector.read_status(responses[-1])
-        return StatementResult(responses[len(preparation)], status)
+        return StatementResult(
+            responses[len(preparation)],
+            status,
+            self._records.connection_name(conn),
+        )
 
     async def _apply_variables(
         self,
         conn: PooledConnection,
         variables: Mapping[str, str],
+        request: StatementRequest,
         deadline: float,
     ) -> bool:
         """Set the variables of a connection to those of a session.
@@ -106,6 +123,7 @@
         ]
         if change.reset:
             commands.insert(0, self._connector.reset())
+            self._records.record_reset(conn, request)
             conn.prepared.clear()
         self._count('variables', len(commands))
         try:
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -101,7 +101,7 @@
                 ResponseLoss.NOT_SENT, 'the gateway was not reached'
             )
         if reply.outcome != 'answered':
-            raise EndpointConnectionError(_read_loss(reply), reply.detail)
+            raise _lost(reply)
         self._transaction = reply.transaction
         return read_reply(reply)
 
@@ -217,7 +217,7 @@
             case 'rate_exceeded':
                 raise RateExceededError(job.organisation)
             case 'lost':
-                raise EndpointConnectionError(_read_loss(reply), reply.detail)
+                raise _lost(reply)
             case _:
                 raise ConnectionNotOpenedError(
                     reply.detail,
@@ -285,6 +285,12 @@
         ) from exc
 
 
+def _lost(reply: RunReply) -> EndpointConnectionError:
+    return EndpointConnectionError(
+        _read_loss(reply), reply.detail, reply.connection
+    )
+
+
 def _read_loss(reply: RunReply) -> ResponseLoss:
     try:
         return ResponseLoss(reply.loss)
--- a/trefoilhitch/pooler/gateway_messages.py
+++ b/trefoilhitch/pooler/gateway_messages.py
@@ -144,6 +144,7 @@
         status=write_status(reply.status) if reply.status else None,
         transaction=transaction,
         admitted=admitted,
+        connection=reply.connection,
     )
 
 
@@ -180,7 +181,7 @@
             ResponseLoss.CONNECTION_LOST, str(exc)
         ) from exc
     status = read_status(message.status) if message.status else None
-    return StatementResult(response, status)
+    return StatementResult(response, status, message.connection)
 
 
 def write_status(status: EndpointStatus) -> StatusReport:
--- a/trefoilhitch/pooler/gateway_server.py
+++ b/trefoilhitch/pooler/gateway_server.py
@@ -258,4 +258,5 @@
         loss=exc.loss.value,
         detail=str(exc),
         admitted=admitted,
+        connection=exc.connection,
     )
--- a/trefoilhitch/pooler/pooled_connection.py
+++ b/trefoilhitch/pooler/pooled_connection.py
@@ -11,6 +11,7 @@
 
     Args:
         conn: the connection.
+        number: distinguishes it from the others of its process.
         variables: session variables that are set on it.
         prepared: pooled names of the statements prepared on it.
         uses: how often it was taken from the pool.
@@ -19,6 +20,7 @@
     """
 
     conn: EndpointConnection
+    number: int = 0
     variables: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
     uses: int = 0
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -58,13 +58,18 @@
     Args:
         loss: how the response was lost.
         detail: explanation for people.
+        connection: node and number of the connection that a statement was
+            sent on, empty if none was sent or it is unknown.
 
     """
 
-    def __init__(self, loss: ResponseLoss, detail: str) -> None:
+    def __init__(
+        self, loss: ResponseLoss, detail: str, connection: str = ''
+    ) -> None:
         """Store how the response was lost."""
         super().__init__(detail)
         self.loss = loss
+        self.connection = connection
 
 
 class EndpointUnreachableError(EndpointConnectionError):
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -1,7 +1,8 @@
 """State of a client's session between its statements."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Self
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.catalogue import Route
@@ -28,6 +29,8 @@
         proof_age_ms: age of the observation that a read relied on, None if
             the proof came with the response or none was needed.
         choice: how the endpoint was chosen.
+        connection: node and number of the connection of the last attempt, empty
+            if it sent nothing or the node did not tell.
 
     """
 
@@ -36,6 +39,19 @@
     term: int = 0
     proof_age_ms: int | None = None
     choice: ChoiceKind = 'only'
+    connection: str = ''
+
+    def on_connection(self, connection: str) -> Self:
+        """Return the trace of a statement that was sent on a connection.
+
+        Args:
+            connection: node and number of the connection.
+
+        Returns:
+            The trace.
+
+        """
+        return replace(self, connection=connection)
 
 
 @dataclass(slots=True)
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -26,6 +26,7 @@
 )
 from trefoilhitch.pooler.routed_executor import RoutedExecutor
 from trefoilhitch.pooler.statement_executor import LocalExecutor
+from trefoilhitch.pooler.statement_records import StatementRecords
 from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.statement_sender import StatementSender
 from trefoilhitch.pooler.token_requester import TokenRequester
@@ -94,6 +95,7 @@
         connector=state.connector,
         metrics=runtime.metrics,
         guard=SendGuard(state.cluster.evacuated),
+        records=StatementRecords(state.membership.heartbeat.node, runtime.log),
     )
     return LocalExecutor(
         pool=state.pool,
--- /dev/null
+++ b/trefoilhitch/pooler/statement_records.py
@@ -0,0 +1,139 @@
+"""Records which connection holds which prepared statement, and for whom."""
+
+from dataclasses import dataclass
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.loggable import shorten
+from trefoilhitch.pooler.outcome import ResponseLoss
+from trefoilhitch.pooler.pooled_connection import PooledConnection
+from trefoilhitch.pooler.ports import EndpointConnectionError
+from trefoilhitch.pooler.response import Response
+from trefoilhitch.pooler.statement import PreparedStatement
+from trefoilhitch.pooler.statement_request import StatementRequest
+
+
+@dataclass(frozen=True, slots=True)
+class StatementRecords:
+    """Logs what changes the names that pooled connections hold.
+
+    A line is written for each preparation, none for the executions after it.
+
+    Args:
+        node: name of this node.
+        log: records the events.
+
+    """
+
+    node: str
+    log: DecisionLog
+
+    def connection_name(self, conn: PooledConnection) -> str:
+        """Return the name of a connection in the logs of all nodes.
+
+        Args:
+            conn: connection of this node.
+
+        Returns:
+            The node and the number of the connection.
+
+        """
+        return f'{self.node}/{conn.number}'
+
+    def record_prepared(
+        self,
+        conn: PooledConnection,
+        request: StatementRequest,
+        response: Response,
+    ) -> None:
+        """Record the response to the preparation of a statement.
+
+        Args:
+            conn: connection that it was prepared on.
+            request: the client's statement that needed it.
+            response: what the endpoint returned for the preparation.
+
+        """
+        refusal = response.refusal.value if response.refusal else ''
+        self._log_preparation(conn, request, refusal)
+
+    def record_lost(
+        self,
+        conn: PooledConnection,
+        request: StatementRequest,
+        exc: EndpointConnectionError,
+        *,
+        prepares: bool,
+    ) -> None:
+        """Record that the response of a connection was lost.
+
+        Args:
+            conn: the connection.
+            request: the client's statement.
+            exc: the failure, which will name the connection.
+            prepares: whether a preparation was sent before the statement.
+
+        """
+        if exc.loss == ResponseLoss.NOT_SENT:
+            return
+        exc.connection = self.connection_name(conn)
+        if prepares:
+            self._log_preparation(conn, request, exc.loss.value)
+
+    def record_reset(
+        self, conn: PooledConnection, request: StatementRequest
+    ) -> None:
+        """Record that a connection is reset, which drops its names.
+
+        Nothing is logged if it holds no name: the reset changes nothing then
+        that a later statement could run.
+
+        Args:
+            conn: the connection, with the names that it is about to lose.
+            request: statement of the session whose variables it will have.
+
+        """
+        if conn.prepared:
+            self.log.event(
+                'connection_reset',
+                request=request.statement.request_id,
+                endpoint=conn.conn.endpoint,
+                connection=self.connection_name(conn),
+                organisation=conn.conn.organisation,
+                names=len(conn.prepared),
+            )
+
+    def _log_preparation(
+        self, conn: PooledConnection, request: StatementRequest, refusal: str
+    ) -> None:
+        prepared = request.prepared
+        if prepared is None:
+            return
+        self.log.event(
+            'statement_prepared',
+            request=request.statement.request_id,
+            endpoint=conn.conn.endpoint,
+            connection=self.connection_name(conn),
+            organisation=conn.conn.organisation,
+            pooled_name=shorten(prepared.pooled_name),
+            access=prepared.access,
+            body=shorten(prepared.body),
+            body_chars=len(prepared.body),
+            refusal=refusal,
+        )
+
+
+def describe_execution(
+    name: str, prepared: PreparedStatement | None
+) -> dict[str, str]:
+    """Return the fields that name a prepared statement in a log line.
+
+    Args:
+        name: the client's name of the statement.
+        prepared: the statement, None if the client has prepared none.
+
+    Returns:
+        The client's name and the name on pooled connections, shortened.
+
+    """
+    pooled_name = shorten(prepared.pooled_name) if prepared else ''
+    return {'name': shorten(name), 'pooled_name': pooled_name}
--- a/trefoilhitch/pooler/statement_request.py
+++ b/trefoilhitch/pooler/statement_request.py
@@ -43,8 +43,10 @@
         response: the response to the statement.
         status: the endpoint's status after the statement, None if it was not
             requested or was refused.
+        connection: node and number of the connection, empty if it is unknown.
 
     """
 
     response: Response
     status: EndpointStatus | None = None
+    connection: str = ''
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -223,6 +223,7 @@
         except EndpointConnectionError as exc:
             return self._on_connection_lost(run, target, exc, sent_at)
         self._cluster.record_reached(target.endpoint)
+        _record_connection(run, started.reply.connection)
         response = None
         try:
             response = await self._process_reply(
@@ -316,6 +317,7 @@
         sent_at: float,
     ) -> Response | None:
         run.loss = exc.loss
+        _record_connection(run, exc.connection)
         self._failures.record_lost(run, target.endpoint, exc, sent_at)
         attempt = FailedAttempt(run.writes, exc.loss)
         return None if attempt.may_retry else lost_statement_response(attempt)
@@ -364,6 +366,10 @@
         return None
 
 
+def _record_connection(run: StatementRun, connection: str) -> None:
+    run.session.trace = run.session.trace.on_connection(connection)
+
+
 def _refuse_retry(run: StatementRun) -> Response:
     """Refuse a read, as not run unless its last attempt may have run."""
     if run.loss == ResponseLoss.NOT_SENT:
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -116,9 +116,11 @@
         try:
             reply = await self._send(session, transaction, statement)
         except EndpointConnectionError as exc:
+            session.trace = session.trace.on_connection(exc.connection)
             return self._on_connection_lost(
                 session, transaction, statement, exc.loss, proof.sent_at
             )
+        session.trace = session.trace.on_connection(reply.connection)
         self._cluster.positions.record(endpoint, reply.response)
         if reply.response.state == SessionState.IDLE:
             session.transaction = None
