`explain` shows what the connection of a request held, and who put it there

The lines of a request named its connection and pooled name, but the line of the preparation belongs to another request, often long before, so `explain` left it out.

It now shows all preparations and resets on the request's connection in the time around it, and however early the preparation of the name that ran and the last reset since then. Numbers of connections begin again with each process, so only events since the last `started` of the gateway count. The parser of a log line has a module of its own; the declaration in force is shown in order of time like every other event.

--- a/tests/test_odd_tools.py
+++ b/tests/test_odd_tools.py
@@ -10,7 +10,7 @@
 from trefoilhitch.declaration import read_declaration
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.ini import IniFile
-from trefoilhitch.log_timeline import LoggedEvent
+from trefoilhitch.logged_event import LoggedEvent
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.settings import read_settings
 from trefoilhitch.trace import TraceError, first_difference
--- a/trefoilhitch/log_timeline.py
+++ b/trefoilhitch/log_timeline.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import UTC, datetime, timedelta
-from typing import Any
+from datetime import timedelta
 
-from msgspec import Struct
-
-from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
+from trefoilhitch.connection_timeline import select_held_names
+from trefoilhitch.logged_event import LoggedEvent
 
 # Events that affect every request on their node.
 _NODE_EVENTS = frozenset(
@@ -24,75 +22,6 @@
 _DECLARATION_EVENT = 'declaration_in_force'
 
 
-class _LogLine(Struct):
-    time: str
-    node: str
-    event: str
-    record: dict[str, Any] = {}
-
-
-@dataclass(frozen=True, slots=True)
-class LoggedEvent:
-    """One line of a node's log.
-
-    Args:
-        time: time by the node's clock.
-        node: name of the node.
-        event: name of the event.
-        fields: fields of the event.
-
-    """
-
-    time: datetime
-    node: str
-    event: str
-    fields: dict[str, Any]
-
-    @classmethod
-    def from_line(cls, line: str) -> 'LoggedEvent | None':
-        """Parse a line of a log.
-
-        Args:
-            line: the line; text before its JSON object is ignored.
-
-        Returns:
-            The event, None if the line is not from a node's log.
-
-        """
-        _, brace, rest = line.partition('{')
-        try:
-            parsed = decode_json(f'{brace}{rest}', _LogLine)
-            time = _parse_time(parsed.time)
-        except (UnreadableJsonError, ValueError, OverflowError):
-            return None
-        return cls(time, parsed.node, parsed.event, parsed.record)
-
-    def name_of(self, field: str) -> str:
-        """Return the name in a field; empty if there is none.
-
-        Args:
-            field: name of the field.
-
-        Returns:
-            The name.
-
-        """
-        name = self.fields.get(field)
-        return name if isinstance(name, str) else ''
-
-    def render(self) -> str:
-        """Format the event as one line of text."""
-        head = f'{self.time.isoformat()} {self.node} {self.event}'
-        pairs = [f'{name}={text}' for name, text in self.fields.items()]
-        return ' '.join((head, *pairs))
-
-
-def _parse_time(text: str) -> datetime:
-    """Parse a time; the logs hold only UTC, with or without an offset."""
-    time = datetime.fromisoformat(text)
-    return time.astimezone(UTC).replace(tzinfo=None) if time.tzinfo else time
-
-
 def read_events(lines: Iterable[str]) -> Iterator[LoggedEvent]:
     """Parse log lines.
 
@@ -121,8 +50,9 @@
 
     Returns:
         The request's own events, those of its endpoints, services and nodes
-        in that time, and the declaration that was in force, ordered by time;
-        empty if the request is not in the logs.
+        in that time, what changed the names on its connections, and the
+        declaration that was in force, ordered by time; empty if the request is
+        not in the logs.
 
     """
     by_time = sorted(events, key=lambda event: event.time)
@@ -131,17 +61,25 @@
     ]
     if not own_events:
         return []
-    start = own_events[0].time
-    end = own_events[-1].time
-    nearby = [
-        each
-        for each in by_time
-        if start - each.time <= around and each.time - end <= around
-    ]
     scope = _find_scope(own_events, by_time)
+    nearby = _near(own_events, by_time, around)
     related = [each for each in nearby if _is_related(each, scope)]
     in_force = _declaration_in_force(own_events[0], by_time)
-    return [*in_force, *(each for each in related if each not in in_force)]
+    held = select_held_names(own_events, by_time, around)
+    shown = {id(each) for each in (*in_force, *held, *related)}
+    return [each for each in by_time if id(each) in shown]
+
+
+def _near(
+    own_events: list[LoggedEvent],
+    events: list[LoggedEvent],
+    around: timedelta,
+) -> Iterator[LoggedEvent]:
+    start = own_events[0].time
+    end = own_events[-1].time
+    for event in events:
+        if start - event.time <= around and event.time - end <= around:
+            yield event
 
 
 @dataclass(frozen=True, slots=True)
