The stand-in records every received line as bytes

The stand-in recorded only the statements that it ran, as it had parsed them itself.

Change: each line is recorded before it is parsed, as bytes without its line end, with the endpoint, a number of the connection that is unique in the group and the organisation of its START line. A checker can replay each connection from group.received alone.

--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -20,6 +20,7 @@
 from trefoilhitch_lab.wire_log import (
     ExecutedStatement,
     LogEntry,
+    ReceivedLine,
     encode_position,
 )
 from trefoilhitch_lab.wire_session import EndpointSession
@@ -80,6 +81,7 @@
 
     service: str
     term: int
+    received: list[ReceivedLine]
     executed: list[ExecutedStatement]
 
     async def commit(
@@ -93,6 +95,9 @@
     def catch_up(self, replica: 'WireEndpoint') -> None:
         """Copy the primary's log to a replica."""
 
+    def next_connection(self) -> int:
+        """Return the number of a new connection."""
+
     def run_later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action after a delay."""
 
@@ -221,16 +226,27 @@
 
     async def _run_session(self, stream: SocketStream) -> None:
         reader = LineReader(stream)
-        start_words = (await reader.receive_line()).split()
+        connection = self.group.next_connection()
+        line = await reader.receive_bytes()
+        if line is None:
+            return
+        fields = line.decode('latin-1').split(' ', START_FIELDS - 1)
+        organisation = fields[2] if len(fields) > 2 else ''
+        self._record(connection, organisation, line)
         await self._block_if_silent()
-        error = self._start_error(start_words)
+        error = self._start_error(fields)
         if error:
             await send_lines(stream, f'ERROR {error} {self.endpoint}')
             return
-        session = EndpointSession(self, start_words[2])
+        session = EndpointSession(self, organisation)
+        session.connection = connection
         await send_lines(stream, self._ready_line(session))
         await self._respond_to_all(stream, reader, session)
 
+    def _record(self, connection: int, organisation: str, line: bytes) -> None:
+        received = ReceivedLine(self.endpoint, connection, organisation, line)
+        self.group.received.append(received)
+
     async def _respond_to_all(
         self,
         stream: SocketStream,
@@ -239,8 +255,12 @@
     ) -> None:
         is_open = True
         while is_open:
-            line = await reader.receive_line()
-            is_open = await self._respond(stream, session, line)
+            line = await reader.receive_bytes()
+            if line is None:
+                return
+            self._record(session.connection, session.organisation, line)
+            text = line.decode('latin-1')
+            is_open = await self._respond(stream, session, text)
 
     async def _respond(
         self, stream: SocketStream, session: EndpointSession, line: str
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -1,11 +1,16 @@
 """Emulated database group: endpoints, replication and promotion."""
 
 from collections.abc import Callable
+from itertools import count
 
 from trio import Event, Nursery, sleep
 
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
-from trefoilhitch_lab.wire_log import ExecutedStatement, LogEntry
+from trefoilhitch_lab.wire_log import (
+    ExecutedStatement,
+    LogEntry,
+    ReceivedLine,
+)
 
 # Number of replicas that must hold a commit before it is acknowledged.
 SYNC_REPLICAS = 1
@@ -35,12 +40,14 @@
         self.keeps_replaced = keeps_replaced
         self.term = 1
         self.endpoints: dict[str, WireEndpoint] = {}
+        self.received: list[ReceivedLine] = []
         self.executed: list[ExecutedStatement] = []
         self.acknowledged_entries: list[LogEntry] = []
         self.lost_entries: list[LogEntry] = []
         self._sync_replicas = SYNC_REPLICAS
         self._on_role_change = on_role_change
         self._nursery: Nursery | None = None
+        self._connection_numbers = count(1)
 
     async def start(
         self, nursery: Nursery, data_centres: tuple[str, ...]
@@ -159,6 +166,10 @@
         replica.applied_count = min(replica.applied_count, len(replica.log))
         self._schedule_apply(replica)
 
+    def next_connection(self) -> int:
+        """Return the number of a new connection."""
+        return next(self._connection_numbers)
+
     def run_later(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action after a delay.
 
--- a/trefoilhitch_lab/wire_log.py
+++ b/trefoilhitch_lab/wire_log.py
@@ -1,4 +1,4 @@
-"""Records of commits and statements in an emulated database group."""
+"""Records of commits, lines and statements in an emulated database group."""
 
 from dataclasses import dataclass
 
@@ -26,6 +26,25 @@
         return self.term, self.number
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedLine:
+    """A line that an endpoint received, recorded for tests.
+
+    Args:
+        endpoint: id of the endpoint.
+        connection: number of the connection, unique in the group.
+        organisation: organisation that the connection's START line names;
+            empty if it names none.
+        line: the bytes without the line end.
+
+    """
+
+    endpoint: str
+    connection: int
+    organisation: str
+    line: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutedStatement:
     """A statement that an endpoint executed, recorded for tests.
--- a/trefoilhitch_lab/wire_session.py
+++ b/trefoilhitch_lab/wire_session.py
@@ -31,8 +31,10 @@
     def __init__(self, endpoint: 'WireEndpoint', organisation: str) -> None:
         """Start without a transaction and without session variables."""
         self.state = 'I'
+        self.organisation = organisation
+        # Number of the connection in the group's records.
+        self.connection = 0
         self._endpoint = endpoint
-        self._organisation = organisation
         self._is_read_only = False
         self._variables: dict[str, str] = {}
         self._prepared: dict[str, tuple[str, str]] = {}
@@ -79,7 +81,7 @@
                 self._endpoint.endpoint,
                 request_id,
                 text,
-                self._organisation,
+                self.organisation,
                 dict(self._variables),
             )
         )
