The stand-in reads lines by the protocol's grammar

Cause: the stand-in cut a line with text.split() into exactly three words, as the product does, so both shared one wrong reading.

Change: wire_grammar.py reads a line from the protocol's own sentence, apart from the product's codec. Fields are separated by single blanks, the last one extends to the end of the line, and no other byte separates. An empty field before the last, a third field of PREPARE other than READ or WRITE, and a message over 1 MiB get MALFORMED; a message over 1 MiB is also kept in group.violations. The record of a statement names the connection, the shape that ran, the item and the data. group.held_peak tells the most names and bytes of shapes held for one connection, and a fault switch refuses chosen verbs with MALFORMED.

--- a/trefoilhitch_lab/wire_client.py
+++ b/trefoilhitch_lab/wire_client.py
@@ -31,8 +31,8 @@
     @property
     def code(self) -> str:
         """Error code; empty after a success."""
-        words = self.outcome.split()
-        return words[1] if words[0] == 'ERROR' else ''
+        word, _, rest = self.outcome.partition(' ')
+        return rest.partition(' ')[0] if word == 'ERROR' else ''
 
 
 class WireClient:
@@ -61,7 +61,9 @@
             The response line; empty if the connection was closed.
 
         """
-        await self.send(f'START {database} {key}'.rstrip())
+        await self.send(
+            f'START {database} {key}' if key else f'START {database}'
+        )
         return await self.reader.receive_line()
 
     async def query(self, text: str) -> WireResponse:
@@ -103,7 +105,7 @@
             if word == 'DATAROW':
                 rows.append(rest)
             elif word == 'READY':
-                state, position = rest.split()
+                state, _, position = rest.partition(' ')
                 return WireResponse(tuple(rows), outcome, state, position)
             elif line:
                 outcome = line
--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -16,6 +16,12 @@
     sleep_forever,
 )
 
+from trefoilhitch_lab.prepared_names import HeldPeak
+from trefoilhitch_lab.wire_grammar import (
+    MalformedError,
+    is_too_long,
+    parse_start,
+)
 from trefoilhitch_lab.wire_lines import LineReader, send_lines
 from trefoilhitch_lab.wire_log import (
     ExecutedStatement,
@@ -26,7 +32,6 @@
 from trefoilhitch_lab.wire_session import EndpointSession
 
 MAX_CONNECTIONS = 30
-START_FIELDS = 4
 _CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, OSError)
 
 
@@ -44,6 +49,8 @@
         drop_responses: number of coming client statements whose connection
             closes after they ran, instead of a response.
         busy: each statement is refused with BUSY.
+        malformed_verbs: verbs of the statements that are refused with
+            MALFORMED.
         max_connections: maximum number of open connections.
         read_delay_s: time that each read takes, in seconds.
         late_orders: delays in seconds by control verb; such an order gets no
@@ -57,6 +64,7 @@
     apply_lag_s: float = 0.01
     drop_responses: int = 0
     busy: bool = False
+    malformed_verbs: frozenset[str] = frozenset()
     max_connections: int = MAX_CONNECTIONS
     read_delay_s: float = 0
     late_orders: dict[str, float] = field(default_factory=dict)
@@ -83,6 +91,8 @@
     term: int
     received: list[ReceivedLine]
     executed: list[ExecutedStatement]
+    violations: list[ReceivedLine]
+    held_peak: HeldPeak
 
     async def commit(
         self,
@@ -230,11 +240,9 @@
         line = await reader.receive_bytes()
         if line is None:
             return
-        fields = line.decode('latin-1').split(' ', START_FIELDS - 1)
-        organisation = fields[2] if len(fields) > 2 else ''
+        error, organisation = self._accept_start(line.decode('latin-1'))
         self._record(connection, organisation, line)
         await self._block_if_silent()
-        error = self._start_error(fields)
         if error:
             await send_lines(stream, f'ERROR {error} {self.endpoint}')
             return
@@ -246,6 +254,8 @@
     def _record(self, connection: int, organisation: str, line: bytes) -> None:
         received = ReceivedLine(self.endpoint, connection, organisation, line)
         self.group.received.append(received)
+        if is_too_long(line):
+            self.group.violations.append(received)
 
     async def _respond_to_all(
         self,
@@ -265,7 +275,7 @@
     async def _respond(
         self, stream: SocketStream, session: EndpointSession, line: str
     ) -> bool:
-        if not line or line == 'TERMINATE':
+        if line == 'TERMINATE':
             return False
         response = await session.respond(line)
         await self._block_if_silent()
@@ -282,13 +292,17 @@
         if self.faults.silent:
             await sleep_forever()
 
-    def _start_error(self, start_words: list[str]) -> str:
-        if len(start_words) != START_FIELDS:
-            return 'MALFORMED'
-        _, service, _, endpoint = start_words
-        if (service, endpoint) != (self.group.service, self.endpoint):
-            return 'WRONGNODE'
+    def _accept_start(self, line: str) -> tuple[str, str]:
+        """Return the code of a refusal, empty if none, and the organisation."""
+        try:
+            service, organisation, expected_id = parse_start(line)
+        except MalformedError:
+            return 'MALFORMED', ''
+        if service != self.group.service:
+            return 'WRONGNODE', organisation
+        if expected_id not in {'', self.endpoint}:
+            return 'WRONGNODE', organisation
         if len(self._open_streams) > self.faults.max_connections:
             self.request_counts['CONNLIMIT'] += 1
-            return 'CONNLIMIT'
-        return ''
+            return 'CONNLIMIT', organisation
+        return '', organisation
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -5,6 +5,7 @@
 
 from trio import Event, Nursery, sleep
 
+from trefoilhitch_lab.prepared_names import HeldPeak
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
 from trefoilhitch_lab.wire_log import (
     ExecutedStatement,
@@ -42,6 +43,9 @@
         self.endpoints: dict[str, WireEndpoint] = {}
         self.received: list[ReceivedLine] = []
         self.executed: list[ExecutedStatement] = []
+        # Messages that the protocol forbids.
+        self.violations: list[ReceivedLine] = []
+        self.held_peak = HeldPeak()
         self.acknowledged_entries: list[LogEntry] = []
         self.lost_entries: list[LogEntry] = []
         self._sync_replicas = SYNC_REPLICAS
--- a/trefoilhitch_lab/wire_log.py
+++ b/trefoilhitch_lab/wire_log.py
@@ -55,6 +55,11 @@
         text: text of the statement as received.
         organisation: organisation that the session belongs to.
         variables: session variables at that time.
+        connection: number of the connection.
+        shape: access and body of the prepared statement, None unless it is
+            an EXECUTE.
+        row_name: item that it reads or writes.
+        row_text: data that it was given, None if there was none.
 
     """
 
@@ -63,6 +68,10 @@
     text: str
     organisation: str
     variables: dict[str, str]
+    connection: int
+    shape: tuple[str, str] | None
+    row_name: str
+    row_text: str | None
 
 
 def encode_position(position: tuple[int, int]) -> str:
@@ -87,6 +96,11 @@
     Returns:
         Term and number.
 
+    Raises:
+        ValueError: text is not a position.
+
     """
     term, _, number = text.partition('.')
+    if not (term.isdecimal() and number.isdecimal()):
+        raise ValueError('not a position')
     return int(term), int(number)
