Prepared statements have names that hold no text of a client

Cause: the name on a pooled connection was the access and the client's shape. A blank in the shape ended the name, and the endpoint took the rest for further fields: the PREPARE was refused or prepared something else, and the EXECUTE in the same batch ran whatever the first word named. Class: text that a client chose became part of a line where the protocol divides fields.

Evidence: the text that ran is the rest of "ACCESS_SHAPE" after its first blank, the access and the shape, letter by letter, in both cases of the record; one-word shapes never failed.

Change: the name is a digest of the content (BLAKE2b, 16 bytes). It is one field whatever the shape holds, and equal names mean equal content on every node and connection, so that a name can only run its own shape or be unknown.

--- a/trefoilhitch/pooler/statement.py
+++ b/trefoilhitch/pooler/statement.py
@@ -1,10 +1,14 @@
 """Messages that clients send in a session."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
+from hashlib import blake2b
 from typing import Literal
 
 Access = Literal['read', 'write']
+_NAME_DIGEST_BYTES = 16
+# A letter and two hexadecimal digits for each byte.
+POOLED_NAME_CHARS = 2 * _NAME_DIGEST_BYTES + 1
 
 
 class Verb(Enum):
@@ -28,16 +32,20 @@
     Args:
         access: whether it reads or writes.
         body: text of the statement, opaque to the pooler.
+        pooled_name: name on pooled connections, which only equal content has.
+            It holds none of the client's text, which may contain blanks.
 
     """
 
     access: Access
     body: str
+    pooled_name: str = field(init=False, repr=False, compare=False)
 
-    @property
-    def pooled_name(self) -> str:
-        """Name on pooled connections, equal for equal content."""
-        return f'{self.access}_{self.body}'
+    def __post_init__(self) -> None:
+        """Derive the name from the content."""
+        hashed = f'{self.access} {self.body}'.encode('utf-8', 'surrogatepass')
+        digest = blake2b(hashed, digest_size=_NAME_DIGEST_BYTES).hexdigest()
+        object.__setattr__(self, 'pooled_name', f's{digest}')
 
 
 @dataclass(frozen=True, slots=True)
