Statements of clients are cut only at blanks

Callers whose names, items or values hold the bytes A0, 85, 1C to 1F, 09, 0B or 0C saw two names become one, a name run another one's shape, DEALLOC drop another name, variables with other values than acknowledged, or MALFORMED.

Cause: a statement was split with str.split(), which cuts at all that Unicode calls white space; a line is decoded as Latin-1, so that single bytes of UTF-8 text counted. Blanks in a row were taken for one. What followed a cut in a name was dropped.

Change: a statement is split at single blanks, at most as often as its verb has fields; the last one keeps all bytes. An empty field before the last one is malformed. COMMIT, ROLLBACK and BEGIN [READ] are compared as a whole, and the key of START extends to the end of its line.

--- a/trefoilhitch/platform/client_codec.py
+++ b/trefoilhitch/platform/client_codec.py
@@ -37,8 +37,9 @@
         'DEALLOC': Verb.DEALLOCATE,
     },
 )
-# Minimum number of words after the verb.
-_MIN_ARGUMENTS = MappingProxyType(
+# Number of fields after the verb; the last one extends to the end of the text.
+# EXECUTE has a name, and the item and data, which only the endpoint divides.
+_FIELDS = MappingProxyType(
     {
         Verb.READ: 1,
         Verb.WRITE: 2,
@@ -48,14 +49,16 @@
         Verb.DEALLOCATE: 1,
     },
 )
+# Verbs whose last field may be empty.
+_VERBS_WITH_DATA = frozenset((Verb.WRITE, Verb.SET))
 _ACCESS_BY_WORD: MappingProxyType[str, Access] = MappingProxyType(
     {'READ': 'read', 'WRITE': 'write'},
 )
 _VERBS_WITH_NAME = frozenset(
     (Verb.SET, Verb.PREPARE, Verb.EXECUTE, Verb.DEALLOCATE)
 )
+_BLANK = ' '
 _LINE_END_TO_BLANK = MappingProxyType({ord('\r'): ' ', ord('\n'): ' '})
-_MAX_START_FIELDS = 3
 _QUERY_FIELDS = 3
 
 
@@ -72,11 +75,11 @@
         WireError: line is not a START message.
 
     """
-    fields = line.split()
-    if not 1 < len(fields) <= _MAX_START_FIELDS or fields[0] != 'START':
+    word, _, rest = line.partition(_BLANK)
+    database, _, key = rest.partition(_BLANK)
+    if word != 'START' or not database:
         raise WireError('expected START')
-    key = fields[2] if len(fields) == _MAX_START_FIELDS else ''
-    return SessionStart(fields[1], key)
+    return SessionStart(database, key)
 
 
 def decode_query(line: str) -> Statement:
@@ -92,7 +95,7 @@
         WireError: line is not a statement that clients may send.
 
     """
-    fields = line.split(' ', _QUERY_FIELDS - 1)
+    fields = line.split(_BLANK, _QUERY_FIELDS - 1)
     if len(fields) != _QUERY_FIELDS or fields[0] != 'QUERY':
         raise WireError('expected QUERY')
     _, request_id, text = fields
@@ -102,44 +105,55 @@
 
 
 def _decode_statement(request_id: str, text: str) -> Statement:
-    words = text.split(maxsplit=3)
-    verb = _VERB_BY_WORD.get(words[0]) if words else None
+    word = text.partition(_BLANK)[0]
+    verb = _VERB_BY_WORD.get(word)
     if verb is None:
         raise WireError('unknown statement')
-    if len(words) <= _MIN_ARGUMENTS.get(verb, 0):
-        raise WireError('incomplete statement')
     if verb == Verb.BEGIN:
-        return _decode_begin(request_id, text, words[1:])
-    if verb in {Verb.COMMIT, Verb.ROLLBACK} and len(words) > 1:
-        raise WireError(f'{words[0]} takes no argument')
+        return _decode_begin(request_id, text)
+    if verb not in _FIELDS:
+        if text != word:
+            raise WireError(f'{word} takes no argument')
+        return Statement(request_id, verb, text)
+    fields = _split_fields(verb, text)
     if verb not in _VERBS_WITH_NAME:
         return Statement(request_id, verb, text)
     return Statement(
         request_id,
         verb,
         text,
-        name=words[1],
-        argument=_text_after_name(text),
-        prepared=_decode_prepared(words) if verb == Verb.PREPARE else None,
+        name=fields[0],
+        argument=fields[1] if len(fields) > 1 else '',
+        prepared=_decode_prepared(fields) if verb == Verb.PREPARE else None,
     )
 
 
-def _text_after_name(text: str) -> str:
-    parts = text.split(maxsplit=2)
-    return parts[2] if len(parts) > 2 else ''
+def _split_fields(verb: Verb, text: str) -> list[str]:
+    """Split a statement at single blanks, as an endpoint does.
 
+    Other white space belongs to a field, and so do blanks in the last one.
+    """
+    count = _FIELDS[verb]
+    _, *fields = text.split(_BLANK, count)
+    required = fields[:-1] if verb in _VERBS_WITH_DATA else fields
+    if len(fields) < count or not all(required):
+        raise WireError('incomplete statement')
+    return fields
 
-def _decode_begin(request_id: str, text: str, words: list[str]) -> Statement:
-    if words not in ([], ['READ']):
+
+def _decode_begin(request_id: str, text: str) -> Statement:
+    if text not in {'BEGIN', 'BEGIN READ'}:
         raise WireError('BEGIN takes READ or nothing')
-    return Statement(request_id, Verb.BEGIN, text, read_only=bool(words))
+    return Statement(
+        request_id, Verb.BEGIN, text, read_only=text == 'BEGIN READ'
+    )
 
 
-def _decode_prepared(words: list[str]) -> PreparedStatement:
-    access = _ACCESS_BY_WORD.get(words[2])
+def _decode_prepared(fields: list[str]) -> PreparedStatement:
+    access = _ACCESS_BY_WORD.get(fields[1])
     if access is None:
         raise WireError('PREPARE needs READ or WRITE')
-    return PreparedStatement(access, words[3])
+    return PreparedStatement(access, fields[2])
 
 
 def encode_response(response: Response) -> bytes:
