A pooled connection holds a bounded number of prepared statements

One client's 4,000 shapes left 4,005 names on one connection of an endpoint, each of up to 1 MiB. Nothing took them away but a RESET, which comes only when the variables of sessions differ, or the end of the connection.

Cause: a node noted which names a connection holds, and never released one.

The least recently used ones are released with DEALLOC in the batch that prepares another one. Names of a connection are forgotten when its RESET has succeeded, not before.

--- a/trefoilhitch/platform/endpoint_connection.py
+++ b/trefoilhitch/platform/endpoint_connection.py
@@ -241,6 +241,10 @@
             f'PREPARE {prepared.pooled_name} {access} {prepared.body}'
         )
 
+    def deallocate(self, pooled_name: str) -> Command:
+        """Return the statement that releases a prepared one."""
+        return Command(f'DEALLOC {pooled_name}')
+
     def execute(
         self, request_id: str, prepared: PreparedStatement, argument: str
     ) -> Command:
--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -4,6 +4,7 @@
 
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
+from trefoilhitch.pooler.held_statements import HeldStatements
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
@@ -11,6 +12,8 @@
     EndpointConnectionError,
     EndpointConnector,
 )
+from trefoilhitch.pooler.preparation import Preparation
+from trefoilhitch.pooler.response import Refusal, Response
 from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
 from trefoilhitch.pooler.statement_records import StatementRecords
@@ -72,32 +75,44 @@
         await self._guard.check(conn.conn.endpoint)
         if await self._apply_variables(conn, variables, request, deadline):
             await self._guard.check(conn.conn.endpoint)
-        commands = [self._command(request)]
-        preparation = self._preparation(conn, request.prepared)
-        if request.requires_primary_proof:
-            commands.append(self._connector.status())
-            self._count('status', 1)
-            self._metrics.count('control_requests', 'statement_status')
+        preparation = Preparation.from_held(conn.prepared, request.prepared)
+        changes = self._changes(preparation)
+        statements = self._statements(request)
         try:
-            responses = await conn.conn.run([*preparation, *commands], deadline)
+            responses = await conn.conn.run([*changes, *statements], deadline)
         except EndpointConnectionError as exc:
             self._records.record_lost(
-                conn, request, exc, prepares=bool(preparation)
+                conn, request, exc, prepares=bool(changes)
             )
             raise
-        if preparation and request.prepared:
-            self._records.record_prepared(conn, request, responses[0])
-            if responses[0].ok:
-                conn.prepared.add(request.prepared.pooled_name)
+        answers = responses[: len(changes)]
+        if answers:
+            self._records.record_prepared(conn, request, answers[-1])
+            preparation.apply(conn.prepared, answers)
+        response = responses[len(changes)]
+        _record_execution(conn.prepared, request.prepared, response)
         status = None
         if request.requires_primary_proof:
             status = self._connector.read_status(responses[-1])
         return StatementResult(
-            responses[len(preparation)],
-            status,
-            self._records.connection_name(conn),
+            response, status, self._records.connection_name(conn)
         )
 
+    def _changes(self, preparation: Preparation) -> list[Command]:
+        commands = preparation.commands(self._connector)
+        if commands:
+            self._count('prepare', 1)
+            self._count('deallocate', len(commands) - 1)
+        return commands
+
+    def _statements(self, request: StatementRequest) -> list[Command]:
+        command = self._command(request)
+        if not request.requires_primary_proof:
+            return [command]
+        self._count('status', 1)
+        self._metrics.count('control_requests', 'statement_status')
+        return [command, self._connector.status()]
+
     async def _apply_variables(
         self,
         conn: PooledConnection,
@@ -124,7 +139,6 @@
         if change.reset:
             commands.insert(0, self._connector.reset())
             self._records.record_reset(conn, request)
-            conn.prepared.clear()
         self._count('variables', len(commands))
         try:
             responses = await conn.conn.run(commands, deadline)
@@ -137,17 +151,11 @@
             raise EndpointConnectionError(
                 ResponseLoss.NOT_SENT, 'session variables were refused'
             )
+        if change.reset:
+            conn.prepared.clear()
         conn.variables = dict(variables)
         return True
 
-    def _preparation(
-        self, conn: PooledConnection, prepared: PreparedStatement | None
-    ) -> list[Command]:
-        if prepared is None or prepared.pooled_name in conn.prepared:
-            return []
-        self._count('prepare', 1)
-        return [self._connector.prepare(prepared)]
-
     def _command(self, request: StatementRequest) -> Command:
         statement = request.statement
         if statement.verb == Verb.EXECUTE and request.prepared is not None:
@@ -162,3 +170,14 @@
 
     def _count(self, kind: str, number: int) -> None:
         self._metrics.add('own_statements', number, kind)
+
+
+def _record_execution(
+    held: HeldStatements, prepared: PreparedStatement | None, response: Response
+) -> None:
+    if prepared is None:
+        return
+    if response.refusal == Refusal.UNKNOWN_STATEMENT:
+        held.discard(prepared.pooled_name)
+    else:
+        held.mark_used(prepared.pooled_name)
--- a/trefoilhitch/pooler/pooled_connection.py
+++ b/trefoilhitch/pooler/pooled_connection.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from trefoilhitch.pooler.held_statements import HeldStatements
 from trefoilhitch.pooler.ports import EndpointConnection
 
 
@@ -13,7 +14,7 @@
         conn: the connection.
         number: distinguishes it from the others of its process.
         variables: session variables that are set on it.
-        prepared: pooled names of the statements prepared on it.
+        prepared: statements that are prepared on it.
         uses: how often it was taken from the pool.
         taken_at: monotonic time at which it was taken last.
 
@@ -22,6 +23,6 @@
     conn: EndpointConnection
     number: int = 0
     variables: dict[str, str] = field(default_factory=dict)
-    prepared: set[str] = field(default_factory=set)
+    prepared: HeldStatements = field(default_factory=HeldStatements)
     uses: int = 0
     taken_at: float = 0
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -172,6 +172,9 @@
     def prepare(self, prepared: PreparedStatement) -> Command:
         """Return the command that prepares a statement by its pooled name."""
 
+    def deallocate(self, pooled_name: str) -> Command:
+        """Return the command that releases a prepared statement."""
+
     def execute(
         self, request_id: str, prepared: PreparedStatement, argument: str
     ) -> Command:
--- a/trefoilhitch_lab/cut_connector.py
+++ b/trefoilhitch_lab/cut_connector.py
@@ -71,6 +71,7 @@
         self._cut_endpoints = cut_endpoints
         self.set_variable = connector.set_variable
         self.prepare = connector.prepare
+        self.deallocate = connector.deallocate
         self.execute = connector.execute
         self.reset = connector.reset
         self.status = connector.status
