A shape or variable that the endpoint calls malformed is refused at once

Callers of some shapes and variables got BUSY on every try though nothing was busy, after eight attempts of which each took a place; in a transaction, NOSTMT for a name whose PREPARE had been acknowledged.

Cause: the answer to a PREPARE was only used to note the name; the EXECUTE in the same batch then named an unknown statement, which counts as not run and is tried again. A refused SET or RESET counted as a lost connection, and so did a statement that cannot be written as one line.

Change: if a statement is unknown because its PREPARE was refused, the client gets the reason of that refusal; MALFORMED is not tried again. A variable that is malformed ends the attempt and the connection, on which it is unknown what was set.

Other refusals (BUSY, FAILED) may pass, and are still tried again.

--- a/tests/test_held_statements.py
+++ b/tests/test_held_statements.py
@@ -17,6 +17,7 @@
 )
 OK = Response()
 BUSY = Response(refusal=Refusal.BUSY, detail='no slot')
+UNKNOWN = Response(refusal=Refusal.UNKNOWN_STATEMENT, detail='i-1')
 
 
 def _prepare(held: HeldStatements, body: str) -> Preparation:
@@ -71,6 +72,26 @@
     preparation = Preparation.from_held(held, prepared)
     preparation.apply(held, [BUSY])
     assert prepared.pooled_name not in held
+    assert preparation.explain([BUSY], UNKNOWN).refusal == Refusal.BUSY
+
+
+def test_malformed_shape_is_reported_instead_of_an_unknown_name() -> None:
+    malformed = Response(refusal=Refusal.MALFORMED, detail='no such shape')
+    preparation = Preparation.from_held(
+        HeldStatements(), PreparedStatement('read', 'q1')
+    )
+    response = preparation.explain([malformed], UNKNOWN)
+    assert response.refusal == Refusal.MALFORMED
+    assert response.detail == 'no such shape'
+
+
+def test_failed_preparation_may_be_tried_again() -> None:
+    failed = Response(refusal=Refusal.FAILED)
+    preparation = Preparation.from_held(
+        HeldStatements(), PreparedStatement('read', 'q1')
+    )
+    assert preparation.explain([failed], UNKNOWN).refusal == Refusal.BUSY
+    assert preparation.explain([failed], OK) == OK
 
 
 @given(st.lists(st.text(), min_size=2, max_size=2, unique=True))
--- a/trefoilhitch/platform/endpoint_connection.py
+++ b/trefoilhitch/platform/endpoint_connection.py
@@ -29,6 +29,7 @@
     EndpointResetError,
     EndpointStatus,
     EndpointUnreachableError,
+    UnsendableStatementError,
 )
 from trefoilhitch.pooler.response import Response, SessionState
 from trefoilhitch.pooler.statement import PreparedStatement
@@ -93,6 +94,8 @@
         Raises:
             EndpointConnectionError: a response is missing or incomplete, and
                 the connection is closed; or nothing was sent.
+            UnsendableStatementError: a statement cannot be sent; the
+                connection stays open.
 
         """
         self._check_quiet()
@@ -301,7 +304,7 @@
     try:
         return b''.join(encode_command(command) for command in commands)
     except WireError as exc:
-        raise EndpointConnectionError(ResponseLoss.NOT_SENT, str(exc)) from exc
+        raise UnsendableStatementError(ResponseLoss.NOT_SENT, str(exc)) from exc
 
 
 async def _open_endpoint_stream(
--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -1,7 +1,8 @@
 """Runs statements on a connection after applying the session's state."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
+from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.held_statements import HeldStatements
@@ -11,9 +12,15 @@
     Command,
     EndpointConnectionError,
     EndpointConnector,
+    UnsendableStatementError,
 )
 from trefoilhitch.pooler.preparation import Preparation
-from trefoilhitch.pooler.response import Refusal, Response
+from trefoilhitch.pooler.response import (
+    Refusal,
+    Response,
+    SessionState,
+    refusal_response,
+)
 from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
 from trefoilhitch.pooler.statement_records import StatementRecords
@@ -23,6 +30,23 @@
 )
 
 
+class _MalformedVariableError(TrefoilhitchError):
+    """A session variable is malformed to the endpoint; nothing else was sent.
+
+    Args:
+        detail: explanation for people.
+        in_transaction: whether a transaction was lost with the connection.
+
+    """
+
+    def __init__(self, detail: str, *, in_transaction: bool) -> None:
+        """Store the state that the session is in."""
+        super().__init__(detail)
+        self.state = (
+            SessionState.FAILED if in_transaction else SessionState.IDLE
+        )
+
+
 class ConnectionRunner:
     """Runs statements on connections.
 
@@ -64,7 +88,9 @@
             deadline: monotonic time.
 
         Returns:
-            The response, with the endpoint's status if it was requested.
+            The response, with the endpoint's status if it was requested. A
+            statement is malformed if it, or a variable, cannot be sent or is
+            malformed to the endpoint.
 
         Raises:
             EndpointConnectionError: the response did not arrive completely.
@@ -72,6 +98,20 @@
                 was not sent.
 
         """
+        try:
+            return await self._run(conn, variables, request, deadline)
+        except UnsendableStatementError as exc:
+            return _malformed(str(exc), conn.conn.state)
+        except _MalformedVariableError as exc:
+            return _malformed(str(exc), exc.state)
+
+    async def _run(
+        self,
+        conn: PooledConnection,
+        variables: Mapping[str, str],
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementResult:
         await self._guard.check(conn.conn.endpoint)
         if await self._apply_variables(conn, variables, request, deadline):
             await self._guard.check(conn.conn.endpoint)
@@ -89,7 +129,7 @@
         if answers:
             self._records.record_prepared(conn, request, answers[-1])
             preparation.apply(conn.prepared, answers)
-        response = responses[len(changes)]
+        response = preparation.explain(answers, responses[len(changes)])
         _record_execution(conn.prepared, request.prepared, response)
         status = None
         if request.requires_primary_proof:
@@ -142,15 +182,13 @@
         self._count('variables', len(commands))
         try:
             responses = await conn.conn.run(commands, deadline)
+        except UnsendableStatementError:
+            raise
         except EndpointConnectionError as exc:
             raise EndpointConnectionError(
                 ResponseLoss.NOT_SENT, str(exc)
             ) from exc
-        if not all(response.ok for response in responses):
-            conn.conn.close()
-            raise EndpointConnectionError(
-                ResponseLoss.NOT_SENT, 'session variables were refused'
-            )
+        _check_accepted(conn, responses)
         if change.reset:
             conn.prepared.clear()
         conn.variables = dict(variables)
@@ -172,6 +210,34 @@
         self._metrics.add('own_statements', number, kind)
 
 
+def _check_accepted(
+    conn: PooledConnection, responses: Sequence[Response]
+) -> None:
+    """Close a connection on which not all variables were set.
+
+    Raises:
+        _MalformedVariableError: the endpoint will never accept them.
+        EndpointConnectionError: they were refused; another try may succeed.
+
+    """
+    if all(response.ok for response in responses):
+        return
+    in_transaction = conn.conn.state != SessionState.IDLE
+    conn.conn.close()
+    for response in responses:
+        if response.refusal == Refusal.MALFORMED:
+            raise _MalformedVariableError(
+                response.detail, in_transaction=in_transaction
+            )
+    raise EndpointConnectionError(
+        ResponseLoss.NOT_SENT, 'session variables were refused'
+    )
+
+
+def _malformed(detail: str, state: SessionState) -> StatementResult:
+    return StatementResult(refusal_response(Refusal.MALFORMED, detail, state))
+
+
 def _record_execution(
     held: HeldStatements, prepared: PreparedStatement | None, response: Response
 ) -> None:
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -91,6 +91,10 @@
     """Too many requests wait for a connection; nothing was sent."""
 
 
+class UnsendableStatementError(EndpointConnectionError):
+    """A statement is not one message of the protocol; nothing was sent."""
+
+
 class EndpointRefusedError(TrefoilhitchError):
     """An endpoint refused to open a connection.
 
@@ -127,6 +131,7 @@
         Raises:
             EndpointConnectionError: a response did not arrive completely; the
                 connection is closed.
+            UnsendableStatementError: a statement cannot be sent.
 
         """
 
--- a/trefoilhitch/pooler/preparation.py
+++ b/trefoilhitch/pooler/preparation.py
@@ -1,11 +1,11 @@
 """What a connection needs before it can execute a prepared statement."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from trefoilhitch.pooler.held_statements import HeldStatements
 from trefoilhitch.pooler.ports import Command, EndpointConnector
-from trefoilhitch.pooler.response import Refusal, Response
+from trefoilhitch.pooler.response import NOT_RUN_REFUSALS, Refusal, Response
 from trefoilhitch.pooler.statement import PreparedStatement
 
 # An endpoint that answers so does not hold the statement.
@@ -75,3 +75,27 @@
                 held.discard(name)
         if responses[-1].ok:
             held.add(self.prepared)
+
+    def explain(
+        self, responses: Sequence[Response], executed: Response
+    ) -> Response:
+        """Return why a statement did not run that could not be prepared.
+
+        Args:
+            responses: the endpoint's responses to the changes.
+            executed: its response to the statement.
+
+        Returns:
+            The response for the client. Only MALFORMED stays the same however
+            often the statement is sent.
+
+        """
+        if self.prepared is None or responses[-1].ok:
+            return executed
+        if executed.refusal != Refusal.UNKNOWN_STATEMENT:
+            return executed
+        refused = responses[-1]
+        refusal = refused.refusal
+        if refusal != Refusal.MALFORMED and refusal not in NOT_RUN_REFUSALS:
+            refusal = Refusal.BUSY
+        return replace(executed, refusal=refusal, detail=refused.detail)
