No message over 1 MiB is sent to an endpoint or a client

A client's statement that just fitted reached the endpoint in a line of more than 1 MiB, which the protocol forbids: a node adds the pooled name and the position that a read requires. Through a gateway the client got INDOUBT or ABORTED for it. A PREPARE that no endpoint can be sent was acknowledged.

Cause: the length of a message was checked where it is received, without its line end, and never where it is sent.

Change: encode_line refuses a message over 1 MiB, line end included. The node that the client talks to computes the longest form of its statement (fits_message) and refuses one that does not fit with MALFORMED, before an endpoint or a token of the rate is looked for; the session goes on.

--- a/trefoilhitch/platform/endpoint_codec.py
+++ b/trefoilhitch/platform/endpoint_codec.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch.decimal_text import parse_decimal
+from trefoilhitch.decimal_text import MAX_DIGITS, parse_decimal
 from trefoilhitch.platform.codes import (
     REFUSAL_BY_CODE,
     STATE_BY_LETTER,
@@ -12,14 +12,22 @@
     encode_position,
 )
 from trefoilhitch.platform.line_buffer import (
+    LINE_END_BYTES,
+    MAX_MESSAGE_BYTES,
     MAX_SHOWN_CHARS,
     WireError,
     encode_line,
 )
 from trefoilhitch.pooler.ports import Command, EndpointStatus
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
+from trefoilhitch.pooler.statement import POOLED_NAME_CHARS, Statement, Verb
 
 NO_REQUEST_ID = '-'
+_QUERY_CHARS = len('QUERY  ') + LINE_END_BYTES
+_MAX_MINIMUM_CHARS = len('MINLSN . ') + 2 * MAX_DIGITS
+_RENAMED_VERBS = frozenset((Verb.PREPARE, Verb.EXECUTE))
+_OWN_VERBS = frozenset((Verb.SET, Verb.PREPARE))
+_READING_VERBS = frozenset((Verb.READ, Verb.BEGIN, Verb.EXECUTE))
 _MIN_STATUS_FIELDS = 7
 _READY_FIELDS = 3
 _ROLES = frozenset(('primary', 'replica'))
@@ -68,6 +76,31 @@
     return encode_line('QUERY', request_id, text)
 
 
+def fits_message(statement: Statement) -> bool:
+    """Return whether a client's statement can be sent to an endpoint.
+
+    It may become longer than the client's message: by the name that it has on
+    pooled connections, or by the position that a read requires.
+
+    Args:
+        statement: the client's statement.
+
+    Returns:
+        False if it would be too long, whichever endpoint it is sent to.
+
+    """
+    verb = statement.verb
+    if verb == Verb.DEALLOCATE:
+        return True
+    request_id = NO_REQUEST_ID if verb in _OWN_VERBS else statement.request_id
+    chars = _QUERY_CHARS + len(request_id) + len(statement.text)
+    if verb in _RENAMED_VERBS:
+        chars += POOLED_NAME_CHARS - len(statement.name)
+    if verb in _READING_VERBS:
+        chars += _MAX_MINIMUM_CHARS
+    return chars <= MAX_MESSAGE_BYTES
+
+
 @dataclass(slots=True)
 class ResponseParser:
     """Parses the lines of one response.
--- a/trefoilhitch/platform/line_buffer.py
+++ b/trefoilhitch/platform/line_buffer.py
@@ -1,6 +1,9 @@
 """Splits the bytes of a connection into lines that end in CR LF."""
 
 MAX_MESSAGE_BYTES = 1048576
+# Whether the limit includes the line end is open, so that it does in what is
+# sent, and does not in what is received.
+LINE_END_BYTES = 2
 # Characters of an unexpected message that an error quotes.
 MAX_SHOWN_CHARS = 40
 _LINE_END = b'\r\n'
@@ -21,22 +24,29 @@
         One line with its line end.
 
     Raises:
-        WireError: a field other than the last is empty or contains a blank, or
-            a field contains a line end or is not Latin-1.
+        WireError: a field other than the last is empty or contains a blank, a
+            field contains a line end or is not Latin-1, or the message is too
+            long.
 
     """
     for field in fields[:-1]:
         if not field or _BLANK in field:
             raise WireError(f'not a field: {field[:MAX_SHOWN_CHARS]!a}')
     line = _BLANK.join(fields)
-    if '\r' in line or '\n' in line:
-        raise WireError('line end inside a message')
+    _check_line(line)
     try:
         return line.encode('latin-1') + _LINE_END
     except UnicodeEncodeError as exc:
         raise WireError('character that is not Latin-1') from exc
 
 
+def _check_line(line: str) -> None:
+    if '\r' in line or '\n' in line:
+        raise WireError('line end inside a message')
+    if len(line) + LINE_END_BYTES > MAX_MESSAGE_BYTES:
+        raise WireError('message too long')
+
+
 class LineBuffer:
     """Splits received bytes into lines.
 
--- a/trefoilhitch/platform/wire_server.py
+++ b/trefoilhitch/platform/wire_server.py
@@ -22,6 +22,7 @@
     encode_ready,
     encode_response,
 )
+from trefoilhitch.platform.endpoint_codec import fits_message
 from trefoilhitch.platform.line_buffer import LineBuffer, WireError
 from trefoilhitch.pooler.client_session import ClientSession
 from trefoilhitch.pooler.response import Refusal, SessionState, refusal_response
@@ -167,7 +168,11 @@
         line = await self._next_message(conn, session)
         if line is None or line == TERMINATE:
             return False
-        response = await session.run(decode_query(line))
+        statement = decode_query(line)
+        if fits_message(statement):
+            response = await session.run(statement)
+        else:
+            response = session.refuse(statement, 'message too long')
         await conn.stream.send(encode_response(response))
         return True
 
--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -129,6 +129,24 @@
             self._log_statement(statement, response, took_s)
         return response
 
+    def refuse(self, statement: Statement, detail: str) -> Response:
+        """Refuse a statement that no endpoint can be sent.
+
+        Args:
+            statement: the client's statement.
+            detail: explanation for people.
+
+        Returns:
+            The response; the session's state stays as it is.
+
+        """
+        self._session.trace = StatementTrace()
+        response = refusal_response(
+            Refusal.MALFORMED, detail, self._session.state
+        )
+        self._log_statement(statement, response, 0)
+        return response
+
     async def _run(self, statement: Statement) -> Response:
         found = self._authorise()
         if isinstance(found, Refusal):
