The state of a session is limited to 8 MiB

Cause: the session kept whatever SET and PREPARE named.

Change: SessionLimit counts the text and a fixed part for each entry; beyond 8 MiB SET and PREPARE are refused with MALFORMED, and what was acknowledged stays.

--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -215,15 +215,17 @@
                 'the transaction failed and has to be rolled back',
                 session.state,
             )
-        if statement.verb == Verb.SET:
-            session.variables[statement.name] = statement.argument
-        elif statement.verb == Verb.PREPARE and statement.prepared is not None:
-            session.prepared[statement.name] = statement.prepared
-        elif session.prepared.pop(statement.name, None) is None:
+        if statement.verb == Verb.DEALLOCATE:
+            if session.deallocate(statement.name):
+                return success_response(session.state)
             return refusal_response(
                 Refusal.UNKNOWN_STATEMENT, statement.name, session.state
             )
-        return success_response(session.state)
+        if _store(session, statement):
+            return success_response(session.state)
+        return refusal_response(
+            Refusal.MALFORMED, 'the session holds too much text', session.state
+        )
 
     def _log_statement(
         self, statement: Statement, response: Response, took_s: float
@@ -261,3 +263,10 @@
             prepared = session.prepared.get(statement.name)
             described.update(describe_execution(statement.name, prepared))
         return described
+
+
+def _store(session: SessionData, statement: Statement) -> bool:
+    """Store what SET or PREPARE states; return False if it is too much."""
+    if statement.prepared is None:
+        return session.set_variable(statement.name, statement.argument)
+    return session.prepare(statement.name, statement.prepared)
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -9,6 +9,7 @@
 from trefoilhitch.pooler.endpoint_selection import ChoiceKind
 from trefoilhitch.pooler.observations import later_position
 from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.session_limit import SessionLimit
 from trefoilhitch.pooler.statement import (
     Access,
     PreparedStatement,
@@ -94,6 +95,7 @@
     variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     trace: StatementTrace = field(default_factory=StatementTrace)
+    _limit: SessionLimit = field(default_factory=SessionLimit)
     _positions: dict[str, LogPosition] = field(default_factory=dict)
 
     def last_commit_position(self, service: str) -> LogPosition | None:
@@ -120,6 +122,56 @@
         if last_position is not None:
             self._positions[service] = last_position
 
+    def set_variable(self, name: str, text: str) -> bool:
+        """Set a variable.
+
+        Args:
+            name: its name.
+            text: its value.
+
+        Returns:
+            False if the session would hold too much text; nothing is set.
+
+        """
+        if not self._limit.reserve(name, text, self.variables.get(name)):
+            return False
+        self.variables[name] = text
+        return True
+
+    def prepare(self, name: str, prepared: PreparedStatement) -> bool:
+        """Add a prepared statement, in place of one of the same name.
+
+        Args:
+            name: the client's name for it.
+            prepared: the prepared statement.
+
+        Returns:
+            False if the session would hold too much text; nothing is added.
+
+        """
+        replaced = self.prepared.get(name)
+        body = replaced.body if replaced else None
+        if not self._limit.reserve(name, prepared.body, body):
+            return False
+        self.prepared[name] = prepared
+        return True
+
+    def deallocate(self, name: str) -> bool:
+        """Remove a prepared statement.
+
+        Args:
+            name: the client's name for it.
+
+        Returns:
+            False if there is none.
+
+        """
+        prepared = self.prepared.pop(name, None)
+        if prepared is None:
+            return False
+        self._limit.release(name, prepared.body)
+        return True
+
     def access(self, statement: Statement) -> Access | None:
         """Return whether a statement reads or writes.
 
