Nodes accept each other's statements up to the size that clients may send

Callers saw INDOUBT for each write and ABORTED for each read of more than about 260,000 bytes, or in a session whose variables take as much, at every node that does not hold the endpoint's connections itself; at the node that does, the same statement succeeded. Repeating it never helped, and INDOUBT was not needed, for nothing had run.

Cause: the server for other nodes had the general limit of HTTP bodies, 262,144 bytes. A message to a gateway holds the statement's text, its argument, the prepared statement and all variables of the session, each of up to 1 MiB, and JSON writes a control character as six bytes. The refusal 413 counted as a lost response.

Change: the server for other nodes accepts 32 MiB. One statement takes 18 MiB at most, in the worst encoding; the rest is for variables. A session that is too large even for that is refused at once with MALFORMED, before anything is sent; inside a transaction with ABORTED, and the transaction is rolled back. Only messages whose texts are longer than a sixth of 16 MiB are encoded twice for the check.

It works because the limit is now derived from what clients may send, and the sender knows it, so that a message over the limit is never sent and its refusal is certain.

--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -23,7 +23,12 @@
     JsonLinesHandler,
     LogbookLog,
 )
-from trefoilhitch.http_message import HttpRequest, HttpResponse, RequestHandler
+from trefoilhitch.http_message import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    RequestHandler,
+)
 from trefoilhitch.http_server import HttpServer, SharedHandlerFactory
 from trefoilhitch.log_writer import FLUSH_INTERVAL_S, LogWriter
 from trefoilhitch.metrics import Metrics
@@ -32,6 +37,7 @@
 from trefoilhitch.platform.wire_server import WireServer
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import NodeRuntime
+from trefoilhitch.pooler.peer_dependencies import PEER_LIMITS
 from trefoilhitch.pooler.settings import PoolerSettings
 from trefoilhitch.task_supervisor import TaskSupervisor
 from trefoilhitch.tcp import split_address
@@ -172,14 +178,20 @@
     except OSError as exc:
         log.event('metrics_not_served', detail=str(exc))
     host, port = split_address(cfg.peer_address)
-    await _make_http_server(node.peer_handler, log).listen(nursery, host, port)
+    await _make_http_server(node.peer_handler, log, PEER_LIMITS).listen(
+        nursery, host, port
+    )
 
 
 def _make_http_server(
-    request_handler: RequestHandler, log: LogbookLog
+    request_handler: RequestHandler,
+    log: LogbookLog,
+    limits: HttpLimits | None = None,
 ) -> HttpServer:
     return HttpServer(
-        factory=SharedHandlerFactory(request_handler), reporter=log
+        factory=SharedHandlerFactory(request_handler),
+        reporter=log,
+        limits=limits,
     )
 
 
--- a/trefoilhitch/pooler/gateway_client.py
+++ b/trefoilhitch/pooler/gateway_client.py
@@ -15,7 +15,11 @@
 )
 from trefoilhitch.errors import DeadlineError, RefusalError, UnreachableError
 from trefoilhitch.pooler.control.gateway_breakers import GatewayBreakers
-from trefoilhitch.pooler.gateway_messages import make_run_request, read_reply
+from trefoilhitch.pooler.gateway_messages import (
+    check_size,
+    make_run_request,
+    read_reply,
+)
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.peer_client import PeerClient
 from trefoilhitch.pooler.ports import EndpointConnectionError
@@ -25,6 +29,7 @@
     RateExceededError,
     StartedStatement,
     StatementJob,
+    StatementTooLargeError,
 )
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
@@ -95,7 +100,14 @@
             timeout_s=deadline - current_time(),
             transaction=self._transaction,
         )
-        reply = await send_run(self._client, self._gateway, message, deadline)
+        try:
+            reply = await send_run(
+                self._client, self._gateway, message, deadline
+            )
+        except StatementTooLargeError as exc:
+            raise EndpointConnectionError(
+                ResponseLoss.NOT_SENT, str(exc)
+            ) from exc
         if reply is None:
             raise EndpointConnectionError(
                 ResponseLoss.NOT_SENT, 'the gateway was not reached'
@@ -260,9 +272,12 @@
         The reply, None if nothing was sent.
 
     Raises:
+        StatementTooLargeError: the message is over the limit; nothing was
+            sent.
         EndpointConnectionError: the statement may have run.
 
     """
+    check_size(message)
     try:
         return await client.call(
             gateway.address,
--- a/trefoilhitch/pooler/gateway_messages.py
+++ b/trefoilhitch/pooler/gateway_messages.py
@@ -2,22 +2,30 @@
 
 from collections.abc import Mapping
 
+from msgspec.json import encode
+
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch._generated.peer import RunReply, RunRequest, StatusReport
 from trefoilhitch.errors import BadRequestError
 from trefoilhitch.pooler.outcome import ResponseLoss
+from trefoilhitch.pooler.peer_dependencies import PEER_LIMITS
 from trefoilhitch.pooler.ports import (
     EndpointConnectionError,
     EndpointStatus,
 )
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 from trefoilhitch.pooler.statement import PreparedStatement, Statement, Verb
+from trefoilhitch.pooler.statement_executor import StatementTooLargeError
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
     StatementResult,
 )
 
 _MS_PER_S = 1000
+# JSON writes a control character as six.
+_MAX_BYTES_PER_CHARACTER = 6
+# Half of the limit: the other fields and the punctuation take less than that.
+_SURELY_FITS_BYTES = PEER_LIMITS.body_bytes // 2
 
 
 def make_run_request(
@@ -71,6 +79,34 @@
     )
 
 
+def check_size(message: RunRequest) -> None:
+    """Check that other nodes accept a message.
+
+    Args:
+        message: the message.
+
+    Raises:
+        StatementTooLargeError: the message is over the limit.
+
+    """
+    texts = (
+        message.text,
+        message.name,
+        message.argument,
+        message.prepared_body,
+        *message.variables,
+        *message.variables.values(),
+    )
+    # Most messages are so short that they need not be encoded for this.
+    if sum(map(len, texts)) * _MAX_BYTES_PER_CHARACTER < _SURELY_FITS_BYTES:
+        return
+    size = len(encode(message))
+    if size > PEER_LIMITS.body_bytes:
+        raise StatementTooLargeError(
+            f'the statement and its session take {size} bytes'
+        )
+
+
 def read_statement(message: RunRequest) -> StatementRequest:
     """Decode the statement of a message.
 
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -8,6 +8,7 @@
 
 from trefoilhitch._generated.peer import Exchange
 from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.http_message import HttpLimits
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.endpoint_control import EndpointControl
@@ -23,6 +24,11 @@
 from trefoilhitch.pooler.store_era import StoreEra
 
 PEER_PREFIX = '/v1/pooler'
+# JSON takes up to 6 bytes for a character. The text, the argument and the
+# prepared statement of one message are 1 MiB at most each, 18 MiB together; the
+# rest is for the session's variables.
+MAX_BODY_BYTES = 33554432
+PEER_LIMITS = HttpLimits(body_bytes=MAX_BODY_BYTES)
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -48,6 +48,13 @@
     """The rate of the organisation is used up; nothing was sent."""
 
 
+class StatementTooLargeError(TrefoilhitchError):
+    """The statement and its session do not fit in one message to a gateway.
+
+    Nothing was sent, and sending it again cannot succeed.
+    """
+
+
 class StatementNotSentError(TrefoilhitchError):
     """The statement was not sent to an endpoint."""
 
@@ -179,6 +186,7 @@
 
         Raises:
             RateExceededError: the organisation's rate is used up.
+            StatementTooLargeError: it is too large for a gateway.
             GatewayUnavailableError: no gateway took the statement.
             ConnectionNotOpenedError: no connection to the endpoint.
             EndpointConnectionError: the response did not arrive completely.
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -38,6 +38,7 @@
     RateExceededError,
     StartedStatement,
     StatementNotSentError,
+    StatementTooLargeError,
 )
 from trefoilhitch.pooler.statement_request import (
     StatementResult,
@@ -113,6 +114,8 @@
             return refusal_response(
                 Refusal.BUSY, 'the rate of the organisation is used up'
             )
+        except StatementTooLargeError as exc:
+            return refusal_response(Refusal.MALFORMED, str(exc))
         except RetryBudgetError:
             self._metrics.count('retries_refused')
             return _refuse_retry(run)
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -29,6 +29,7 @@
 from trefoilhitch.pooler.node import PoolerNode
 from trefoilhitch.pooler.node_environment import ExternalServices, NodeRuntime
 from trefoilhitch.pooler.options import default_options
+from trefoilhitch.pooler.peer_dependencies import PEER_LIMITS
 from trefoilhitch.pooler.ports import EndpointConnector
 from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
@@ -307,7 +308,11 @@
                 peers = SharedHandlerFactory(
                     _CuttablePeerHandler(self, running.node.peer_handler)
                 )
-                server = HttpServer(factory=peers, reporter=FailureCollector())
+                server = HttpServer(
+                    factory=peers,
+                    reporter=FailureCollector(),
+                    limits=PEER_LIMITS,
+                )
                 host, _, port = running.cfg.peer_address.rpartition(':')
                 await server.listen(nursery, host, int(port))
                 await running.server.listen(nursery, running.address)
