A node that cannot listen logs the address and ends with exit code 1

Operators saw a bare traceback of an exception group when an address of the settings file was taken or not of the form ADDRESS:PORT, and no line in the log that named the address.

Cause: the program awaited the listeners of the readiness probe, of other nodes and of clients without handling their errors.

Change: the failure is logged as `listen_failed` with the address, the buffered log is written, and the process ends with exit code 1. A metrics port that is taken still only causes `metrics_not_served`.

It works because all listeners are opened in one place, before any task of the node starts.

--- a/trefoilhitch/platform/program.py
+++ b/trefoilhitch/platform/program.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from collections.abc import Awaitable, Callable
 from functools import partial
 from http import HTTPStatus
 from pathlib import Path
@@ -49,9 +50,12 @@
 _SEED_BITS = 128
 _NS_PER_MS = 1_000_000
 _CLOSE_IDLE_INTERVAL_S = 0.2
+_FAILURE_EXIT_CODE = 1
 _USAGE_EXIT_CODE = 2
 # The first argument names the role.
 _OPTIONS_ARGUMENT = 2
+# An address and the function that listens on it.
+_Listener = tuple[str, Callable[[str], Awaitable[None]]]
 
 
 class StatusHandler:
@@ -100,7 +104,8 @@
     """Run a node until SIGTERM or SIGINT.
 
     Raises:
-        SystemExit: the settings file cannot be read.
+        SystemExit: the settings file cannot be read, or an address cannot be
+            listened on.
 
     """
     path = Path(os.environ.get(SETTINGS_PATH_VARIABLE, ''))
@@ -109,7 +114,8 @@
     except SettingsFileError as exc:
         sys.stderr.write(f'{exc}\n')
         sys.exit(_USAGE_EXIT_CODE)
-    run(_run_node, cfg, path)
+    if not run(_run_node, cfg, path):
+        sys.exit(_FAILURE_EXIT_CODE)
 
 
 def _options_path() -> Path | None:
@@ -118,7 +124,8 @@
     return Path(words[0]) if words else None
 
 
-async def _run_node(cfg: PoolerSettings, path: Path) -> None:
+async def _run_node(cfg: PoolerSettings, path: Path) -> bool:
+    """Run a node; return whether it could listen on its addresses."""
     writer = LogWriter(sys.stdout.fileno())
     log = LogbookLog(node=cfg.node, sink=JsonLinesHandler(writer))
     metrics = Metrics()
@@ -134,20 +141,22 @@
     log.event('started', data_centre=cfg.data_centre, seeds=list(cfg.seeds))
     try:
         async with open_nursery() as nursery:
-            supervisor = TaskSupervisor(log, metrics, runtime.random)
             nursery.start_soon(
-                supervisor.run,
+                TaskSupervisor(log, metrics, runtime.random).run,
                 'write_log',
                 partial(_write_log, writer, log, metrics),
             )
-            await _start_http_servers(cfg, node, metrics, log, nursery)
-            await server.listen(nursery, cfg.client_address)
-            node.start(nursery)
-            await _handle_signals(node, server, log, path)
-            log.event('stopped', sessions=server.connection_count)
+            listens = await _start_servers(
+                cfg, node, server, metrics, log, nursery
+            )
+            if listens:
+                node.start(nursery)
+                await _handle_signals(node, server, log, path)
+                log.event('stopped', sessions=server.connection_count)
             nursery.cancel_scope.cancel()
     finally:
         writer.drain()
+    return listens
 
 
 async def _write_log(
@@ -161,26 +170,52 @@
             log.event('log_dropped', lines=dropped)
 
 
-async def _start_http_servers(
+async def _start_servers(
     cfg: PoolerSettings,
     node: PoolerNode,
+    clients: WireServer,
     metrics: Metrics,
     log: LogbookLog,
     nursery: Nursery,
-) -> None:
+) -> bool:
+    """Start all servers; return False if one cannot listen."""
     status_handler = StatusHandler(node, metrics)
-    host, port = split_address(cfg.health_address)
-    await _make_http_server(status_handler, log).listen(nursery, host, port)
+    status = _make_http_server(status_handler, log)
+    peers = _make_http_server(node.peer_handler, log, PEER_LIMITS)
+    listeners: tuple[_Listener, ...] = (
+        (cfg.health_address, partial(_listen_http, status, nursery)),
+        (cfg.peer_address, partial(_listen_http, peers, nursery)),
+        (cfg.client_address, partial(clients.listen, nursery)),
+    )
+    for address, listen in listeners:
+        try:
+            await listen(address)
+        except (OSError, ValueError) as exc:
+            log.event('listen_failed', address=address, detail=str(exc))
+            return False
+    await _serve_metrics(cfg, status_handler, log, nursery)
+    return True
+
+
+async def _serve_metrics(
+    cfg: PoolerSettings,
+    status_handler: StatusHandler,
+    log: LogbookLog,
+    nursery: Nursery,
+) -> None:
+    host, _ = split_address(cfg.health_address)
+    server = _make_http_server(status_handler, log)
     try:
-        await _make_http_server(status_handler, log).listen(
-            nursery, host, METRICS_PORT
-        )
+        await server.listen(nursery, host, METRICS_PORT)
     except OSError as exc:
         log.event('metrics_not_served', detail=str(exc))
-    host, port = split_address(cfg.peer_address)
-    await _make_http_server(node.peer_handler, log, PEER_LIMITS).listen(
-        nursery, host, port
-    )
+
+
+async def _listen_http(
+    server: HttpServer, nursery: Nursery, address: str
+) -> None:
+    host, port = split_address(address)
+    await server.listen(nursery, host, port)
 
 
 def _make_http_server(
