Endpoints are told names in UTF-8, as they are declared

Callers of an organisation whose name has characters beyond Latin-1 got BUSY for each statement, on every try, and INDOUBT for writes through gateways, though nothing was sent. An organisation or service with other non-ASCII characters was told to endpoints in other bytes than the desired state holds. Entries of endpoints with such names beyond Latin-1 were ignored.

Cause: the wire's text is handled as Latin-1, so that forwarded bytes survive. Names that come from JSON, which is UTF-8, were encoded the same way: `Müller` became other bytes, and a Korean name could not be encoded at all. Messages between nodes checked names for Latin-1 as well.

Names of any alphabet are now words; blanks of any kind and control characters still are none.

Change: START encodes the service, the organisation and the id as UTF-8, and messages between nodes accept any name without a line end. The text of statements, of values and of rows stays byte by byte as it was.

It works because names and forwarded text are now told apart: only the former have a declared form, and UTF-8 is the one that the declaration itself has.

--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -161,6 +161,15 @@
 ]
 
 
+Name: TypeAlias = Annotated[
+    str,
+    Meta(
+        description='Declared name that fits one line of the wire protocol.',
+        pattern='^[^\\r\\n]*$(?!\\n)',
+    ),
+]
+
+
 ResponseState: TypeAlias = Literal['idle', 'transaction', 'failed']
 
 
@@ -366,7 +375,7 @@
     Load of an endpoint as a node observed it on its own statements.
     """
 
-    endpoint: Line
+    endpoint: Name
     wait_ms: Annotated[
         Duration,
         Meta(description='Average wait of a statement before it was sent.'),
@@ -655,11 +664,11 @@
     A statement that the receiver, a gateway, runs on one of its connections.
     """
 
-    organisation: Line
+    organisation: Name
     verb: str
     text: Line
     timeout_ms: Duration
-    endpoint: Line
+    endpoint: Name
     request: Annotated[Line, Meta(description='Request id of the client.')] = ''
     name: Line = ''
     argument: Line = ''
@@ -765,8 +774,8 @@
     Entry of an endpoint, or the end of one.
     """
 
-    endpoint: Line
-    service: Line = ''
+    endpoint: Name
+    service: Name = ''
     address: Address = ''
     data_centre: str = ''
     started_at_ms: UnixTime = 0
--- a/trefoilhitch/platform/endpoint_codec.py
+++ b/trefoilhitch/platform/endpoint_codec.py
@@ -16,6 +16,7 @@
     WireError,
     encode_line,
 )
+from trefoilhitch.platform.wire_names import encode_name
 from trefoilhitch.pooler.ports import Command, EndpointStatus
 from trefoilhitch.pooler.response import Refusal, Response, SessionState
 
@@ -45,7 +46,8 @@
     """
     if not endpoint:
         raise WireError('no endpoint id')
-    return encode_line('START', service, organisation, endpoint)
+    names = map(encode_name, (service, organisation, endpoint))
+    return encode_line('START', *names)
 
 
 def encode_command(command: Command) -> bytes:
--- a/trefoilhitch/platform/endpoint_entry.py
+++ b/trefoilhitch/platform/endpoint_entry.py
@@ -14,8 +14,8 @@
 
 MAX_NAME_CHARS: Final = 255
 MAX_PORT: Final = 65535
-# The wire protocol separates words by blanks and encodes them as Latin-1.
-_WORD = re.compile(r'[!-~\u00a1-\u00ff]+')
+# Neither blanks nor control characters.
+_WORD = re.compile(r'[^\s\x00-\x20\x7f-\xa0]+')
 _BROADCAST = IPv4Address('255.255.255.255')
 
 
