Sessions of an organisation that endpoints cannot be told are refused at once

Callers of an organisation whose name is empty or contains a blank got READY and then BUSY for each statement, on every try, though nothing was busy. With a line end in the name, a statement that ran through a gateway got INDOUBT or ABORTED.

Cause: START carries the organisation before its last field, so such a name cannot be sent. That showed only when a connection was to be opened, and counted as an endpoint that is overloaded for this organisation. The message to a gateway was refused as malformed, which counted as a lost response.

Change: the declaration tells which organisations can be named.

Organisations beside it are served.

It works because what cannot be sent is now known from the declaration alone, before a session, a place or a token is taken.

--- a/trefoilhitch/platform/declarations.py
+++ b/trefoilhitch/platform/declarations.py
@@ -9,6 +9,7 @@
     DesiredState,
     DesiredTenant,
 )
+from trefoilhitch.platform.wire_names import fits_one_field
 from trefoilhitch.pooler.catalogue import (
     Catalogue,
     Freshness,
@@ -96,4 +97,6 @@
         else desired.rate_per_s
     )
     burst = rate if desired.burst is None else desired.burst
-    return Organisation(desired.name, rate, burst)
+    return Organisation(
+        desired.name, rate, burst, is_nameable=fits_one_field(desired.name)
+    )
--- a/trefoilhitch/platform/wire_names.py
+++ b/trefoilhitch/platform/wire_names.py
@@ -6,6 +6,8 @@
 
 from trefoilhitch.platform.line_buffer import WireError
 
+_SEPARATORS = frozenset(' \r\n')
+
 
 def encode_name(name: str) -> str:
     """Encode a declared name.
@@ -26,6 +28,19 @@
         raise WireError('a name that is not valid Unicode') from exc
 
 
+def fits_one_field(name: str) -> bool:
+    """Return whether a message can carry a name before its last field.
+
+    Args:
+        name: the name as a JSON document spells it.
+
+    Returns:
+        False if it is empty, or contains a blank or a line end.
+
+    """
+    return bool(name) and not _SEPARATORS.intersection(name)
+
+
 def decode_name(text: str) -> str:
     """Decode a name that the wire carries.
 
--- a/trefoilhitch/pooler/authorisation.py
+++ b/trefoilhitch/pooler/authorisation.py
@@ -48,6 +48,9 @@
         return Refusal.UNKNOWN_DATABASE
     organisation = catalogue.keys.get(start.key)
     if organisation is not None:
+        declared = catalogue.organisations.get(organisation)
+        if declared is not None and not declared.is_nameable:
+            return Refusal.MALFORMED
         return Access(route, organisation)
     if route.public:
         return Access(route, PUBLIC_ORGANISATION)
--- a/trefoilhitch/pooler/catalogue.py
+++ b/trefoilhitch/pooler/catalogue.py
@@ -53,12 +53,14 @@
         name: name of the organisation.
         rate_per_s: operations per second, over all nodes.
         burst: additional operations in a burst, over all nodes.
+        is_nameable: whether endpoints can be told its name.
 
     """
 
     name: str
     rate_per_s: float
     burst: float
+    is_nameable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/trefoilhitch/pooler/explaining/explained_access.py
+++ b/trefoilhitch/pooler/explaining/explained_access.py
@@ -73,6 +73,10 @@
 ) -> RefusalError:
     if refusal is Refusal.UNKNOWN_DATABASE:
         return NotFoundError(f'no database {database!r} is declared')
+    if refusal is Refusal.MALFORMED:
+        return UnauthorisedError(
+            f'endpoints cannot be told the name {organisation!r}'
+        )
     if not organisation:
         return UnauthorisedError(
             f'database {database!r} is not public: name an organisation'
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -214,6 +214,13 @@
                 for each in catalogue.organisations.values()
             },
         )
+        unserved = [
+            each.name
+            for each in catalogue.organisations.values()
+            if not each.is_nameable
+        ]
+        if unserved:
+            self._runtime.log.event('organisations_unserved', names=unserved)
         self._parts.state.cluster.notify_change()
 
     def _make_era_checker(self) -> EraChecker:
