Metrics of preparations, resets and names held on pooled connections

One client's 4,000 shapes left 4,005 names on one pooled connection, and no metric showed it.

`preparations_total{kind}` counts the preparations that an endpoint `accepted`, `refused`, or whose response was `lost`; `connections_reset_total` counts resets for another session's variables. The gauges `prepared_names` and `prepared_names_chars` show how many names the open connections hold and how long these are together; they are summed up only when metrics are requested, over weak references, so that closed connections do not count. `unsendable_statements_total` is named for the change that refuses texts which cannot be sent; nothing counts it yet.

--- a/tests/test_statement_records.py
+++ b/tests/test_statement_records.py
@@ -10,6 +10,7 @@
 
 import pytest
 from msgspec.json import decode, encode
+from trio import sleep
 
 from tests.support import make_cluster, run_virtual, with_virtual_clock
 from tests.test_gateways import ORGANISATIONS, gateway_stack
@@ -198,7 +199,10 @@
 
 
 async def run_prepared(
-    answer: Response | EndpointConnectionError, body: str = 'q1'
+    answer: Response | EndpointConnectionError,
+    body: str = 'q1',
+    *,
+    metrics: Metrics | None = None,
 ) -> EventLog:
     """Run a prepared statement; return what was logged."""
     log = EventLog()
@@ -206,7 +210,7 @@
         connector=WireConnector(lambda endpoint: None),
         metrics=Metrics(),
         guard=SendGuard(make_cluster().evacuated),
-        records=StatementRecords('node-1', log),
+        records=StatementRecords('node-1', log, metrics or Metrics()),
     )
     request = StatementRequest(
         Statement('r-1', Verb.EXECUTE, 'EXECUTE s1 a', 's1', 'a'),
@@ -258,3 +262,70 @@
     # Guards against replies that a node of this version cannot read.
     reply = decode(b'{"outcome":"answered"}', type=RunReply)
     assert not read_reply(reply).connection
+
+
+def metric(stack: WireStack, name: str) -> int:
+    """Return a number that a node shows, 0 for a counter that it lacks."""
+    rendered = stack.nodes['node-0'].metrics.render()
+    found = [
+        line.rpartition(' ')[2]
+        for line in rendered.splitlines()
+        if line.startswith(f'trefoilhitch_{name} ')
+    ]
+    return int(found[0]) if found else 0
+
+
+@with_virtual_clock
+async def test_preparations_resets_and_held_names_are_measured() -> None:
+    # Guards against names that pile up on connections unseen.
+    async with running_wire_stack(nodes=1) as stack:
+        address = stack.nodes['node-0'].address
+        async with wire_client(address) as client:
+            await client.start('orders', KEY)
+            await query_all(client, 'SET colour red')
+            for body in ('q1', 'q2'):
+                await query_all(client, f'PREPARE {body} WRITE {body}')
+                await query_all(client, f'EXECUTE {body} a1 red')
+        assert metric(stack, 'prepared_names') == 2
+        assert metric(stack, 'prepared_names_chars') == 2 * len('write_q1')
+        async with wire_client(address) as client:
+            await client.start('orders', KEY)
+            await query_all(client, 'WRITE a2 blue')
+        assert metric(stack, 'prepared_names') == 0
+        assert metric(stack, 'connections_reset_total') == 1
+        assert metric(stack, 'preparations_total{kind="accepted"}') == 2
+
+
+@with_virtual_clock
+async def test_names_of_closed_connections_are_not_measured() -> None:
+    # Guards against numbers that only grow.
+    async with running_wire_stack(nodes=1) as stack:
+        async with wire_client(stack.nodes['node-0'].address) as client:
+            await client.start('orders', KEY)
+            await query_all(
+                client, 'PREPARE s1 WRITE q1', 'BEGIN', 'EXECUTE s1 a1 red'
+            )
+            assert metric(stack, 'prepared_names') == 1
+        await sleep(1)
+        assert metric(stack, 'prepared_names') == 0
+
+
+@pytest.mark.parametrize(
+    ('answer', 'kind'),
+    [
+        (refusal_response(Refusal.MALFORMED, 'no'), 'refused'),
+        (
+            EndpointConnectionError(ResponseLoss.DEADLINE_PASSED, 'late'),
+            'lost',
+        ),
+    ],
+)
+def test_preparations_that_fail_are_counted_apart(
+    answer: Response | EndpointConnectionError, kind: str
+) -> None:
+    # Guards against failures that look like preparations.
+    metrics = Metrics()
+    run_virtual(partial(run_prepared, answer, metrics=metrics))
+    line = f'trefoilhitch_preparations_total{{kind="{kind}"}} 1'
+    assert line in metrics.render()
+    assert metrics.total('preparations') == 1
--- a/trefoilhitch/pooler/pooled_connection.py
+++ b/trefoilhitch/pooler/pooled_connection.py
@@ -5,7 +5,7 @@
 from trefoilhitch.pooler.ports import EndpointConnection
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class PooledConnection:
     """A connection with the session state that the endpoint holds for it.
 
--- a/trefoilhitch/pooler/session_components.py
+++ b/trefoilhitch/pooler/session_components.py
@@ -95,7 +95,7 @@
         connector=state.connector,
         metrics=runtime.metrics,
         guard=SendGuard(state.cluster.evacuated),
-        records=StatementRecords(state.membership.heartbeat.node, runtime.log),
+        records=_make_records(state),
     )
     return LocalExecutor(
         pool=state.pool,
@@ -210,6 +210,15 @@
     )
 
 
+def _make_records(state: NodeState) -> StatementRecords:
+    metrics = state.runtime.metrics
+    records = StatementRecords(
+        state.membership.heartbeat.node, state.runtime.log, metrics
+    )
+    metrics.add_gauges(records.gauges)
+    return records
+
+
 def _make_breakers(state: NodeState) -> GatewayBreakers:
     if state.client.is_guarded:
         return SharedBreakers(state.client)
--- a/trefoilhitch/pooler/statement_records.py
+++ b/trefoilhitch/pooler/statement_records.py
@@ -1,9 +1,12 @@
 """Records which connection holds which prepared statement, and for whom."""
 
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from weakref import WeakSet
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.loggable import shorten
+from trefoilhitch.metrics import Gauge, Metrics
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import EndpointConnectionError
@@ -11,21 +14,38 @@
 from trefoilhitch.pooler.statement import PreparedStatement
 from trefoilhitch.pooler.statement_request import StatementRequest
 
+# Counter of statements that were refused since their text cannot be sent.
+UNSENDABLE_STATEMENTS = 'unsendable_statements'
+
 
 @dataclass(frozen=True, slots=True)
 class StatementRecords:
-    """Logs what changes the names that pooled connections hold.
+    """Logs and counts what changes the names that pooled connections hold.
 
     A line is written for each preparation, none for the executions after it.
 
     Args:
         node: name of this node.
         log: records the events.
+        metrics: counts them.
 
     """
 
     node: str
     log: DecisionLog
+    metrics: Metrics
+    _holders: WeakSet[PooledConnection] = field(default_factory=WeakSet)
+
+    def gauges(self) -> Iterator[Gauge]:
+        """Measure the names that the open connections hold now.
+
+        Yields:
+            Number of names, and their length.
+
+        """
+        held = [name for conn in self._holders for name in conn.prepared]
+        yield Gauge('prepared_names', len(held))
+        yield Gauge('prepared_names_chars', sum(map(len, held)))
 
     def connection_name(self, conn: PooledConnection) -> str:
         """Return the name of a connection in the logs of all nodes.
@@ -53,6 +73,11 @@
             response: what the endpoint returned for the preparation.
 
         """
+        if response.refusal is None:
+            self._holders.add(conn)
+            self.metrics.count('preparations', 'accepted')
+        else:
+            self.metrics.count('preparations', 'refused')
         refusal = response.refusal.value if response.refusal else ''
         self._log_preparation(conn, request, refusal)
 
@@ -77,6 +102,7 @@
             return
         exc.connection = self.connection_name(conn)
         if prepares:
+            self.metrics.count('preparations', 'lost')
             self._log_preparation(conn, request, exc.loss.value)
 
     def record_reset(
@@ -84,14 +110,15 @@
     ) -> None:
         """Record that a connection is reset, which drops its names.
 
-        Nothing is logged if it holds no name: the reset changes nothing then
-        that a later statement could run.
+        A reset is counted, but not logged if the connection holds no name:
+        it changes nothing then that a later statement could run.
 
         Args:
             conn: the connection, with the names that it is about to lose.
             request: statement of the session whose variables it will have.
 
         """
+        self.metrics.count('connections_reset')
         if conn.prepared:
             self.log.event(
                 'connection_reset',
