Metrics: labels are escaped as the text format says

An operator's scraper met a page that it could not parse, or metrics that nobody had counted, when an endpoint had a double quote or a backslash in its id: an id may hold any printable Latin-1 characters but blanks. A lone surrogate in a name cost the whole page.

Cause: labels were put between quotes as they were. Evidence: a label of `i"} 1`, a line end and `trefoilhitch_forged_total{kind="x` showed the forged counter. Backslash, quote and line feed are escaped now, and what UTF-8 cannot encode is shown as `\ud800`.

Every sample parses, since no character of a label can end it any more.

--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -16,6 +16,10 @@
 _PERCENT = 100
 
 
+# Source: Prometheus documentation, "Exposition formats", text-based format.
+_LABEL_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
+
+
 @dataclass(frozen=True, slots=True)
 class Gauge:
     """A value that is read when the metrics are requested.
@@ -36,7 +40,7 @@
     @property
     def labels(self) -> str:
         """Its label in the Prometheus text format."""
-        return f'{{{self.label_name}="{self.label}"}}' if self.label else ''
+        return _labels(self.label_name, self.label)
 
 
 class Metrics:
@@ -146,7 +150,7 @@
             if name != previous_name:
                 yield f'# TYPE trefoilhitch_{name}_total counter'
                 previous_name = name
-            labels = f'{{kind="{label}"}}' if label else ''
+            labels = _labels('kind', label)
             yield f'trefoilhitch_{name}_total{labels} {count}'
         yield from self._gauge_lines()
         yield '# TYPE trefoilhitch_request_seconds summary'
@@ -168,3 +172,11 @@
                 yield f'# TYPE trefoilhitch_{gauge.name} gauge'
                 previous_name = gauge.name
             yield f'trefoilhitch_{gauge.name}{gauge.labels} {gauge.number}'
+
+
+def _labels(name: str, label: str) -> str:
+    """Return a label in the text format, which is empty for an empty label."""
+    if not label:
+        return ''
+    encodable = label.encode('utf-8', 'backslashreplace').decode()
+    return f'{{{name}="{encodable.translate(_LABEL_ESCAPES)}"}}'
