Metrics: labels that others choose are bounded in length and number

Endpoints register under ids of their own, and every id that ever appeared stayed a label until the node was restarted; names of organisations have no limit of length. Memory and the metrics page grew with both.

A label is cut after 255 characters, the longest valid id, when it is counted, so that equal beginnings are one sample; labels beyond the first 10,000 of a counter are counted as `other`, more than the 3,600 endpoints for which docs/CAPACITY.md is written. A page shows at most as many gauges of a name.

--- a/tests/test_metrics_text.py
+++ b/tests/test_metrics_text.py
@@ -10,7 +10,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from trefoilhitch.metrics import Gauge, Metrics
+from trefoilhitch.metrics import (
+    MAX_LABEL_CHARS,
+    MAX_LABELS,
+    OTHER_LABEL,
+    Gauge,
+    Metrics,
+)
 
 # A line of the Prometheus text format, by its published grammar.
 SAMPLE = re.compile(
@@ -83,3 +89,39 @@
     shown = counted(metrics, 'reads_sent_total')
     assert sum(shown.values()) == len(labels)
     assert set(shown) == {sendable(label) for label in labels}
+
+
+def test_a_long_label_is_cut() -> None:
+    # Guards against a page of many MiB.
+    metrics = Metrics()
+    for end in 'ab':
+        metrics.count('reads_sent', 'x' * 2**20 + end)
+    metrics.add_gauges(lambda: [Gauge('limit', 1, 'endpoint', 'x' * 2**20)])
+    cut = 'x' * MAX_LABEL_CHARS
+    assert counted(metrics, 'reads_sent_total') == {cut: 2}
+    assert counted(metrics, 'limit') == {cut: 1}
+
+
+def test_labels_beyond_the_limit_are_counted_together() -> None:
+    # Guards against memory that grows with each endpoint that ever was.
+    metrics = Metrics()
+    for number in range(2 * MAX_LABELS):
+        metrics.count('reads_sent', f'i-{number}')
+    metrics.count('reads_sent', 'i-0')
+    metrics.count('writes_sent', 'i-0')
+    shown = counted(metrics, 'reads_sent_total')
+    assert len(shown) == MAX_LABELS + 1
+    assert (shown['i-0'], shown[OTHER_LABEL]) == (2, MAX_LABELS)
+    assert counted(metrics, 'writes_sent_total') == {'i-0': 1}
+
+
+def test_gauges_beyond_the_limit_are_left_out() -> None:
+    # Guards against a page that grows with names that others choose.
+    metrics = Metrics()
+    metrics.add_gauges(
+        lambda: [
+            Gauge('limit', 1, 'endpoint', f'i-{number}')
+            for number in range(2 * MAX_LABELS)
+        ]
+    )
+    assert len(counted(metrics, 'limit')) == MAX_LABELS
--- a/trefoilhitch/metrics.py
+++ b/trefoilhitch/metrics.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from itertools import groupby, islice
 from operator import attrgetter
 
 from hdrh.histogram import HdrHistogram
@@ -14,7 +15,13 @@
 _US_PER_S = 1_000_000
 _US_PER_MS = 1000
 _PERCENT = 100
-
+# Length of the longest valid id of an endpoint.
+MAX_LABEL_CHARS = 255
+# Labels of one counter or gauge: more than the 3,600 endpoints for which
+# docs/CAPACITY.md is written, so that only replaced ones can exceed it.
+MAX_LABELS = 10000
+# Label of all further ones.
+OTHER_LABEL = 'other'
 
 # Source: Prometheus documentation, "Exposition formats", text-based format.
 _LABEL_ESCAPES = str.maketrans({'\\': r'\\', '"': r'\"', '\n': r'\n'})
@@ -49,6 +56,7 @@
     def __init__(self) -> None:
         """Start from zero."""
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._label_counts: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
         self._gauge_sources: list[Callable[[], Iterable[Gauge]]] = []
         self._latency = HdrHistogram(
@@ -71,10 +79,15 @@
         Args:
             name: name of the counter.
             amount: amount to add.
-            label: label that is counted separately, empty for none.
+            label: label that is counted separately, empty for none; it is cut
+                after MAX_LABEL_CHARS characters, and those that come after
+                MAX_LABELS others are counted together.
 
         """
-        self._counters[name, label] += amount
+        key = (name, label)
+        if key not in self._counters:
+            key = self._make_key(name, _bounded(label))
+        self._counters[key] += amount
 
     def set_gauge(self, name: str, current: float) -> None:
         """Set a number that may rise and fall.
@@ -144,6 +157,14 @@
         """
         return ''.join(f'{line}\n' for line in self._lines())
 
+    def _make_key(self, name: str, label: str) -> tuple[str, str]:
+        if (name, label) in self._counters:
+            return name, label
+        if self._label_counts[name] >= MAX_LABELS:
+            return name, OTHER_LABEL
+        self._label_counts[name] += 1
+        return name, label
+
     def _lines(self) -> Iterator[str]:
         previous_name = ''
         for (name, label), count in sorted(self._counters.items()):
@@ -166,17 +187,21 @@
             yield f'# TYPE trefoilhitch_{name} gauge'
             yield f'trefoilhitch_{name} {current}'
         gauges = [gauge for source in self._gauge_sources for gauge in source()]
-        previous_name = ''
-        for gauge in sorted(gauges, key=attrgetter('name', 'label')):
-            if gauge.name != previous_name:
-                yield f'# TYPE trefoilhitch_{gauge.name} gauge'
-                previous_name = gauge.name
-            yield f'trefoilhitch_{gauge.name}{gauge.labels} {gauge.number}'
+        gauges.sort(key=attrgetter('name', 'label'))
+        for name, same_name in groupby(gauges, attrgetter('name')):
+            yield f'# TYPE trefoilhitch_{name} gauge'
+            for gauge in islice(same_name, MAX_LABELS):
+                yield f'trefoilhitch_{name}{gauge.labels} {gauge.number}'
 
 
 def _labels(name: str, label: str) -> str:
     """Return a label in the text format, which is empty for an empty label."""
     if not label:
         return ''
-    encodable = label.encode('utf-8', 'backslashreplace').decode()
-    return f'{{{name}="{encodable.translate(_LABEL_ESCAPES)}"}}'
+    return f'{{{name}="{_bounded(label).translate(_LABEL_ESCAPES)}"}}'
+
+
+def _bounded(label: str) -> str:
+    """Return a label without what cannot be encoded, and not too long."""
+    encodable = label[:MAX_LABEL_CHARS].encode('utf-8', 'backslashreplace')
+    return encodable.decode()[:MAX_LABEL_CHARS]
