--- a/trefoilhitch/pooler/pooled_connection.py
+++ b/trefoilhitch/pooler/pooled_connection.py
@@ -6,7 +6,7 @@
 from trefoilhitch.pooler.ports import EndpointConnection
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, weakref_slot=True)
 class PooledConnection:
     """A connection with the session state that the endpoint holds for it.
 
