Metrics of held names count what the limits count

It now reads the number and the length that the limits of a connection refer to (`prepared_names`, `prepared_chars`), and statements that cannot be sent are counted (`unsendable_statements_total`).

--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -19,7 +19,10 @@
 )
 from trefoilhitch.pooler.session import SessionData, StatementTrace
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
-from trefoilhitch.pooler.statement_records import describe_execution
+from trefoilhitch.pooler.statement_records import (
+    UNSENDABLE_STATEMENTS,
+    describe_execution,
+)
 from trefoilhitch.pooler.statement_run import StatementRun
 from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
@@ -141,6 +144,7 @@
 
         """
         self._session.trace = StatementTrace()
+        self._deps.metrics.count(UNSENDABLE_STATEMENTS)
         response = refusal_response(
             Refusal.MALFORMED, detail, self._session.state
         )
--- a/trefoilhitch/pooler/held_statements.py
+++ b/trefoilhitch/pooler/held_statements.py
@@ -7,7 +7,7 @@
 
 # An endpoint keeps what is prepared until the connection ends or is reset.
 MAX_HELD_STATEMENTS = 128
-MAX_HELD_BYTES = 4194304
+MAX_HELD_CHARS = 4194304
 
 
 class HeldStatements:
@@ -15,15 +15,20 @@
 
     def __init__(self) -> None:
         """Start without statements."""
-        self._bytes_by_name: OrderedDict[str, int] = OrderedDict()
+        self._chars_by_name: OrderedDict[str, int] = OrderedDict()
 
     def __contains__(self, name: str) -> bool:
         """Return whether the endpoint holds a statement of this name."""
-        return name in self._bytes_by_name
+        return name in self._chars_by_name
 
     def __len__(self) -> int:
         """Return the number of statements."""
-        return len(self._bytes_by_name)
+        return len(self._chars_by_name)
+
+    @property
+    def chars(self) -> int:
+        """Length of the statements together."""
+        return sum(self._chars_by_name.values())
 
     def mark_used(self, name: str) -> None:
         """Record that a statement was used.
@@ -32,8 +37,8 @@
             name: its pooled name.
 
         """
-        if name in self._bytes_by_name:
-            self._bytes_by_name.move_to_end(name)
+        if name in self._chars_by_name:
+            self._chars_by_name.move_to_end(name)
 
     def add(self, prepared: PreparedStatement) -> None:
         """Record that the endpoint has prepared a statement.
@@ -42,7 +47,7 @@
             prepared: the statement.
 
         """
-        self._bytes_by_name[prepared.pooled_name] = len(prepared.body)
+        self._chars_by_name[prepared.pooled_name] = len(prepared.body)
 
     def discard(self, name: str) -> None:
         """Record that the endpoint does not hold a statement any more.
@@ -51,11 +56,11 @@
             name: its pooled name.
 
         """
-        self._bytes_by_name.pop(name, None)
+        self._chars_by_name.pop(name, None)
 
     def clear(self) -> None:
         """Record that the endpoint holds none any more."""
-        self._bytes_by_name.clear()
+        self._chars_by_name.clear()
 
     def names_in_excess(self, prepared: PreparedStatement) -> tuple[str, ...]:
         """Return what has to be released before another one is prepared.
@@ -70,12 +75,12 @@
         """
         return tuple(self._excess(len(prepared.body)))
 
-    def _excess(self, added_bytes: int) -> Iterable[str]:
-        count = len(self._bytes_by_name) + 1
-        total_bytes = sum(self._bytes_by_name.values()) + added_bytes
-        for name, held_bytes in self._bytes_by_name.items():
-            if count <= MAX_HELD_STATEMENTS and total_bytes <= MAX_HELD_BYTES:
+    def _excess(self, added_chars: int) -> Iterable[str]:
+        count = len(self._chars_by_name) + 1
+        total_chars = self.chars + added_chars
+        for name, held_chars in self._chars_by_name.items():
+            if count <= MAX_HELD_STATEMENTS and total_chars <= MAX_HELD_CHARS:
                 return
             yield name
             count -= 1
-            total_bytes -= held_bytes
+            total_chars -= held_chars
--- a/trefoilhitch/pooler/statement_records.py
+++ b/trefoilhitch/pooler/statement_records.py
@@ -40,12 +40,12 @@
         """Measure the names that the open connections hold now.
 
         Yields:
-            Number of names, and their length.
+            Number of names, and the length of what they stand for.
 
         """
-        held = [name for conn in self._holders for name in conn.prepared]
-        yield Gauge('prepared_names', len(held))
-        yield Gauge('prepared_names_chars', sum(map(len, held)))
+        held = [conn.prepared for conn in self._holders]
+        yield Gauge('prepared_names', sum(map(len, held)))
+        yield Gauge('prepared_chars', sum(each.chars for each in held))
 
     def connection_name(self, conn: PooledConnection) -> str:
         """Return the name of a connection in the logs of all nodes.
