A log line stays short, whatever clients choose as names

Operators lost log lines of other statements: a client may choose a request id, a name of a prepared statement or a database of nearly 1 MiB, and the line that held it was dropped, or filled the buffer of 256 KiB that all lines of 0.1 s share, so that the next ones were dropped.

Cause: texts were limited only in lines that could not be encoded.

A line beyond 4 KiB now gets texts of at most 300 characters with their length (a traceback 10,000), so that lists of many short names stay whole; one that is still longer than half of the buffer is reduced to what `make_loggable` keeps, and at last to its beginning. Shorter lines are written as before, after one comparison of their length.

Every path ends in a line below half of the buffer.

--- a/tests/test_hostile_log.py
+++ b/tests/test_hostile_log.py
@@ -11,7 +11,12 @@
 from msgspec.json import decode
 
 from tests.support import with_virtual_clock
-from trefoilhitch.decision_log import JsonLinesHandler, LogbookLog
+from trefoilhitch.decision_log import (
+    LONG_LINE_BYTES,
+    JsonLinesHandler,
+    LogbookLog,
+)
+from trefoilhitch.log_buffer import MAX_BUFFER_BYTES
 from trefoilhitch.log_writer import LogWriter
 
 LEVELS = 3000
@@ -111,3 +116,74 @@
     assert writer.drain() == 2
     assert writer.drain() == 0
     os.close(sink)
+
+
+@pytest.mark.parametrize(
+    'text', ['x', '"', '\x01', 'é', '\U0001f600', '\ud800']
+)
+def test_long_texts_are_cut(text: str) -> None:
+    # Guards against a client whose lines fill the buffer of the log, so that
+    # lines of others are dropped: names, request ids, databases and details
+    # may be as long as a message, 1 MiB.
+    stream = StringIO()
+    sent = text * 2**20
+    _make_log(stream).event(
+        'statement', request=sent, detail=sent, nested=[{sent: sent}], took=1.5
+    )
+    line = _lines(stream)[0]
+    assert len(stream.getvalue().encode()) < MAX_BUFFER_BYTES / 10
+    assert line['record']['took'] == 1.5
+    assert line['record']['request'].endswith(' characters)')
+
+
+def _fail() -> None:
+    raise ValueError('x' * 2**20) from KeyError('y' * LONG_LINE_BYTES)
+
+
+def test_a_traceback_is_longer_than_other_texts() -> None:
+    # Guards against a failure whose frames the log does not show.
+    stream = StringIO()
+    try:
+        _fail()
+    except ValueError as exc:
+        _make_log(stream).report(exc)
+    line = _lines(stream)[0]
+    assert len(stream.getvalue()) < MAX_BUFFER_BYTES / 10
+    assert 'in _fail' in line['traceback']
+
+
+def test_deep_lists_of_texts_are_bounded() -> None:
+    # Guards against a line whose fields branch at each level.
+    stream = StringIO()
+    texts: Any = 'x' * 300
+    for _ in range(4):
+        texts = [texts for _ in range(20)]
+    _make_log(stream).event('odd', texts=texts)
+    assert len(stream.getvalue().encode()) < MAX_BUFFER_BYTES / 2
+    assert _lines(stream)[0]['event'] == 'odd'
+
+
+@pytest.mark.parametrize('levels', [100, 300, 500, 900])
+def test_long_nested_fields_are_logged(levels: int) -> None:
+    # Guards against fields that can be encoded, but not be shortened.
+    stream = StringIO()
+    fields = [_nested(levels), 'x' * LONG_LINE_BYTES]
+    _make_log(stream).event('odd', fields=fields)
+    assert _lines(stream)[0]['event'] == 'odd'
+
+
+def test_many_long_texts_are_bounded_together() -> None:
+    # Guards against a line that alone exceeds the buffer and is dropped.
+    stream = StringIO()
+    names = [f'{number}{"x" * 200}' for number in range(10000)]
+    _make_log(stream).event('objects_unreadable', names=names)
+    assert len(stream.getvalue().encode()) < MAX_BUFFER_BYTES / 2
+    assert _lines(stream)[0]['record']['names'][0] == names[0]
+
+
+def test_long_lists_of_short_texts_stay_whole() -> None:
+    # Guards against decisions that cannot be replayed from the log.
+    stream = StringIO()
+    names = [f'i-{number}' for number in range(2000)]
+    _make_log(stream).event('declaration_in_force', names=names)
+    assert _lines(stream)[0]['record']['names'] == names
--- a/trefoilhitch/decision_log.py
+++ b/trefoilhitch/decision_log.py
@@ -6,10 +6,21 @@
 from msgspec import Struct
 from msgspec.json import Encoder
 
-from trefoilhitch.loggable import make_loggable
+from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
+from trefoilhitch.log_buffer import MAX_BUFFER_BYTES
+from trefoilhitch.loggable import make_loggable, shorten_texts
 
 _ENCODER = Encoder()
 _RECORD_KEY = 'record'
+_TRACEBACK_KEY = 'traceback'
+# Length up to which no text of a line is shortened. Most lines have less than
+# 1 KB; clients may choose names and request ids of 1 MiB.
+LONG_LINE_BYTES = 4096
+# Length of each text in longer lines.
+MAX_TEXT_CHARS = 300
+# A longer line is reduced to what `make_loggable` keeps. Half of the buffer of
+# the log, which drops a line that it has no room for.
+MAX_LINE_BYTES = MAX_BUFFER_BYTES // 2
 
 
 class DecisionLog(Protocol):
@@ -121,7 +132,7 @@
         if fields:
             entry['record'] = fields
         if record.exc_info:
-            entry['traceback'] = record.formatted_exception
+            entry[_TRACEBACK_KEY] = record.formatted_exception
         return _encode(entry)
 
 
@@ -183,10 +194,35 @@
 
 def _encode(entry: dict[str, Any]) -> str:
     try:
-        return _ENCODER.encode(entry).decode()
+        line = _ENCODER.encode(entry)
     except (TypeError, ValueError, RecursionError):
         # A field that others wrote must not cost the line.
-        return _ENCODER.encode(make_loggable(entry)).decode()
+        line = _ENCODER.encode(make_loggable(entry))
+    if len(line) > LONG_LINE_BYTES:
+        line = _shorten(line, entry)
+    return line.decode()
+
+
+def _shorten(line: bytes, entry: dict[str, Any]) -> bytes:
+    """Shorten a line, so that it does not cost lines of others."""
+    loggable = make_loggable(entry)
+    try:
+        shortened = shorten_texts(
+            decode_json(line, dict[str, Any]), MAX_TEXT_CHARS
+        )
+    except (UnreadableJsonError, RecursionError):
+        shortened = loggable
+    traceback = loggable.get(_TRACEBACK_KEY)
+    if traceback is not None:
+        shortened[_TRACEBACK_KEY] = traceback
+    encoded = _ENCODER.encode(shortened)
+    if len(encoded) > MAX_LINE_BYTES:
+        encoded = _ENCODER.encode(make_loggable(shortened))
+    if len(encoded) > MAX_LINE_BYTES:
+        # Many texts at several levels.
+        beginning = encoded[:LONG_LINE_BYTES].decode(errors='replace')
+        encoded = _ENCODER.encode({**shortened, _RECORD_KEY: beginning})
+    return encoded
 
 
 def _event_name(record: Struct) -> str:
--- a/trefoilhitch/loggable.py
+++ b/trefoilhitch/loggable.py
@@ -35,19 +35,43 @@
     return _convert_scalar(logged)
 
 
-def shorten(text: str) -> str:
+def shorten(text: str, max_chars: int = MAX_SHOWN_CHARS) -> str:
     """Shorten a text that others chose.
 
     Args:
         text: the text, of any length.
+        max_chars: length up to which it is not shortened.
 
     Returns:
         The text, or its beginning and its length.
 
     """
-    if len(text) <= MAX_SHOWN_CHARS:
+    if len(text) <= max_chars:
         return text
-    return f'{text[:MAX_SHOWN_CHARS]}... ({len(text)} characters)'
+    return f'{text[:max_chars]}... ({len(text)} characters)'
+
+
+def shorten_texts(logged: Any, max_chars: int) -> Any:
+    """Shorten all texts in fields that were decoded from JSON.
+
+    Args:
+        logged: the fields, or one of them.
+        max_chars: length up to which a text is not shortened.
+
+    Returns:
+        The same with short texts.
+
+    """
+    if isinstance(logged, str):
+        return shorten(logged, max_chars)
+    if isinstance(logged, list):
+        return [shorten_texts(each, max_chars) for each in logged]
+    if isinstance(logged, dict):
+        return {
+            shorten(name, max_chars): shorten_texts(each, max_chars)
+            for name, each in logged.items()
+        }
+    return logged
 
 
 def _convert_scalar(logged: Any) -> Any:
