Log lines: control characters and marks of direction are escaped

Where an operator looked at the log, a client could move the cursor, set the title of the terminal, tear a line in two or reverse its text: names come from bytes that are read as Latin-1, so that the byte 9B, which some terminals take for the start of an escape sequence, reached the log as it was.

Cause: JSON requires escapes only below 32. Evidence: `9B 31 6D`, 7F, 85, U+2028 and U+202E stood in the line, 85 and U+2028 made two lines of it for readers such as `splitlines`. They are written as `\uXXXX` now, which is the same JSON; a line of ASCII without 7F is not searched.

--- a/tests/test_hostile_log.py
+++ b/tests/test_hostile_log.py
@@ -119,7 +119,7 @@
 
 
 @pytest.mark.parametrize(
-    'text', ['x', '"', '\x01', 'é', '\U0001f600', '\ud800']
+    'text', ['x', '"', '\x01', '\x80', 'é', '\U0001f600', '\ud800']
 )
 def test_long_texts_are_cut(text: str) -> None:
     # Guards against a client whose lines fill the buffer of the log, so that
@@ -172,10 +172,11 @@
     assert _lines(stream)[0]['event'] == 'odd'
 
 
-def test_many_long_texts_are_bounded_together() -> None:
+@pytest.mark.parametrize('text', ['x', '\x80'])
+def test_many_long_texts_are_bounded_together(text: str) -> None:
     # Guards against a line that alone exceeds the buffer and is dropped.
     stream = StringIO()
-    names = [f'{number}{"x" * 200}' for number in range(10000)]
+    names = [f'{number}{text * 200}' for number in range(10000)]
     _make_log(stream).event('objects_unreadable', names=names)
     assert len(stream.getvalue().encode()) < MAX_BUFFER_BYTES / 2
     assert _lines(stream)[0]['record']['names'][0] == names[0]
@@ -187,3 +188,24 @@
     names = [f'i-{number}' for number in range(2000)]
     _make_log(stream).event('declaration_in_force', names=names)
     assert _lines(stream)[0]['record']['names'] == names
+
+
+@pytest.mark.parametrize(
+    'text', ['\x9b31m', '\x7f', '\x85', '\u2028', '\u202e', '\x1b]0;x\x07']
+)
+def test_a_terminal_shows_control_characters_escaped(text: str) -> None:
+    # Guards against names that move the cursor, or tear or reorder a line,
+    # where an operator looks at the log.
+    stream = StringIO()
+    _make_log(stream).event('statement', detail=text)
+    assert len(stream.getvalue().splitlines()) == 1
+    assert text not in stream.getvalue()
+    assert _lines(stream)[0]['record']['detail'] == text
+
+
+@given(TEXT)
+def test_texts_that_are_escaped_keep_their_value(text: str) -> None:
+    stream = StringIO()
+    _make_log(stream).event('odd', detail=text)
+    shown = text.encode('utf-8', 'backslashreplace').decode()
+    assert _lines(stream)[0]['record']['detail'] == shown
--- a/trefoilhitch/decision_log.py
+++ b/trefoilhitch/decision_log.py
@@ -8,7 +8,7 @@
 
 from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
 from trefoilhitch.log_buffer import MAX_BUFFER_BYTES
-from trefoilhitch.loggable import make_loggable, shorten_texts
+from trefoilhitch.loggable import escape_in_json, make_loggable, shorten_texts
 
 _ENCODER = Encoder()
 _RECORD_KEY = 'record'
@@ -194,10 +194,10 @@
 
 def _encode(entry: dict[str, Any]) -> str:
     try:
-        line = _ENCODER.encode(entry)
+        line = _to_json(entry)
     except (TypeError, ValueError, RecursionError):
         # A field that others wrote must not cost the line.
-        line = _ENCODER.encode(make_loggable(entry))
+        line = _to_json(make_loggable(entry))
     if len(line) > LONG_LINE_BYTES:
         line = _shorten(line, entry)
     return line.decode()
@@ -215,15 +215,19 @@
     traceback = loggable.get(_TRACEBACK_KEY)
     if traceback is not None:
         shortened[_TRACEBACK_KEY] = traceback
-    encoded = _ENCODER.encode(shortened)
+    encoded = _to_json(shortened)
     if len(encoded) > MAX_LINE_BYTES:
-        encoded = _ENCODER.encode(make_loggable(shortened))
+        encoded = _to_json(make_loggable(shortened))
     if len(encoded) > MAX_LINE_BYTES:
         # Many texts at several levels.
         beginning = encoded[:LONG_LINE_BYTES].decode(errors='replace')
-        encoded = _ENCODER.encode({**shortened, _RECORD_KEY: beginning})
+        encoded = _to_json({**shortened, _RECORD_KEY: beginning})
     return encoded
 
 
+def _to_json(entry: dict[str, Any]) -> bytes:
+    return escape_in_json(_ENCODER.encode(entry))
+
+
 def _event_name(record: Struct) -> str:
     return getattr(record, 'kind', type(record).__name__)
--- a/trefoilhitch/loggable.py
+++ b/trefoilhitch/loggable.py
@@ -1,5 +1,6 @@
 """Converts what others wrote to values that every log line can hold."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -12,6 +13,10 @@
 _MAX_LOGGED_BITS = 63
 # Length of a text of which a line of the log shows only the beginning.
 MAX_SHOWN_CHARS = 80
+_DELETE = b'\x7f'
+# Control characters above 126, ends of lines and paragraphs, and marks that
+# change the direction of text (Unicode Standard Annex 9).
+_UNSAFE = re.compile('[\x7f-\x9f\u061c\u200e\u200f\u2028-\u202e\u2066-\u2069]')
 
 
 def make_loggable(logged: Any, levels: int = MAX_LOGGED_LEVELS) -> Any:
@@ -51,6 +56,25 @@
     return f'{text[:max_chars]}... ({len(text)} characters)'
 
 
+def escape_in_json(line: bytes) -> bytes:
+    r"""Escape what a terminal or a reader of lines would not show as text.
+
+    Args:
+        line: JSON; its encoder has escaped the control characters below 32.
+
+    Returns:
+        JSON of the same content, with the other control characters, ends of
+        lines and marks of direction as `\uXXXX`.
+
+    """
+    if line.isascii() and _DELETE not in line:
+        return line
+    escaped = _UNSAFE.sub(
+        lambda found: rf'\u{ord(found[0]):04x}', line.decode()
+    )
+    return escaped.encode()
+
+
 def shorten_texts(logged: Any, max_chars: int) -> Any:
     """Shorten all texts in fields that were decoded from JSON.
 
