The tool shows names that others chose as text, each on its line

An operator who ran `explain`, `explain-route` or `status` could be shown lines that no node had logged, a cleared screen or another terminal title: names of clients and endpoints, and the texts of nodes that refuse, were printed as they were. In `explain`, a name with blanks forged fields of its own, such as `ok endpoint=i-2`.

Cause: output was built from f-strings around such text. Evidence: a name with CR LF, ESC, 9B, 7F, 85, U+2028 and U+202E came out raw in the text of all three, in errors, and in part in the output of `--json`. Errors of this process keep their line ends. json_output.py is now terminal_output.py.

--- a/tests/test_route_text.py
+++ b/tests/test_route_text.py
@@ -15,8 +15,8 @@
 )
 from trefoilhitch.cli import Tool
 from trefoilhitch.exit_code import ExitCode
-from trefoilhitch.json_output import print_json
 from trefoilhitch.route_text import render_route
+from trefoilhitch.terminal_output import print_json
 
 UNREACHABLE = '127.0.0.1:1'
 REPLY = ExplainReply(
--- a/trefoilhitch/cli.py
+++ b/trefoilhitch/cli.py
@@ -26,9 +26,8 @@
 from trefoilhitch.exit_code import ExitCode
 from trefoilhitch.explain_command import Explain
 from trefoilhitch.explain_route_command import ExplainRoute
-from trefoilhitch.failure_exit import failure_exit
+from trefoilhitch.failure_exit import failure_exit, one_line_exit
 from trefoilhitch.ini import IniFile
-from trefoilhitch.json_output import print_json
 from trefoilhitch.keyring import create_key
 from trefoilhitch.peer_auth import PeerAuth
 from trefoilhitch.peer_client import PeerClient
@@ -42,6 +41,7 @@
 )
 from trefoilhitch.setting_error import SettingErrorGroup
 from trefoilhitch.store import HttpObjectStore
+from trefoilhitch.terminal_output import print_json, print_line
 from trefoilhitch.trace import first_difference
 
 REQUEST_TIMEOUT_MS = 5000
@@ -69,13 +69,13 @@
     def __call__(self) -> None:
         """Check the file and print every error."""
         if self.options:
-            print(_options_summary(self.path))
+            print_line(_options_summary(self.path))
             return
         if self.path.suffix == '.json':
-            print(_settings_summary(self.path))
+            print_line(_settings_summary(self.path))
             return
         bundle = load_declaration(self.path)
-        print(
+        print_line(
             f'{len(bundle.services)} services, '
             f'{len(bundle.endpoints)} endpoints, '
             f'{len(bundle.organisations)} organisations, '
@@ -102,9 +102,9 @@
                 {'revision': published.head.revision, 'changes': changes}
             )
             return
-        print(f'revision {published.head.revision}')
+        print_line(f'revision {published.head.revision}')
         for change in changes:
-            print(_change_line(change))
+            print_line(_change_line(change))
 
 
 @cappa.command(name='apply')
@@ -136,7 +136,7 @@
         head = _run_async(
             partial(publisher.apply, bundle, base=base, operator=self.operator),
         )
-        print(f'revision {head.revision} is in force')
+        print_line(f'revision {head.revision} is in force')
 
 
 @cappa.command(name='show')
@@ -155,11 +155,11 @@
         if self.json:
             print_json({'head': published.head, 'bundle': published.bundle})
             return
-        print(
+        print_line(
             f'revision {published.head.revision} by {published.head.operator}'
         )
         for change in diff_bundles(Bundle(), published.bundle):
-            print(f'{change.kind} {change.name}')
+            print_line(f'{change.kind} {change.name}')
 
 
 @cappa.command(name='status')
@@ -187,7 +187,7 @@
             print_json(status)
             return
         newest = max(member.revision for member in status.members)
-        print(
+        print_line(
             f'{status.node} {status.state} revision {status.revision}: '
             f'{status.connections} connections, {status.requests} requests, '
             f'{status.refusals} refusals, p50 {status.p50_ms} ms, '
@@ -195,7 +195,7 @@
         )
         for member in status.members:
             lag = '' if member.revision == newest else f' lags behind {newest}'
-            print(
+            print_line(
                 f'{member.node} {member.data_centre} {member.state} '
                 f'{member.revision}{lag}',
             )
@@ -223,7 +223,7 @@
         _run_async(
             partial(_switch, _peer_client(self.settings, self.node), order)
         )
-        print(f'{self.service}: switch-over to {self.primary} requested')
+        print_line(f'{self.service}: switch-over to {self.primary} requested')
 
 
 @cappa.command(name='drain')
@@ -240,7 +240,7 @@
     def __call__(self) -> None:
         """Send the drain command."""
         _run_async(partial(_drain, self.settings, self.node))
-        print(f'{self.node} is draining')
+        print_line(f'{self.node} is draining')
 
 
 @cappa.command(name='new')
@@ -260,11 +260,11 @@
             secret=secrets.token_hex(KEY_SECRET_BYTES),
             salt=secrets.token_hex(KEY_SALT_BYTES),
         )
-        print(f'; for the client, shown only once: {new_key.text}')
-        print(f'[key {new_key.key.name}]')
-        print(f'organisation = {new_key.key.organisation}')
-        print(f'salt = {new_key.key.salt}')
-        print(f'digest = {new_key.key.digest}')
+        print_line(f'; for the client, shown only once: {new_key.text}')
+        print_line(f'[key {new_key.key.name}]')
+        print_line(f'organisation = {new_key.key.organisation}')
+        print_line(f'salt = {new_key.key.salt}')
+        print_line(f'digest = {new_key.key.digest}')
 
 
 @cappa.command(name='withdraw')
@@ -293,7 +293,9 @@
         head = _run_async(
             partial(publisher.apply, bundle, base=base, operator=self.operator),
         )
-        print(f'revision {head.revision} is in force without key {self.name}')
+        print_line(
+            f'revision {head.revision} is in force without key {self.name}'
+        )
 
 
 @cappa.command(name='key')
@@ -316,7 +318,7 @@
         with self.path.open(errors='replace') as lines:
             difference = _exit_on_error(partial(first_difference, lines))
         if difference is None:
-            print('no difference')
+            print_line('no difference')
             return
         raise failure_exit(
             f'line {difference.line}: recorded {difference.recorded!r}, '
@@ -415,10 +417,12 @@
     try:
         return call()
     except OutcomeUnknownError as exc:
-        raise failure_exit(f'outcome unknown: {exc}', ExitCode.UNKNOWN) from exc
+        raise one_line_exit(
+            f'outcome unknown: {exc}', ExitCode.UNKNOWN
+        ) from exc
     except (StoreError, RefusalError, TrefoilhitchError) as exc:
         error_name = type(exc).__name__
-        raise failure_exit(f'{error_name}: {exc}', ExitCode.REFUSED) from exc
+        raise one_line_exit(f'{error_name}: {exc}', ExitCode.REFUSED) from exc
 
 
 def _peer_client(settings: Path, address: str | None) -> PeerClient:
--- a/trefoilhitch/explain_command.py
+++ b/trefoilhitch/explain_command.py
@@ -9,8 +9,9 @@
 import cappa
 
 from trefoilhitch.exit_code import ExitCode
-from trefoilhitch.failure_exit import failure_exit
+from trefoilhitch.failure_exit import failure_exit, one_line_exit
 from trefoilhitch.log_timeline import build_timeline, read_events
+from trefoilhitch.terminal_output import print_line
 
 DEFAULT_AROUND_S = 3.0
 
@@ -37,13 +38,13 @@
             timedelta(seconds=self.around),
         )
         if not timeline:
-            raise failure_exit(
+            raise one_line_exit(
                 f'{self.request}: not in these logs', ExitCode.REFUSED
             )
         for event in timeline:
             own = event.fields.get('request') == self.request
             mark = '*' if own else ' '
-            print(f'{mark} {event.render()}')
+            print_line(f'{mark} {event.render()}')
 
     def _read_lines(self) -> Iterator[str]:
         for path in self.logs:
--- a/trefoilhitch/explain_route_command.py
+++ b/trefoilhitch/explain_route_command.py
@@ -11,14 +11,14 @@
 from trefoilhitch.clock import deadline_after_ms
 from trefoilhitch.errors import RefusalError
 from trefoilhitch.exit_code import ExitCode
-from trefoilhitch.failure_exit import failure_exit
+from trefoilhitch.failure_exit import failure_exit, one_line_exit
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.json_client import JsonClient
-from trefoilhitch.json_output import print_json
 from trefoilhitch.peer_client import decode_refusal
 from trefoilhitch.pooler.peer_dependencies import PEER_PREFIX
 from trefoilhitch.route_text import render_route
 from trefoilhitch.tcp import split_address
+from trefoilhitch.terminal_output import print_json
 
 REQUEST_TIMEOUT_MS = 5000
 
@@ -52,7 +52,7 @@
         try:
             reply = run(partial(ask_node, self.node, request))
         except RefusalError as exc:
-            raise failure_exit(
+            raise one_line_exit(
                 f'{type(exc).__name__}: {exc}', ExitCode.REFUSED
             ) from exc
         if self.json:
--- a/trefoilhitch/logged_event.py
+++ b/trefoilhitch/logged_event.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
+from trefoilhitch.terminal_text import quoted
 
 
 class _LogLine(Struct):
@@ -68,10 +69,16 @@
     def render(self) -> str:
         """Format the event as one line of text."""
         head = f'{self.time.isoformat()} {self.node} {self.event}'
-        pairs = [f'{name}={text}' for name, text in self.fields.items()]
+        pairs = [
+            f'{name}={_show(logged)}' for name, logged in self.fields.items()
+        ]
         return ' '.join((head, *pairs))
 
 
+def _show(logged: Any) -> str:
+    return quoted(logged) if isinstance(logged, str) else str(logged)
+
+
 def _parse_time(text: str) -> datetime:
     """Parse a time; the logs hold only UTC, with or without an offset."""
     time = datetime.fromisoformat(text)
--- a/trefoilhitch/route_text.py
+++ b/trefoilhitch/route_text.py
@@ -8,6 +8,7 @@
     ExplainedRate,
     ExplainReply,
 )
+from trefoilhitch.terminal_text import printable
 
 _FRESHNESS_TEXTS = MappingProxyType(
     {
@@ -28,7 +29,7 @@
         Lines for people.
 
     """
-    return '\n'.join(_lines(reply))
+    return '\n'.join(printable(line) for line in _lines(reply))
 
 
 def _lines(reply: ExplainReply) -> Iterator[str]:
--- a/trefoilhitch/json_output.py
+++ b/trefoilhitch/terminal_output.py
@@ -1,4 +1,4 @@
-"""Prints messages as JSON for people and programs."""
+"""Prints lines for people, and messages as JSON also for programs."""
 
 from typing import Any
 
@@ -7,6 +7,9 @@
 from msgspec.json import encode
 from msgspec.json import format as format_json
 
+from trefoilhitch.loggable import escape_in_json
+from trefoilhitch.terminal_text import printable
+
 
 def print_json(message: Struct | dict[str, Any]) -> None:
     """Print a message as one indented JSON object.
@@ -16,4 +19,14 @@
 
     """
     line = encode(as_builtins(message))
-    print(format_json(line).decode())
+    print(escape_in_json(format_json(line)).decode())
+
+
+def print_line(text: str) -> None:
+    """Print one line.
+
+    Args:
+        text: the line, without its end.
+
+    """
+    print(printable(text))
