HTTP interface: nodes accept each other's messages about any allowed request

Callers saw 413 for a statement that was just within `body_bytes`, at the nodes that do not own the endpoint's connections, and a success for the same request at the one that does.

Cause: the server for other nodes had the same limit as the one for clients.

Change: the server for other nodes accepts four times `body_bytes` and 65,536 bytes for the other fields. What clients may send is unchanged.

It works because the limit of messages between nodes is now derived from the one for clients: each request that a node accepts also fits when it is forwarded.

--- a/trefoilhitch/node_components.py
+++ b/trefoilhitch/node_components.py
@@ -36,6 +36,11 @@
 
 _MS_PER_S = 1000
 _REQUEST_ID_BITS = 96
+# A number such as 1e15 takes nearly four times as many bytes once it was
+# decoded and encoded again.
+MAX_JSON_GROWTH = 4
+# Far above what a message between nodes holds besides a client's fields.
+PEER_FIELDS_BYTES = 65536
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,9 +185,13 @@
             heartbeats=_build_heartbeats(ctx),
             config_sync=_build_config_sync(ctx),
             public_server=_build_server(
-                ctx, PublicRequestHandler(api=client_api, is_ready=is_ready)
+                ctx,
+                PublicRequestHandler(api=client_api, is_ready=is_ready),
+                ctx.cfg.limits.body_bytes,
+            ),
+            peer_server=_build_server(
+                ctx, peer_handler, _peer_body_bytes(ctx.cfg.limits.body_bytes)
             ),
-            peer_server=_build_server(ctx, peer_handler),
         )
 
 
@@ -310,15 +319,20 @@
     )
 
 
+def _peer_body_bytes(body_bytes: int) -> int:
+    """Return the limit of messages that carry the body of a client."""
+    return body_bytes * MAX_JSON_GROWTH + PEER_FIELDS_BYTES
+
+
 def _build_server(
-    ctx: NodeContext, request_handler: RequestHandler
+    ctx: NodeContext, request_handler: RequestHandler, body_bytes: int
 ) -> HttpServer:
     limits = ctx.cfg.limits
     return HttpServer(
         factory=SharedHandlerFactory(request_handler),
         reporter=ctx.log,
         limits=HttpLimits(
-            body_bytes=limits.body_bytes,
+            body_bytes=body_bytes,
             header_bytes=limits.header_bytes,
             connections=limits.connections,
             request_read_s=limits.request_read_ms / _MS_PER_S,
