HTTP interface: an idempotency key cannot end in a line end

Callers whose key ended in a line feed got a request id or a transaction id that no path can name: the outcome could not be read again, and the transaction could not be continued or ended before it expired.

Cause: the pattern of keys ends in `$`, which Python also matches before a line feed at the end of the text.

Evidence: tests/test_interface.py, six keys that fit no path, for statements and for transactions. The two with a line feed at the end were accepted before, the other ten were refused.

Change: the pattern allows no line feed at the end, as those of messages between nodes already do. Such a request gets 400.

Measured: test_interface and test_generated pass.

It works because the characters that the pattern lists are now all that a key can contain.

--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -1,15 +1,18 @@
 """Client API on a running stack: valid and invalid input."""
 
+from http import HTTPStatus
 from unittest.mock import patch
 
 import pytest
 from msgspec.json import encode
+from trio import current_time
 
 from tests.support import (
     SERVICE,
     count_fields,
     create_table,
     order_fields,
+    run_virtual,
     session_client,
     stored_count,
     with_virtual_clock,
@@ -194,3 +197,26 @@
     assert any(b' /v1/run ' in each[:40] for each in others)
     assert any(b' /peer/v1/statement ' in each[:40] for each in others)
     assert not any(secret in each for each in others)
+
+
+@pytest.mark.parametrize('key', ['o1\n', 'o1\r', 'o1 ', 'o/1', 'o:1', '\xe9'])
+@pytest.mark.parametrize('kind', ['statements', 'transactions'])
+def test_key_that_fits_no_path_is_accepted(key: str, kind: str) -> None:
+    # The path of a later request names the key: the outcome of a statement
+    # could not be read, and a transaction could not be continued.
+    async def play() -> int:
+        async with running_stack(SMALL) as stack:
+            await create_table(stack)
+            fields = {'idempotency_key': key}
+            if kind == 'statements':
+                fields = order_fields('o1', idempotency_key=key)
+            req = HttpRequest(
+                'POST',
+                f'/v1/services/{SERVICE}/{kind}',
+                {'authorization': f'Bearer {stack.keys["himal"].text}'},
+                encode(fields),
+            )
+            node = HttpClient(stack.nodes['n1'].address)
+            return (await node.request(req, current_time() + 1)).status
+
+    assert run_virtual(play) == HTTPStatus.BAD_REQUEST
--- a/trefoilhitch/_generated/messages.py
+++ b/trefoilhitch/_generated/messages.py
@@ -55,7 +55,7 @@
     timeout_ms: Annotated[int, Meta(ge=1, le=60000)] = 5000
     repeatable: bool = False
     idempotency_key: Annotated[
-        str, Meta(max_length=128, pattern='^[A-Za-z0-9._-]*$')
+        str, Meta(max_length=128, pattern='^[A-Za-z0-9._-]*$(?!\\n)')
     ] = ''
     session: Annotated[str, Meta(max_length=8192)] = ''
 
@@ -81,7 +81,7 @@
 
     timeout_ms: Annotated[int, Meta(ge=1, le=60000)] = 5000
     idempotency_key: Annotated[
-        str, Meta(max_length=128, pattern='^[A-Za-z0-9._-]*$')
+        str, Meta(max_length=128, pattern='^[A-Za-z0-9._-]*$(?!\\n)')
     ] = ''
     session: Annotated[str, Meta(max_length=8192)] = ''
 
