A client without a key does not have the empty key of an organisation

Callers that sent no key were served as an organisation, with its rate and under its name, if the desired state held an empty key for it.

Cause: no key was represented by the empty text and looked up like any other.

Evidence: tests/test_keyless_clients.py, START with and without a blank at the end; both got READY on a route that is not public. Failed before in both cases.

Change: without a key, no organisation is looked up. A case for organisations that endpoints cannot be told is added to test_explain_route.

Measured: test_keyless_clients, test_explain_route and test_open_transactions pass.

It works because the key is what identifies a caller, and there is none.

--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -63,6 +63,10 @@
     },
     keys={'key-1': 'himal', 'key-2': 'unrated'},
 )
+UNNAMEABLE = replace(
+    CATALOGUE,
+    organisations={'himal': Organisation('himal', 10, 10, is_nameable=False)},
+)
 
 
 @pytest.mark.parametrize(
@@ -96,6 +100,7 @@
         (CATALOGUE, 'orders', 'keyless', UnauthorisedError, 'has no key'),
         (CATALOGUE, 'orders', '', UnauthorisedError, 'name an organisation'),
         (CATALOGUE, 'orders', 'public', UnauthorisedError, 'may not use'),
+        (UNNAMEABLE, 'orders', 'himal', UnauthorisedError, 'cannot be told'),
     ],
 )
 def test_names_that_cannot_be_explained(
--- a/trefoilhitch/pooler/authorisation.py
+++ b/trefoilhitch/pooler/authorisation.py
@@ -46,7 +46,8 @@
     route = begun or catalogue.routes.get(start.database)
     if route is None:
         return Refusal.UNKNOWN_DATABASE
-    organisation = catalogue.keys.get(start.key)
+    # A client without a key is nobody, even if an empty key is declared.
+    organisation = catalogue.keys.get(start.key) if start.key else None
     if organisation is not None:
         declared = catalogue.organisations.get(organisation)
         if declared is not None and not declared.is_nameable:
