A node whose name is not Latin-1 can order promotions

Callers of a service whose primary was lost got BUSY until another node held the lease, if the node that ran the failover had a name with characters beyond Latin-1: it never sent its order. Names with other non-ASCII characters were sent in other bytes than the settings hold.

Cause: the name is sent in the header `Lease-Holder`, and headers are encoded as Latin-1. The failure counted as a platform that does not answer.

The platform's settings name nodes by their zones and restrict neither.

Change: the header holds the name in UTF-8, as the settings file does.

It works because any text of a JSON document can be encoded as UTF-8, and each of its bytes as one Latin-1 character.

--- a/trefoilhitch/platform/promotion_client.py
+++ b/trefoilhitch/platform/promotion_client.py
@@ -13,6 +13,7 @@
 from trefoilhitch.http_client import HttpClient
 from trefoilhitch.http_message import HttpRequest
 from trefoilhitch.platform._generated.platform import FailoverOrder
+from trefoilhitch.platform.wire_names import encode_name
 
 _FAILOVER_PATH = '/failover'
 
@@ -29,7 +30,8 @@
     def __init__(self, address: str, node: str) -> None:
         """Initialise a client without connections."""
         self._client = HttpClient(address, max_idle=1)
-        self._node = node
+        # Headers are encoded as Latin-1, like the wire's text.
+        self._holder = encode_name(node)
 
     async def promote(
         self, service: str, endpoint: str, token: int, deadline: float
@@ -54,7 +56,7 @@
             'POST',
             _FAILOVER_PATH,
             headers={
-                'Lease-Holder': self._node,
+                'Lease-Holder': self._holder,
                 'Fencing-Token': str(token),
             },
             body=encode(FailoverOrder(service=service, id=endpoint)),
