Session search: long fields of bytes that grow between nodes, its reach, cut-down

Long fields also consist of zero bytes and backslashes, which take more bytes in messages between nodes. Tests show that sessions of a run share connections, that gateways run statements of other nodes' clients, and that a failed script is cut down to the steps that it needs.

--- a/tests/session_scripts.py
+++ b/tests/session_scripts.py
@@ -85,6 +85,8 @@
 VARIABLES = (b'app', b'colour', b'SET', b'a\xa0', b'-', b'\x1f', b'caf\xc3\xa9')
 # Sizes of long fields; most lines are short.
 LONG_BYTES = (3000, 70000, 600000)
+# Some of these take more bytes in messages between nodes.
+FILLINGS = (b'a', b'a ', b'\x00', b'\\', b'\xa0', b'\xe0\xa5\x90')
 NEAR_LIMIT = tuple(range(-3, 4)) + (-40, -60)
 
 
@@ -197,7 +199,7 @@
 
     def _long_text(self) -> bytes:
         size = self.random.choice(LONG_BYTES)
-        filling = self.random.choice((b'a', b'a ', b'\xa0', b'\xe0\xa5\x90'))
+        filling = self.random.choice(FILLINGS)
         return (filling * size)[:size]
 
 
@@ -300,7 +302,7 @@
         used = len(b'QUERY  ') + len(self._client) + 4 + 2 * len(self._mark)
         size = MAX_LINE_BYTES - LINE_END_BYTES - used - len(start)
         size += self._random.choice(NEAR_LIMIT)
-        return start + b'a' * size
+        return start + self._random.choice((b'a', b'\x00', b'\xff')) * size
 
     def _odd_text(self) -> bytes:
         return self._random.choice(
--- a/tests/session_search.py
+++ b/tests/session_search.py
@@ -1,6 +1,7 @@
 """Plays a script and checks what ran; cuts a script that breaks a rule down."""
 
-from collections.abc import Callable, Iterator
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import replace
 from functools import partial
 
@@ -9,7 +10,8 @@
 from tests.session_scripts import ClientScript, Script
 from tests.support import run_virtual
 from tests.wire_checker import Break, check_journal
-from tests.wire_journal import Event
+from tests.wire_grammar import parse_query
+from tests.wire_journal import ClientSent, EndpointReceived, Event
 
 MAX_SHOWN_EVENTS = 60
 SHOWN_CHARS = 160
@@ -27,6 +29,21 @@
     return check_journal(events, all_served=not script.faults)
 
 
+def sessions_by_connection(events: Iterable[Event]) -> dict[str, set[str]]:
+    """Return the sessions whose statements each connection received."""
+    sessions: dict[bytes, str] = {}
+    found: defaultdict[str, set[str]] = defaultdict(set)
+    for event in events:
+        query = parse_query(getattr(event, 'line', b''))
+        if query is None:
+            continue
+        if isinstance(event, ClientSent):
+            sessions[query.request_id] = event.session
+        elif isinstance(event, EndpointReceived):
+            found[event.connection].add(sessions.get(query.request_id, ''))
+    return {connection: names - {''} for connection, names in found.items()}
+
+
 def report_breaks(script: Script, breaks: list[Break]) -> str:
     """Describe a failed run, cut down to its smallest script.
 
--- a/tests/test_session_search.py
+++ b/tests/test_session_search.py
@@ -14,7 +14,13 @@
     Step,
     draw_script,
 )
-from tests.session_search import find_breaks, report_breaks
+from tests.session_search import (
+    cut_down,
+    find_breaks,
+    report_breaks,
+    run_script,
+    sessions_by_connection,
+)
 from tests.wire_mutations import (
     Mutation,
     cut_at_white_space,
@@ -40,6 +46,23 @@
     assert not breaks, report_breaks(script, breaks)
 
 
+def _nodes_by_connection(script: Script) -> list[set[str]]:
+    nodes = {client.client: client.node for client in script.clients}
+    return [
+        {nodes[session.partition('.')[0]] for session in sessions}
+        for sessions in sessions_by_connection(run_script(script)).values()
+    ]
+
+
+def test_search_covers_shared_connections_and_gateways() -> None:
+    """Guards against scripts in which no two sessions ever meet."""
+    sessions = sessions_by_connection(run_script(draw_script(0))).values()
+    assert sum(len(names) > 1 for names in sessions) >= 5
+    # Only gateways run statements of other nodes' clients.
+    assert max(map(len, _nodes_by_connection(draw_script(0)))) == 1
+    assert max(map(len, _nodes_by_connection(draw_script(2)))) > 1
+
+
 CHANGED_TEXT = ('UNASKED', 'changed text')
 OTHER_VALUES = ('PINNED', 'values')
 OTHER_SHAPE = ('PINNED', 'ran a shape')
@@ -68,6 +91,21 @@
     assert expected <= found
 
 
+def test_failed_script_is_cut_down_to_what_it_needs() -> None:
+    """Guards against reports in which the cause is hard to find."""
+    script = draw_script(3)
+    needed = {script.clients[1].steps[7], script.clients[4].steps[20]}
+
+    def still_breaks(smaller: Script) -> bool:
+        left = {step for client in smaller.clients for step in client.steps}
+        return needed <= left
+
+    smallest = cut_down(script, still_breaks)
+    assert [len(client.steps) for client in smallest.clients] == [1, 1]
+    assert still_breaks(smallest)
+    assert len(smallest.faults) == 1
+
+
 def _many_shapes(count: int, size: int) -> Script:
     texts = [
         text
