A client may name a declared database or key in any alphabet

Clients of a database or with a key that has characters beyond ASCII got NODB or AUTHFAIL although both were declared.

Cause: START is decoded byte by byte as Latin-1, and was compared with names of JSON documents, which are UTF-8.

Change: the database and the key of START are decoded as names. Bytes that are not UTF-8 equal no declared name. The text of statements stays byte by byte.

--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -88,3 +88,23 @@
     except WireError:
         return
     assert encoded == text
+
+
+@pytest.mark.parametrize('name', [*NAMES, 'two words ', 'a\xa0b'])
+def test_declared_database_or_key_is_refused(name: str) -> None:
+    database = name.replace(' ', '-')
+
+    async def play() -> None:
+        async with running_wire_stack() as stack:
+            declared = make_declaration(
+                2, tenants=[{'name': 'himal', 'api_keys': [name]}]
+            )
+            declared['routes'][0]['host'] = database
+            stack.store_state.put('config', 'main', declared)
+            await sleep(SETTLE_S)
+            async with wire_client(stack.nodes['node-0'].address) as client:
+                wire_names = encode_name(database), encode_name(name)
+                assert await client.start(*wire_names) == 'READY I -'
+                assert not (await client.query('WRITE a b')).code
+
+    run_virtual(play)
--- a/trefoilhitch/platform/client_codec.py
+++ b/trefoilhitch/platform/client_codec.py
@@ -9,6 +9,7 @@
     encode_position,
 )
 from trefoilhitch.platform.line_buffer import WireError, encode_line
+from trefoilhitch.platform.wire_names import decode_name
 from trefoilhitch.pooler.response import (
     Refusal,
     Response,
@@ -79,7 +80,7 @@
     database, _, key = rest.partition(_BLANK)
     if word != 'START' or not database:
         raise WireError('expected START')
-    return SessionStart(database, key)
+    return SessionStart(decode_name(database), decode_name(key))
 
 
 def decode_query(line: str) -> Statement:
