The explanation of a refusal stays short

A client that named an unknown statement got its name back in full: a name of 1,048,536 characters made a line of 1,048,549 bytes, over the 1 MiB of a message, and an endpoint's refusal of 1,500,000 characters was passed on as it was.

Cause: the explanation was copied into the ERROR line whatever its length.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,5 +1,6 @@
 """Bytes that a client sends cost only its connection, and prove nothing."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from trio import open_tcp_stream
@@ -8,8 +9,13 @@
 from tests.support import run_virtual
 from tests.test_hostile_endpoint_answers import FailureLog
 from tests.test_wire_failover import KEY
-from trefoilhitch.platform.client_codec import decode_query, decode_start
+from trefoilhitch.platform.client_codec import (
+    decode_query,
+    decode_start,
+    encode_error,
+)
 from trefoilhitch.platform.line_buffer import WireError
+from trefoilhitch.pooler.response import Refusal
 from trefoilhitch_lab.wire_client import wire_client
 from trefoilhitch_lab.wire_stack import running_wire_stack
 
@@ -86,6 +92,16 @@
     assert not log.failures
 
 
+@pytest.mark.parametrize(
+    'detail', ['x' * 1048570, 'a\r\nb' * 9000, '\u0950' * 99]
+)
+def test_refusal_is_longer_than_a_message_may_be(detail: str) -> None:
+    line = encode_error(Refusal.UNKNOWN_STATEMENT, detail)
+    assert line.startswith(b'ERROR NOSTMT ')
+    assert line.find(b'\r\n') == len(line) - 2
+    assert len(line) < 200
+
+
 async def _play_client(address: str, chunks: list[bytes]) -> None:
     host, _, port = address.rpartition(':')
     async with await open_tcp_stream(host, int(port)) as stream:
--- a/trefoilhitch/platform/client_codec.py
+++ b/trefoilhitch/platform/client_codec.py
@@ -3,6 +3,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from trefoilhitch.loggable import shorten
 from trefoilhitch.platform.codes import (
     CODE_BY_REFUSAL,
     LETTER_BY_STATE,
@@ -186,13 +187,14 @@
 
     Args:
         refusal: reason of the refusal.
-        detail: human-readable explanation; empty for the refusal's own text.
+        detail: human-readable explanation, of which only the beginning is
+            sent; empty for the refusal's own text.
 
     Returns:
         One line with its line end.
 
     """
-    text = detail.translate(_LINE_END_TO_BLANK) or refusal.value
+    text = shorten(detail).translate(_LINE_END_TO_BLANK) or refusal.value
     sendable = text.encode('latin-1', 'replace').decode('latin-1')
     return encode_line('ERROR', CODE_BY_REFUSAL[refusal], sendable)
 
