Test: a lost response names its connection, also through a gateway

It fails if a gateway leaves the connection out of its reply to a statement whose response was lost (tried by hand), and passes with the code as it is.

--- a/tests/test_statement_records.py
+++ b/tests/test_statement_records.py
@@ -134,6 +134,27 @@
         )
 
 
+@with_virtual_clock
+async def test_a_lost_response_names_its_connection() -> None:
+    # Guards against statements in doubt whose connection is unknown, also if
+    # it was lost between a gateway and the endpoint.
+    log = EventLog()
+    async with gateway_stack(log) as stack:
+        for node, running in stack.nodes.items():
+            async with wire_client(running.address) as client:
+                await client.start('visits', f'key-{ORGANISATIONS[0]}')
+                for endpoint in stack.group.endpoints.values():
+                    endpoint.faults.drop_responses = 1
+                lost = await client.query(f'WRITE {node} red')
+                assert lost.code == 'INDOUBT'
+    holders = {
+        fields['connection'].split('/')[0]
+        for fields in events(log, 'statement')
+    }
+    assert len(holders) == 1
+    assert holders < set(stack.nodes)
+
+
 @with_virtual_clock
 async def test_a_reset_that_drops_names_is_logged() -> None:
     # Guards against names that seem to be held after a reset.
