--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -1,12 +1,10 @@
 """Runs statements on a connection after applying the session's state."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
-from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.held_statements import HeldStatements
-from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
     Command,
@@ -21,30 +19,16 @@
     SessionState,
     refusal_response,
 )
-from trefoilhitch.pooler.session import variable_change
 from trefoilhitch.pooler.statement import PreparedStatement, Verb
 from trefoilhitch.pooler.statement_records import StatementRecords
 from trefoilhitch.pooler.statement_request import (
     StatementRequest,
     StatementResult,
 )
-
-
-class _MalformedVariableError(TrefoilhitchError):
-    """A session variable is malformed to the endpoint; nothing else was sent.
-
-    Args:
-        detail: explanation for people.
-        in_transaction: whether a transaction was lost with the connection.
-
-    """
-
-    def __init__(self, detail: str, *, in_transaction: bool) -> None:
-        """Store the state that the session is in."""
-        super().__init__(detail)
-        self.state = (
-            SessionState.FAILED if in_transaction else SessionState.IDLE
-        )
+from trefoilhitch.pooler.variable_setter import (
+    MalformedVariableError,
+    VariableSetter,
+)
 
 
 class ConnectionRunner:
@@ -71,6 +55,7 @@
         self._records = records
         self._connector = connector
         self._metrics = metrics
+        self._variables = VariableSetter(connector, metrics, records)
 
     async def run(
         self,
@@ -102,7 +87,7 @@
             return await self._run(conn, variables, request, deadline)
         except UnsendableStatementError as exc:
             return _malformed(str(exc), conn.conn.state)
-        except _MalformedVariableError as exc:
+        except MalformedVariableError as exc:
             return _malformed(str(exc), exc.state)
 
     async def _run(
@@ -113,7 +98,7 @@
         deadline: float,
     ) -> StatementResult:
         await self._guard.check(conn.conn.endpoint)
-        if await self._apply_variables(conn, variables, request, deadline):
+        if await self._variables.apply(conn, variables, request, deadline):
             await self._guard.check(conn.conn.endpoint)
         preparation = Preparation.from_held(conn.prepared, request.prepared)
         changes = self._changes(preparation)
@@ -153,47 +138,6 @@
         self._metrics.count('control_requests', 'statement_status')
         return [command, self._connector.status()]
 
-    async def _apply_variables(
-        self,
-        conn: PooledConnection,
-        variables: Mapping[str, str],
-        request: StatementRequest,
-        deadline: float,
-    ) -> bool:
-        """Set the variables of a connection to those of a session.
-
-        No statement of the session is sent before this succeeds, so a failure
-        here never runs a statement with the wrong variables.
-
-        Returns:
-            Whether anything had to be sent for it.
-
-        """
-        change = variable_change(conn.variables, variables)
-        if change.is_empty:
-            return False
-        commands = [
-            self._connector.set_variable(name, text)
-            for name, text in change.assignments.items()
-        ]
-        if change.reset:
-            commands.insert(0, self._connector.reset())
-            self._records.record_reset(conn, request)
-        self._count('variables', len(commands))
-        try:
-            responses = await conn.conn.run(commands, deadline)
-        except UnsendableStatementError:
-            raise
-        except EndpointConnectionError as exc:
-            raise EndpointConnectionError(
-                ResponseLoss.NOT_SENT, str(exc)
-            ) from exc
-        _check_accepted(conn, responses)
-        if change.reset:
-            conn.prepared.clear()
-        conn.variables = dict(variables)
-        return True
-
     def _command(self, request: StatementRequest) -> Command:
         statement = request.statement
         if statement.verb == Verb.EXECUTE and request.prepared is not None:
@@ -210,30 +154,6 @@
         self._metrics.add('own_statements', number, kind)
 
 
-def _check_accepted(
-    conn: PooledConnection, responses: Sequence[Response]
-) -> None:
-    """Close a connection on which not all variables were set.
-
-    Raises:
-        _MalformedVariableError: the endpoint will never accept them.
-        EndpointConnectionError: they were refused; another try may succeed.
-
-    """
-    if all(response.ok for response in responses):
-        return
-    in_transaction = conn.conn.state != SessionState.IDLE
-    conn.conn.close()
-    for response in responses:
-        if response.refusal == Refusal.MALFORMED:
-            raise _MalformedVariableError(
-                response.detail, in_transaction=in_transaction
-            )
-    raise EndpointConnectionError(
-        ResponseLoss.NOT_SENT, 'session variables were refused'
-    )
-
-
 def _malformed(detail: str, state: SessionState) -> StatementResult:
     return StatementResult(refusal_response(Refusal.MALFORMED, detail, state))
 
