Databases whose service no endpoint can have are refused at once

Callers of a database whose service has a blank or a control character in its name, or an empty or too long one, got READY, and then BUSY for each statement after a wait, on every try, though nothing was busy.

Cause: entries of endpoints with such a service are ignored, since START cannot name it, but routes to it were not told apart from those whose endpoints are missing for a moment.

Change: the declaration tells which routes can be served, by the rule that endpoints' entries have to fulfil. Sessions of others are refused with MALFORMED.

It works because one rule decides both whether an endpoint's entry counts and whether a route can ever have an endpoint.

--- a/tests/test_unserved_organisations.py
+++ b/tests/test_unserved_organisations.py
@@ -31,8 +31,8 @@
 
     def event(self, name: str, **fields: object) -> None:
         """Keep the names of one event."""
-        if name == 'organisations_unserved':
-            self.unserved.extend(fields['names'])
+        if name == 'names_unserved':
+            self.unserved.extend(fields['organisations'])
 
 
 def declare(stack: WireStack, name: str, *, max_connections: int) -> None:
--- a/trefoilhitch/platform/declarations.py
+++ b/trefoilhitch/platform/declarations.py
@@ -9,7 +9,7 @@
     DesiredState,
     DesiredTenant,
 )
-from trefoilhitch.platform.wire_names import fits_one_field
+from trefoilhitch.platform.wire_names import fits_one_field, is_word
 from trefoilhitch.pooler.catalogue import (
     Catalogue,
     Freshness,
@@ -87,6 +87,7 @@
         target_latency_s=desired.target_latency_ms / _MS_PER_S,
         priority=desired.priority,
         public=desired.public,
+        is_servable=is_word(desired.service),
     )
 
 
--- a/trefoilhitch/platform/endpoint_entry.py
+++ b/trefoilhitch/platform/endpoint_entry.py
@@ -1,6 +1,5 @@
 """Decodes and checks an endpoint's entry in the store."""
 
-import re
 from ipaddress import AddressValueError, IPv4Address
 from typing import Final
 
@@ -10,12 +9,10 @@
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.json_decoding import UnreadableJsonError, decode_json
 from trefoilhitch.platform._generated.platform import ServerEntry
+from trefoilhitch.platform.wire_names import is_word
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 
-MAX_NAME_CHARS: Final = 255
 MAX_PORT: Final = 65535
-# Neither blanks nor control characters.
-_WORD = re.compile(r'[^\s\x00-\x20\x7f-\xa0]+')
 _BROADCAST = IPv4Address('255.255.255.255')
 
 
@@ -57,7 +54,7 @@
 
 
 def _check_word(field: str, text: str) -> None:
-    if len(text) > MAX_NAME_CHARS or not _WORD.fullmatch(text):
+    if not is_word(text):
         raise UnreadableEntryError(f'{text}: the {field} is not one word')
 
 
--- a/trefoilhitch/platform/wire_names.py
+++ b/trefoilhitch/platform/wire_names.py
@@ -4,8 +4,13 @@
 is forwarded with the same bytes. Names that documents declare are UTF-8 there.
 """
 
+import re
+
 from trefoilhitch.platform.line_buffer import WireError
 
+MAX_NAME_CHARS = 255
+# Neither blanks nor control characters.
+_WORD = re.compile(r'[^\s\x00-\x20\x7f-\xa0]+')
 _SEPARATORS = frozenset(' \r\n')
 
 
@@ -41,6 +46,20 @@
     return bool(name) and not _SEPARATORS.intersection(name)
 
 
+def is_word(name: str) -> bool:
+    """Return whether endpoints can have a name, as their id or service.
+
+    Args:
+        name: the name as a JSON document spells it.
+
+    Returns:
+        False if it is empty or too long, or contains a blank of any kind or a
+        control character.
+
+    """
+    return len(name) <= MAX_NAME_CHARS and bool(_WORD.fullmatch(name))
+
+
 def decode_name(text: str) -> str:
     """Decode a name that the wire carries.
 
--- a/trefoilhitch/pooler/authorisation.py
+++ b/trefoilhitch/pooler/authorisation.py
@@ -48,11 +48,15 @@
         return Refusal.UNKNOWN_DATABASE
     # A client without a key is nobody, even if an empty key is declared.
     organisation = catalogue.keys.get(start.key) if start.key else None
+    if not (route.is_servable and _is_nameable(catalogue, organisation)):
+        return Refusal.MALFORMED
     if organisation is not None:
-        declared = catalogue.organisations.get(organisation)
-        if declared is not None and not declared.is_nameable:
-            return Refusal.MALFORMED
         return Access(route, organisation)
     if route.public:
         return Access(route, PUBLIC_ORGANISATION)
     return Refusal.UNAUTHORISED
+
+
+def _is_nameable(catalogue: Catalogue, organisation: str | None) -> bool:
+    declared = catalogue.organisations.get(organisation or '')
+    return organisation is None or declared is None or declared.is_nameable
--- a/trefoilhitch/pooler/catalogue.py
+++ b/trefoilhitch/pooler/catalogue.py
@@ -27,6 +27,7 @@
         target_latency_s: target latency of an operation in seconds.
         priority: priority, of which 0 is the highest.
         public: whether clients may connect without a key.
+        is_servable: whether endpoints can have the name of its service.
 
     """
 
@@ -38,6 +39,7 @@
     target_latency_s: float
     priority: int = 0
     public: bool = False
+    is_servable: bool = True
 
     @property
     def statement_priority(self) -> int:
--- a/trefoilhitch/pooler/explaining/explained_access.py
+++ b/trefoilhitch/pooler/explaining/explained_access.py
@@ -75,7 +75,8 @@
         return NotFoundError(f'no database {database!r} is declared')
     if refusal is Refusal.MALFORMED:
         return UnauthorisedError(
-            f'endpoints cannot be told the name {organisation!r}'
+            f'endpoints cannot be told the name of organisation '
+            f'{organisation!r}, or have that of the service'
         )
     if not organisation:
         return UnauthorisedError(
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -214,13 +214,22 @@
                 for each in catalogue.organisations.values()
             },
         )
-        unserved = [
+        organisations = [
             each.name
             for each in catalogue.organisations.values()
             if not each.is_nameable
         ]
-        if unserved:
-            self._runtime.log.event('organisations_unserved', names=unserved)
+        databases = [
+            each.database
+            for each in catalogue.routes.values()
+            if not each.is_servable
+        ]
+        if organisations or databases:
+            self._runtime.log.event(
+                'names_unserved',
+                organisations=organisations,
+                databases=databases,
+            )
         self._parts.state.cluster.notify_change()
 
     def _make_era_checker(self) -> EraChecker:
