All sessions of a node together are limited as well

Cause: SessionLimit counted each session alone.

Change: NodeLimit counts the text of all sessions beyond the first 16 KiB of each, 32 MiB at most, so that sessions of usual size are served whatever others hold. Beyond that SET and PREPARE get BUSY, which sends the client to another node. A session that ends gives its room back.

--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -1,6 +1,6 @@
 """Client sessions: authorisation, admission and dispatch of statements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from trio import current_time
 
@@ -18,6 +18,7 @@
     success_response,
 )
 from trefoilhitch.pooler.session import SessionData, StatementTrace
+from trefoilhitch.pooler.session_limit import NodeLimit, SessionLimit
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
 from trefoilhitch.pooler.statement_records import (
     UNSENDABLE_STATEMENTS,
@@ -43,6 +44,7 @@
         transactions: runs transactions.
         log: records each statement.
         metrics: counts statements and measures their latency.
+        node_limit: limits the text that all sessions hold.
 
     """
 
@@ -52,6 +54,7 @@
     transactions: TransactionRunner
     log: DecisionLog
     metrics: Metrics
+    node_limit: NodeLimit = field(default_factory=NodeLimit)
 
 
 class ClientSession:
@@ -88,9 +91,13 @@
         found = authorise(catalogue, start)
         if isinstance(found, Refusal):
             return found
-        return cls(
-            deps, SessionData(start.database, found.organisation, start.key)
+        session = SessionData(
+            start.database,
+            found.organisation,
+            start.key,
+            limit=SessionLimit(deps.node_limit),
         )
+        return cls(deps, session)
 
     @property
     def in_transaction(self) -> bool:
@@ -105,6 +112,7 @@
 
     def close(self) -> None:
         """Roll back the transaction that the client left open."""
+        self._session.limit.release_all()
         self._deps.transactions.abandon(self._session)
 
     async def run(self, statement: Statement) -> Response:
@@ -225,10 +233,11 @@
             return refusal_response(
                 Refusal.UNKNOWN_STATEMENT, statement.name, session.state
             )
-        if _store(session, statement):
+        refusal = _store(session, statement)
+        if refusal is None:
             return success_response(session.state)
         return refusal_response(
-            Refusal.MALFORMED, 'the session holds too much text', session.state
+            refusal, 'sessions hold too much text', session.state
         )
 
     def _log_statement(
@@ -269,8 +278,8 @@
         return described
 
 
-def _store(session: SessionData, statement: Statement) -> bool:
-    """Store what SET or PREPARE states; return False if it is too much."""
+def _store(session: SessionData, statement: Statement) -> Refusal | None:
+    """Store what SET or PREPARE states; return why not if it is too much."""
     if statement.prepared is None:
         return session.set_variable(statement.name, statement.argument)
     return session.prepare(statement.name, statement.prepared)
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -8,7 +8,7 @@
 from trefoilhitch.pooler.catalogue import Route
 from trefoilhitch.pooler.endpoint_selection import ChoiceKind
 from trefoilhitch.pooler.observations import later_position
-from trefoilhitch.pooler.response import SessionState
+from trefoilhitch.pooler.response import Refusal, SessionState
 from trefoilhitch.pooler.session_limit import SessionLimit
 from trefoilhitch.pooler.statement import (
     Access,
@@ -84,6 +84,7 @@
         variables: session variables by name.
         prepared: prepared statements by the client's names.
         trace: how the last statement was served.
+        limit: limits the text of the variables and prepared statements.
 
     """
 
@@ -95,7 +96,7 @@
     variables: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedStatement] = field(default_factory=dict)
     trace: StatementTrace = field(default_factory=StatementTrace)
-    _limit: SessionLimit = field(default_factory=SessionLimit)
+    limit: SessionLimit = field(default_factory=SessionLimit)
     _positions: dict[str, LogPosition] = field(default_factory=dict)
 
     def last_commit_position(self, service: str) -> LogPosition | None:
@@ -122,7 +123,7 @@
         if last_position is not None:
             self._positions[service] = last_position
 
-    def set_variable(self, name: str, text: str) -> bool:
+    def set_variable(self, name: str, text: str) -> Refusal | None:
         """Set a variable.
 
         Args:
@@ -130,15 +131,15 @@
             text: its value.
 
         Returns:
-            False if the session would hold too much text; nothing is set.
+            None if it is set, else why it is not.
 
         """
-        if not self._limit.reserve(name, text, self.variables.get(name)):
-            return False
-        self.variables[name] = text
-        return True
+        refusal = self.limit.reserve(name, text, self.variables.get(name))
+        if refusal is None:
+            self.variables[name] = text
+        return refusal
 
-    def prepare(self, name: str, prepared: PreparedStatement) -> bool:
+    def prepare(self, name: str, prepared: PreparedStatement) -> Refusal | None:
         """Add a prepared statement, in place of one of the same name.
 
         Args:
@@ -146,15 +147,15 @@
             prepared: the prepared statement.
 
         Returns:
-            False if the session would hold too much text; nothing is added.
+            None if it is added, else why it is not.
 
         """
         replaced = self.prepared.get(name)
         body = replaced.body if replaced else None
-        if not self._limit.reserve(name, prepared.body, body):
-            return False
-        self.prepared[name] = prepared
-        return True
+        refusal = self.limit.reserve(name, prepared.body, body)
+        if refusal is None:
+            self.prepared[name] = prepared
+        return refusal
 
     def deallocate(self, name: str) -> bool:
         """Remove a prepared statement.
@@ -169,7 +170,7 @@
         prepared = self.prepared.pop(name, None)
         if prepared is None:
             return False
-        self._limit.release(name, prepared.body)
+        self.limit.release(name, prepared.body)
         return True
 
     def access(self, statement: Statement) -> Access | None:
