A rolled back value is noticed if the connection had it before

Cause: what a transaction changed was compared with the values that the connection had before the reset and the SET that precede BEGIN, those of another session. A value that was reset and set again inside looked unchanged.

Change: the values are noted when the transaction has begun.

--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -377,15 +377,6 @@
     async def _run(
         self, job: StatementJob, pooled: PooledConnection, turn: Turn
     ) -> StartedStatement:
-        conn = LocalConnection(
-            pool=self._pool,
-            runner=self._runner,
-            scheduler=self._scheduler,
-            loads=self._loads,
-            job=job,
-            pooled=pooled,
-            on_end=self._open.discard,
-        )
         is_kept = False
         try:
             reply = await self._send(job, pooled, turn)
@@ -395,6 +386,15 @@
                 self._pool.release(job.endpoint, pooled)
         if not is_kept:
             return StartedStatement(reply)
+        conn = LocalConnection(
+            pool=self._pool,
+            runner=self._runner,
+            scheduler=self._scheduler,
+            loads=self._loads,
+            job=job,
+            pooled=pooled,
+            on_end=self._open.discard,
+        )
         self._open.add(conn)
         return StartedStatement(reply, conn)
 
