A refused COMMIT counts as a rollback of values

Found by the review: after a COMMIT that was refused with READONLY, which ends the transaction, the connection was reused as if the values set inside it had stayed. On an endpoint that reverts them, the next statement ran without an acknowledged value (PINNED).

Cause: only ROLLBACK was taken for one.

Change: unless a COMMIT succeeded, a connection whose values changed inside the transaction is closed.

--- a/tests/test_rolled_back_variables.py
+++ b/tests/test_rolled_back_variables.py
@@ -85,3 +85,22 @@
             check_variables(ground, {'app': 'red'})
 
     play(place, scenario)
+
+
+@in_places
+def test_refused_commit_is_not_taken_for_a_rollback(place: str) -> None:
+    async def scenario(ground: Playground) -> None:
+        endpoints = ground.stack.group.endpoints.values()
+        primary = next(each for each in endpoints if each.is_primary)
+        async with ground.client('orders') as client:
+            await ground.query(client, 'BEGIN')
+            await ground.query(client, 'SET app red')
+            await ground.query(client, 'WRITE i1 x')
+            primary.is_primary = False
+            response = await client.query('COMMIT')
+            assert (response.code, response.state) == ('READONLY', 'I')
+            primary.is_primary = True
+            await ground.query(client, 'READ i2')
+            check_variables(ground, {'app': 'red'})
+
+    play(place, scenario)
--- a/trefoilhitch/pooler/statement_executor.py
+++ b/trefoilhitch/pooler/statement_executor.py
@@ -268,7 +268,8 @@
             self.is_running = False
         self._loads.record_position(self.endpoint, reply.response)
         if reply.response.state == SessionState.IDLE:
-            self._end(request.statement.verb)
+            verb = request.statement.verb
+            self._end(committed=verb == Verb.COMMIT and reply.response.ok)
         return reply
 
     def discard(self) -> None:
@@ -282,9 +283,9 @@
         with self._scheduler.begin_in_transaction(self.endpoint, kind) as turn:
             return await run_in_turn(turn, send)
 
-    def _end(self, verb: Verb) -> None:
+    def _end(self, *, committed: bool) -> None:
         changed = self._pooled.variables != self._initial_variables
-        if changed and verb == Verb.ROLLBACK:
+        if changed and not committed:
             # Whether a rollback restores variables depends on the endpoint, so
             # the connection is not reused.
             self._pooled.conn.close()
