A name whose release may have run does not count as held

Found by the review: inside a transaction a client got NOSTMT for a name whose PREPARE had been acknowledged (PINNED).

Cause: a DEALLOC that is answered with FAILED or TIMEOUT may have run, but the name was only forgotten after a success or NOSTMT.

Change: a name stays held only if the answer proves that nothing ran. A superfluous PREPARE of the same content is harmless.

--- a/trefoilhitch/pooler/preparation.py
+++ b/trefoilhitch/pooler/preparation.py
@@ -8,8 +8,10 @@
 from trefoilhitch.pooler.response import NOT_RUN_REFUSALS, Refusal, Response
 from trefoilhitch.pooler.statement import PreparedStatement
 
-# An endpoint that answers so does not hold the statement.
-_RELEASED = frozenset((None, Refusal.UNKNOWN_STATEMENT))
+# An endpoint that answers so has not released a statement. Others may have.
+_STILL_HELD = (NOT_RUN_REFUSALS | {Refusal.MALFORMED}) - {
+    Refusal.UNKNOWN_STATEMENT
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +73,7 @@
         if self.prepared is None:
             return
         for name, response in zip(self.released, responses, strict=False):
-            if response.refusal in _RELEASED:
+            if response.refusal not in _STILL_HELD:
                 held.discard(name)
         if responses[-1].ok:
             held.add(self.prepared)
