The first refusal of a batch tells why a statement did not run

Found by the review: a client got MALFORMED, which is not tried again, for a statement that could run on another try: the endpoint refused SET or PREPARE with BUSY or READONLY, which failed the transaction, and answered the rest of the batch with MALFORMED.

Cause: any MALFORMED among the answers to SET, and the last answer of a preparation, counted as the reason.

Change: the first refusal counts.

--- a/trefoilhitch/pooler/preparation.py
+++ b/trefoilhitch/pooler/preparation.py
@@ -12,6 +12,8 @@
 _STILL_HELD = (NOT_RUN_REFUSALS | {Refusal.MALFORMED}) - {
     Refusal.UNKNOWN_STATEMENT
 }
+# What an endpoint answers a statement with that it could not prepare.
+_CONSEQUENCES = frozenset((Refusal.UNKNOWN_STATEMENT, Refusal.MALFORMED))
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,10 +96,17 @@
         """
         if self.prepared is None or responses[-1].ok:
             return executed
-        if executed.refusal != Refusal.UNKNOWN_STATEMENT:
+        if executed.refusal not in _CONSEQUENCES:
             return executed
-        refused = responses[-1]
+        # The first refusal tells the reason: it may have failed a transaction,
+        # and what follows is malformed then.
+        refusals = (each for each in responses if not _is_released(each))
+        refused = next(refusals, responses[-1])
         refusal = refused.refusal
         if refusal != Refusal.MALFORMED and refusal not in NOT_RUN_REFUSALS:
             refusal = Refusal.BUSY
         return replace(executed, refusal=refusal, detail=refused.detail)
+
+
+def _is_released(response: Response) -> bool:
+    return response.ok or response.refusal == Refusal.UNKNOWN_STATEMENT
--- a/trefoilhitch/pooler/variable_setter.py
+++ b/trefoilhitch/pooler/variable_setter.py
@@ -107,15 +107,16 @@
     conn: PooledConnection, responses: Sequence[Response]
 ) -> None:
     """Close a connection on which not all variables were set."""
-    if all(response.ok for response in responses):
+    refused = next((each for each in responses if not each.ok), None)
+    if refused is None:
         return
     in_transaction = conn.conn.state != SessionState.IDLE
     conn.conn.close()
-    for response in responses:
-        if response.refusal == Refusal.MALFORMED:
-            raise MalformedVariableError(
-                response.detail, in_transaction=in_transaction
-            )
+    # A refusal may fail a transaction, and what follows is malformed then.
+    if refused.refusal == Refusal.MALFORMED:
+        raise MalformedVariableError(
+            refused.detail, in_transaction=in_transaction
+        )
     raise EndpointConnectionError(
         ResponseLoss.NOT_SENT, 'session variables were refused'
     )
