A session holds at most 256 variables

Cause: all SET of a batch are sent before a response is read. When the responses fill the buffers, endpoint and node wait for each other until the deadline. Only the length of the text was limited.

Change: SET of a further variable is refused with MALFORMED; the responses to 256 take some 8 KB.

--- a/tests/test_session_limit.py
+++ b/tests/test_session_limit.py
@@ -8,6 +8,7 @@
 from trefoilhitch.pooler.session_limit import (
     ENTRY_CHARS,
     MAX_STATE_CHARS,
+    MAX_VARIABLES,
     NodeLimit,
     SessionLimit,
 )
@@ -44,7 +45,17 @@
 def test_entries_of_no_text_are_counted() -> None:
     session = SessionData('orders', 'himal', 'key')
     names = [f'name-{number}' for number in range(MAX_STATE_CHARS // 256)]
-    assert any(session.set_variable(name, '') for name in names)
+    empty = PreparedStatement('read', '')
+    assert any(session.prepare(name, empty) for name in names)
+
+
+def test_session_holds_more_variables_than_can_be_sent_at_once() -> None:
+    session = SessionData('orders', 'himal', 'key')
+    names = [f'name-{number}' for number in range(MAX_VARIABLES + 1)]
+    refusals = [session.set_variable(name, '') for name in names]
+    assert refusals.count(None) == MAX_VARIABLES
+    assert refusals[-1] == Refusal.MALFORMED
+    assert session.set_variable(names[0], 'changed') is None
 
 
 def test_room_of_removed_statements_is_used_again() -> None:
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -9,7 +9,7 @@
 from trefoilhitch.pooler.endpoint_selection import ChoiceKind
 from trefoilhitch.pooler.observations import later_position
 from trefoilhitch.pooler.response import Refusal, SessionState
-from trefoilhitch.pooler.session_limit import SessionLimit
+from trefoilhitch.pooler.session_limit import MAX_VARIABLES, SessionLimit
 from trefoilhitch.pooler.statement import (
     Access,
     PreparedStatement,
@@ -134,6 +134,9 @@
             None if it is set, else why it is not.
 
         """
+        is_new = name not in self.variables
+        if is_new and len(self.variables) >= MAX_VARIABLES:
+            return Refusal.MALFORMED
         refusal = self.limit.reserve(name, text, self.variables.get(name))
         if refusal is None:
             self.variables[name] = text
--- a/trefoilhitch/pooler/session_limit.py
+++ b/trefoilhitch/pooler/session_limit.py
@@ -12,6 +12,9 @@
 # Part of each session that does not count for the node, so that sessions of
 # usual size are served whatever others hold.
 FREE_CHARS = 16384
+# Variables of one session. They are sent to an endpoint at once, and their
+# responses have to fit in the buffers of a connection meanwhile.
+MAX_VARIABLES = 256
 # What each variable or prepared statement adds to its text.
 ENTRY_CHARS = 256
 
