Idle connections keep no large variables

Cause: a connection keeps the variables that are set on it, whatever their size, to know what the next session needs.

Change: a connection whose values take more than 64 KiB is closed when it is released.

--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -359,3 +359,15 @@
         nursery.start_soon(request, 'b')
     assert len(waited) == 1
     assert waited[0] < 0.4
+
+
+@with_virtual_clock
+async def test_idle_connection_keeps_the_text_of_large_variables() -> None:
+    connector = Connector()
+    pool = make_pool(connector, 4)
+    for text, is_closed in (('x' * 1000, False), ('x' * 1048000, True)):
+        conn = await pool.acquire(ENDPOINT, 'a', {}, current_time() + 5)
+        conn.variables = {'v': text}
+        pool.release(ENDPOINT, conn)
+        assert conn.conn.is_usable() != is_closed
+    assert len(connector.connections) == 1
--- a/trefoilhitch/pooler/endpoint_connection_pool.py
+++ b/trefoilhitch/pooler/endpoint_connection_pool.py
@@ -199,8 +199,7 @@
         """
         organisation = pooled.conn.organisation
         self.estimate.record_use(now - pooled.taken_at)
-        idle = pooled.conn.state == SessionState.IDLE
-        if not idle or self.open_count > cap or not pooled.conn.is_usable():
+        if self.open_count > cap or not _is_reusable(pooled):
             pooled.conn.close()
             return self.release_slot(organisation, cap, now)
         self.in_use[organisation] -= 1
@@ -300,5 +299,11 @@
         self.open_count -= 1
 
 
+def _is_reusable(pooled: PooledConnection) -> bool:
+    if pooled.conn.state != SessionState.IDLE or pooled.holds_much_text:
+        return False
+    return pooled.conn.is_usable()
+
+
 def _is_control(queued: QueuedRequest) -> bool:
     return queued.priority == CONTROL_PRIORITY
--- a/trefoilhitch/pooler/pooled_connection.py
+++ b/trefoilhitch/pooler/pooled_connection.py
@@ -5,6 +5,9 @@
 from trefoilhitch.pooler.held_statements import HeldStatements
 from trefoilhitch.pooler.ports import EndpointConnection
 
+# Text of the variables that an idle connection may keep.
+MAX_IDLE_CHARS = 65536
+
 
 @dataclass(slots=True, eq=False, weakref_slot=True)
 class PooledConnection:
@@ -26,3 +29,9 @@
     prepared: HeldStatements = field(default_factory=HeldStatements)
     uses: int = 0
     taken_at: float = 0
+
+    @property
+    def holds_much_text(self) -> bool:
+        """Whether its variables take too much memory for an idle connection."""
+        texts = self.variables.values()
+        return sum(map(len, texts)) > MAX_IDLE_CHARS
