No statement follows a transaction that the endpoint ended by itself

Suspected by the review: if an endpoint answers a SET inside a transaction with state I, the statement after it was sent all the same and ran outside the transaction (PINNED).

Change: a connection whose state is another one after the variables were set is closed, and the transaction is lost.

--- a/trefoilhitch/pooler/variable_setter.py
+++ b/trefoilhitch/pooler/variable_setter.py
@@ -88,6 +88,7 @@
             commands.insert(0, self.connector.reset())
             self.records.record_reset(conn, request)
         self.metrics.add('own_statements', len(commands), 'variables')
+        state = conn.conn.state
         try:
             responses = await conn.conn.run(commands, deadline)
         except UnsendableStatementError:
@@ -97,6 +98,7 @@
                 ResponseLoss.NOT_SENT, str(exc)
             ) from exc
         _check_accepted(conn, responses)
+        _check_state(conn, state)
         if change.reset:
             conn.prepared.clear()
         conn.variables = dict(variables)
@@ -120,3 +122,12 @@
     raise EndpointConnectionError(
         ResponseLoss.NOT_SENT, 'session variables were refused'
     )
+
+
+def _check_state(conn: PooledConnection, expected: SessionState) -> None:
+    """Close a connection whose transaction ended or began by itself."""
+    if conn.conn.state != expected:
+        conn.conn.close()
+        raise EndpointConnectionError(
+            ResponseLoss.NOT_SENT, 'the endpoint changed the transaction'
+        )
