EXECUTE without a known statement is never sent

A gateway that is told to run EXECUTE without the statement's content would have sent the client's own name to the endpoint, where another session may have it under that name. No entry node sends such a message (by reading); the gateway now refuses it as malformed.

--- a/trefoilhitch/pooler/connection_runner.py
+++ b/trefoilhitch/pooler/connection_runner.py
@@ -5,6 +5,7 @@
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.evacuation.send_guard import SendGuard
 from trefoilhitch.pooler.held_statements import HeldStatements
+from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.pooled_connection import PooledConnection
 from trefoilhitch.pooler.ports import (
     Command,
@@ -140,7 +141,11 @@
 
     def _command(self, request: StatementRequest) -> Command:
         statement = request.statement
-        if statement.verb == Verb.EXECUTE and request.prepared is not None:
+        if statement.verb == Verb.EXECUTE:
+            if request.prepared is None:
+                raise UnsendableStatementError(
+                    ResponseLoss.NOT_SENT, 'no prepared statement'
+                )
             command = self._connector.execute(
                 statement.request_id, request.prepared, statement.argument
             )
