--- a/tests/test_wire_checker.py
+++ b/tests/test_wire_checker.py
@@ -174,6 +174,20 @@
     )
 
 
+def test_transaction_that_is_begun_twice_is_found() -> None:
+    """Guards against a transaction that stays open on a connection."""
+    begin = b'QUERY x1 BEGIN'
+    assert ('PINNED', 'begun on several connections') in found_in(
+        served(
+            'a',
+            begin,
+            BEGUN,
+            *ran('e#1', begin, BEGUN),
+            *ran('e#2', begin, BEGUN),
+        )
+    )
+
+
 @pytest.mark.parametrize('first_answer', [done(b'x1'), ()])
 def test_repeated_write_is_found(first_answer: tuple[bytes, ...]) -> None:
     """Guards against a write that is sent again after it may have run."""
--- a/tests/wire_checker.py
+++ b/tests/wire_checker.py
@@ -138,9 +138,8 @@
             self._break('TWICE', 'took effect twice', self._sent[written])
         for written in self._ledger.kept_in_spite():
             self._break('REFUSED', 'kept after a promise', self._sent[written])
-        for attempt, connections in self._ledger.connections.items():
-            if len(connections) > 1:
-                self._add('PINNED', 'several connections', attempt)
+        for attempt, reason in self._ledger.spread().items():
+            self._add('PINNED', reason, attempt)
         return self._breaks
 
     def _send(self, session: str, line: bytes) -> None:
--- a/tests/write_ledger.py
+++ b/tests/write_ledger.py
@@ -17,7 +17,8 @@
         effects: how often each write took effect, or may have.
         attempts: client attempt of each write that took effect.
         promised: attempts that were told that nothing of them is kept.
-        connections: connections on which each transaction ran.
+        connections: connections on which statements of each transaction ran.
+        begins: connections on which each transaction was begun.
 
     """
 
@@ -27,6 +28,9 @@
     connections: defaultdict[str, set[str]] = field(
         default_factory=lambda: defaultdict(set)
     )
+    begins: defaultdict[str, set[str]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
     _open: defaultdict[str, list[SentStatement]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -44,7 +48,9 @@
 
         """
         verb = sent.query.verb
-        if sent.in_transaction and not (verb == b'BEGIN' and code):
+        if verb == b'BEGIN' and not code:
+            self.begins[sent.attempt].add(run.connection)
+        elif verb != b'BEGIN' and sent.in_transaction:
             self.connections[sent.attempt].add(run.connection)
         if sent.writes:
             self._open[run.connection].append(sent)
@@ -63,6 +69,17 @@
         """Return the writes that took effect more than once."""
         return [written for written, count in self.effects.items() if count > 1]
 
+    def spread(self) -> dict[str, str]:
+        """Return why a transaction was not on one connection, by attempt."""
+        reasons: dict[str, str] = {}
+        for attempt, begun in self.begins.items():
+            if len(begun) > 1:
+                reasons[attempt] = 'begun on several connections'
+        for attempt, used in self.connections.items():
+            if len(used) > 1 or not used <= self.begins.get(attempt, used):
+                reasons[attempt] = 'several connections'
+        return reasons
+
     def kept_in_spite(self) -> list[bytes]:
         """Return the writes that are kept although a promise was given."""
         return [
