--- a/trefoilhitch/pooler/client_session.py
+++ b/trefoilhitch/pooler/client_session.py
@@ -19,7 +19,10 @@
 )
 from trefoilhitch.pooler.session import SessionData, StatementTrace
 from trefoilhitch.pooler.statement import SessionStart, Statement, Verb
-from trefoilhitch.pooler.statement_records import describe_execution
+from trefoilhitch.pooler.statement_records import (
+    UNSENDABLE_STATEMENTS,
+    describe_execution,
+)
 from trefoilhitch.pooler.statement_run import StatementRun
 from trefoilhitch.pooler.statement_runner import StatementRunner
 from trefoilhitch.pooler.transaction_runner import TransactionRunner
@@ -129,6 +132,25 @@
             self._log_statement(statement, response, took_s)
         return response
 
+    def refuse(self, statement: Statement, detail: str) -> Response:
+        """Refuse a statement that no endpoint can be sent.
+
+        Args:
+            statement: the client's statement.
+            detail: explanation for people.
+
+        Returns:
+            The response; the session's state stays as it is.
+
+        """
+        self._session.trace = StatementTrace()
+        self._deps.metrics.count(UNSENDABLE_STATEMENTS)
+        response = refusal_response(
+            Refusal.MALFORMED, detail, self._session.state
+        )
+        self._log_statement(statement, response, 0)
+        return response
+
     async def _run(self, statement: Statement) -> Response:
         found = self._authorise()
         if isinstance(found, Refusal):
@@ -197,15 +219,17 @@
                 'the transaction failed and has to be rolled back',
                 session.state,
             )
-        if statement.verb == Verb.SET:
-            session.variables[statement.name] = statement.argument
-        elif statement.verb == Verb.PREPARE and statement.prepared is not None:
-            session.prepared[statement.name] = statement.prepared
-        elif session.prepared.pop(statement.name, None) is None:
+        if statement.verb == Verb.DEALLOCATE:
+            if session.deallocate(statement.name):
+                return success_response(session.state)
             return refusal_response(
                 Refusal.UNKNOWN_STATEMENT, statement.name, session.state
             )
-        return success_response(session.state)
+        if _store(session, statement):
+            return success_response(session.state)
+        return refusal_response(
+            Refusal.MALFORMED, 'the session holds too much text', session.state
+        )
 
     def _log_statement(
         self, statement: Statement, response: Response, took_s: float
@@ -243,3 +267,10 @@
             prepared = session.prepared.get(statement.name)
             described.update(describe_execution(statement.name, prepared))
         return described
+
+
+def _store(session: SessionData, statement: Statement) -> bool:
+    """Store what SET or PREPARE states; return False if it is too much."""
+    if statement.prepared is None:
+        return session.set_variable(statement.name, statement.argument)
+    return session.prepare(statement.name, statement.prepared)
--- a/trefoilhitch/pooler/ports.py
+++ b/trefoilhitch/pooler/ports.py
@@ -91,6 +91,10 @@
     """Too many requests wait for a connection; nothing was sent."""
 
 
+class UnsendableStatementError(EndpointConnectionError):
+    """A statement is not one message of the protocol; nothing was sent."""
+
+
 class EndpointRefusedError(TrefoilhitchError):
     """An endpoint refused to open a connection.
 
@@ -127,6 +131,7 @@
         Raises:
             EndpointConnectionError: a response did not arrive completely; the
                 connection is closed.
+            UnsendableStatementError: a statement cannot be sent.
 
         """
 
@@ -172,6 +177,9 @@
     def prepare(self, prepared: PreparedStatement) -> Command:
         """Return the command that prepares a statement by its pooled name."""
 
+    def deallocate(self, pooled_name: str) -> Command:
+        """Return the command that releases a prepared statement."""
+
     def execute(
         self, request_id: str, prepared: PreparedStatement, argument: str
     ) -> Command:
