An endpoint that lost its log proves nothing in a failover

Cause, the same for both: each fenced endpoint counted as a holder of every commit that it had once received. An entry that names a later start under the same id was not taken for the loss of a log.

Change: RestartedEndpoints (pure) notices a later start, also against the record of the group, which keeps the first start known. Such an endpoint counts neither as a holder nor as a candidate until it reports a position that the primary was observed at after that start was known. Before such an observation, an endpoint that is back with its log is told by a position that the primary was observed at 0.5 s before the newest. promotion_withheld names the endpoints in without_log. An entry older than the one of a gone endpoint is gone too, for the record may name its first start.

Why it works: a replica's log has no gaps, so one that has reached a position which covers what was acknowledged before its start holds all of it.

tests/fence_model.py lets replicas start again without a log before they were fenced, noticed or not; the search detects six mutations, that of ignored starts among them.

--- a/tests/fence_model.py
+++ b/tests/fence_model.py
@@ -18,17 +18,24 @@
 )
 
 from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.failover_decision import choose_promotion
 from trefoilhitch.pooler.fence_state import FenceState
+from trefoilhitch.pooler.observations import (
+    ObservationHistory,
+    PrimaryObservation,
+)
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.promotion_evidence import (
     PromotionEvidence,
     find_objection,
 )
+from trefoilhitch.pooler.restarted_endpoints import RestartedEndpoints
 
 PRIMARY = 'a'
 REPLICAS = ('b', 'c')
 NAMES = (PRIMARY, *REPLICAS)
+SERVICE = 'ledger'
 SYNC_REPLICAS = 1
 TERM = 1
 ENDPOINTS = st.sampled_from(NAMES)
@@ -46,6 +53,7 @@
         is_up: whether it answers.
         fenced_term: term of its fence, 0 without one.
         has_forgotten: whether it has lost its log once.
+        starts: number of its starts.
 
     """
 
@@ -54,6 +62,7 @@
     is_up: bool = True
     fenced_term: int = 0
     has_forgotten: bool = False
+    starts: int = 1
 
     @property
     def status(self) -> EndpointStatus:
@@ -76,6 +85,7 @@
         find_objection
     )
     judges_again: bool = True
+    restarted: type[RestartedEndpoints] = RestartedEndpoints
 
 
 class FenceModel(RuleBasedStateMachine):
@@ -92,8 +102,15 @@
         self.written = 1
         self.commanded = ''
         self.late: list[tuple[str, str]] = []
+        self.restarted = self.contract.restarted()
+        self.observations = ObservationHistory()
+        self.now = 0
+        self.observe()
         self.state = self.contract.state(
-            term=TERM + 1, known_term=TERM, primary=PRIMARY
+            term=TERM + 1,
+            known_term=TERM,
+            primary=PRIMARY,
+            needed_position=self._needed_position,
         )
 
     @initialize(replica=st.sampled_from(REPLICAS), behind=st.integers(0, 2))
@@ -121,20 +138,38 @@
         """Crash an endpoint."""
         self.endpoints[name].is_up = False
 
-    @rule(name=ENDPOINTS, forgets=st.booleans())
-    def restart(self, name: str, forgets: bool) -> None:
+    @rule(name=ENDPOINTS, forgets=st.booleans(), noticed=st.booleans())
+    def restart(self, name: str, forgets: bool, noticed: bool) -> None:
         """Restart an endpoint without a fence; a replica may lose its log.
 
-        It does so at most once, and not before it was fenced.
+        It does so at most once. The failover has to know its new entry, or
+        its log from before.
         """
         endpoint = self.endpoints[name]
         endpoint.is_up = True
         endpoint.fenced_term = 0
+        known = _entry(name, endpoint)
+        endpoint.starts += 1
+        if noticed:
+            self.restarted.compare(known, _entry(name, endpoint))
         is_first = not endpoint.has_forgotten and not endpoint.is_primary
-        if forgets and is_first and self._is_known(name):
+        if forgets and is_first and (noticed or self._is_known(name)):
             endpoint.has_forgotten = True
             endpoint.log = ()
 
+    @rule()
+    def observe(self) -> None:
+        """Let a node observe the primary."""
+        primary = self.endpoints[PRIMARY]
+        if not (primary.is_up and primary.is_primary):
+            return
+        self.now += 1
+        observation = PrimaryObservation(
+            SERVICE, PRIMARY, TERM, primary.status.position, self.now
+        )
+        self.observations.add(observation)
+        self.restarted.observe(observation, self.now)
+
     @rule(name=ENDPOINTS)
     def resume(self, name: str) -> None:
         """Carry out a RESUME of an earlier failover."""
@@ -157,10 +192,10 @@
         """Lose the orders to demote the primary and to fence a replica."""
         self.fence(ALL - {replica}, frozenset())
 
-    @rule(name=st.sampled_from(REPLICAS))
-    def forget(self, name: str) -> None:
+    @rule(name=st.sampled_from(REPLICAS), noticed=st.booleans())
+    def forget(self, name: str, noticed: bool) -> None:
         """Restart a replica with an empty log, and fence all again."""
-        self.restart(name, forgets=True)
+        self.restart(name, forgets=True, noticed=noticed)
         self.fence(ALL, ALL)
 
     @precondition(lambda model: model.late)
@@ -248,3 +283,21 @@
         """Return whether the failover has seen an endpoint's log."""
         fenced = {each.endpoint for each in self.state.fenced}
         return name in fenced
+
+    def _needed_position(self, name: str) -> LogPosition | None:
+        return self.restarted.needed_position(
+            name, self.observations.history(SERVICE)
+        )
+
+
+def _entry(name: str, endpoint: Endpoint) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint=name,
+        service=SERVICE,
+        address=name,
+        data_centre='',
+        started_at_ms=endpoint.starts,
+        leaving=False,
+        role='replica',
+        slots=1,
+    )
--- a/tests/test_fence_model.py
+++ b/tests/test_fence_model.py
@@ -10,9 +10,11 @@
 
 from tests.fence_model import FenceModel, Rules
 from tests.model_search import search_model
+from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.fence_state import FenceState
 from trefoilhitch.pooler.ports import EndpointStatus
 from trefoilhitch.pooler.promotion_evidence import PromotionEvidence
+from trefoilhitch.pooler.restarted_endpoints import RestartedEndpoints
 
 STEPS = 25
 EXAMPLES = 400
@@ -46,6 +48,13 @@
         return True
 
 
+class _IgnoresStarts(RestartedEndpoints):
+    """Counts an endpoint that has started again as a holder of its log."""
+
+    def compare(self, known: EndpointRecord, entry: EndpointRecord) -> None:
+        self.discard(entry.endpoint)
+
+
 def _no_objection(*_judged: FenceState | PromotionEvidence | str) -> str:
     return ''
 
@@ -59,6 +68,9 @@
         CORRECT_RULES, state=_CountsSilent
     ),
     'an empty log counts as whole': replace(CORRECT_RULES, state=_ForgetsLogs),
+    'a start without a log is not noticed': replace(
+        CORRECT_RULES, restarted=_IgnoresStarts
+    ),
     'fences are not judged': replace(CORRECT_RULES, objection=_no_objection),
     'a repeated command is not judged': replace(
         CORRECT_RULES, judges_again=False
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -145,6 +145,22 @@
         holders = self.endpoints.log_holders(service)
         return self._primaries.current(service, holders)
 
+    def needed_position(
+        self, service: str, endpoint: str
+    ) -> LogPosition | None:
+        """Return the position that an endpoint needs to count as a holder.
+
+        Args:
+            service: service name.
+            endpoint: endpoint id.
+
+        Returns:
+            The position, None unless it started again under its id.
+
+        """
+        history = self.observations.history(service)
+        return self.endpoints.restarted.needed_position(endpoint, history)
+
     def expects_primary(self, service: str) -> bool:
         """Return whether a service is expected to have a primary soon.
 
@@ -208,6 +224,7 @@
         if primary.term >= self.proved_term(primary.service):
             is_first = self.observations.newest(primary.service) is None
             self.observations.add(observation)
+            self.endpoints.restarted.observe(observation, self.clock())
             self.record_answered(primary.service, sent_at)
             if is_first:
                 self.notify_change()
--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -10,6 +10,7 @@
 )
 from trefoilhitch.pooler.former_endpoints import FormerEndpoints
 from trefoilhitch.pooler.leaving_endpoints import LeavingEndpoints
+from trefoilhitch.pooler.restarted_endpoints import RestartedEndpoints
 
 # Entries that expired during an outage of the directory return in about two
 # seconds; until then, a missing entry does not mean that the endpoint is gone.
@@ -52,6 +53,7 @@
         evacuated: EvacuatedDataCentres | None = None,
     ) -> None:
         """Create an empty registry."""
+        self.restarted = RestartedEndpoints()
         self._evacuated = evacuated or EvacuatedDataCentres()
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
@@ -110,7 +112,10 @@
 
         """
         missing = ListedEndpoint(record, now + MISSING_GRACE_S)
-        if self.get(record.endpoint) or self._former.is_gone(record):
+        known = self.get(record.endpoint)
+        if known is not None:
+            self.restarted.compare(record, known)
+        if known is not None or self._former.is_gone(record):
             return False
         if _is_replaced(missing, self._listed):
             return False
@@ -184,6 +189,8 @@
                 self._misplaced.add(entry.endpoint)
             return known
         self._misplaced.discard(entry.endpoint)
+        if known is not None:
+            self.restarted.compare(known, entry)
         leaving = self._leaving.observe(
             entry.endpoint, entry.started_at_ms, leaving=entry.leaving
         )
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping
+from functools import partial
 
 from trio import open_nursery
 
@@ -248,7 +249,12 @@
     ) -> GroupFence:
         term = self._next_term(statuses)
         state = FenceState(
-            term=term, known_term=self._known_term(statuses), primary=primary
+            term=term,
+            known_term=self._known_term(statuses),
+            primary=primary,
+            needed_position=partial(
+                self._deps.cluster.needed_position, self._service
+            ),
         )
         fence = GroupFence(self._deps.control, state)
         self._fence = fence
--- a/trefoilhitch/pooler/fence_state.py
+++ b/trefoilhitch/pooler/fence_state.py
@@ -1,12 +1,16 @@
 """What the fenced endpoints of a service reported when they were last asked."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Mapping
+from types import MappingProxyType
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.failover_decision import FencedEndpoint
 from trefoilhitch.pooler.ports import EndpointStatus
+from trefoilhitch.pooler.restarted_endpoints import has_its_log
 from trefoilhitch.position import ORIGIN, at_least
 
+_NO_RESTARTS: Mapping[str, LogPosition] = MappingProxyType({})
+
 
 class FenceState:
     """Tells which endpoints neither make nor receive commits.
@@ -16,16 +20,24 @@
             fences included.
         known_term: latest term in which a primary is known to have led.
         primary: id of the current primary, None if it is unknown.
+        needed_position: returns the position that proves that an endpoint has
+            not lost its log, None if it did not start again.
 
     """
 
     def __init__(
-        self, *, term: int, known_term: int, primary: str | None
+        self,
+        *,
+        term: int,
+        known_term: int,
+        primary: str | None,
+        needed_position: Callable[[str], LogPosition | None] = _NO_RESTARTS.get,
     ) -> None:
         """Start without fenced endpoints."""
         self.term = term
         self.primary = primary
         self._known_term = known_term
+        self._needed_position = needed_position
         # Newest statuses of the endpoints that answered when last asked.
         self._statuses: dict[str, EndpointStatus] = {}
         # Ends of the logs of demoted primaries when they were demoted.
@@ -39,12 +51,17 @@
     @property
     def fenced(self) -> tuple[FencedEndpoint, ...]:
         """The endpoints whose fences stood when last asked."""
-        return self._describe(self._fenced)
+        return self._describe(self._with_log(self._fenced))
 
     @property
     def checked(self) -> tuple[FencedEndpoint, ...]:
         """Those of the fenced endpoints that the last check has confirmed."""
-        return self._describe(self._fenced - self._unchecked)
+        return self._describe(self._with_log(self._fenced - self._unchecked))
+
+    @property
+    def without_log(self) -> list[str]:
+        """Ids of the fenced endpoints that have lost their logs, sorted."""
+        return sorted(self._fenced - self._with_log(self._fenced))
 
     @property
     def is_checked(self) -> bool:
@@ -151,6 +168,15 @@
         """
         return self.is_primary(endpoint) and self.needs_fence(endpoint)
 
+    def _with_log(self, names: Collection[str]) -> set[str]:
+        return {
+            name
+            for name in names
+            if has_its_log(
+                self._statuses[name].position, self._needed_position(name)
+            )
+        }
+
     def _holds_its_log(self, endpoint: str, status: EndpointStatus) -> bool:
         """Return whether an endpoint still holds what it has reported.
 
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -176,7 +176,7 @@
             ),
         )
         if chosen is None:
-            raise _WithheldError('too few endpoints could be fenced')
+            raise _WithheldError(self._lacking_fences())
         if chosen.endpoint != self._lease.record.candidate:
             await self._lease.record_candidate(chosen.endpoint)
         await self._check_fence(chosen.endpoint)
@@ -187,6 +187,11 @@
             raise _WithheldError(objection)
         return chosen.endpoint
 
+    def _lacking_fences(self) -> str:
+        if self._fence.state.without_log:
+            return 'endpoints started again without their logs'
+        return 'too few endpoints could be fenced'
+
     def _objection(self, endpoint: str) -> str | None:
         """Return what the answers to the last check lack, None if nothing."""
         if not self._fence.covers(self._context.holders()):
@@ -217,6 +222,7 @@
             reason=str(exc),
             lead=evidence.primary,
             missing=evidence.missing,
+            without_log=self._fence.state.without_log,
             endpoints={
                 each.endpoint: each.position for each in evidence.fenced
             },
--- a/trefoilhitch/pooler/former_endpoints.py
+++ b/trefoilhitch/pooler/former_endpoints.py
@@ -101,7 +101,7 @@
         gone = self._gone.get(record.endpoint)
         if gone is None:
             return False
-        return gone.record.started_at_ms == record.started_at_ms
+        return gone.record.started_at_ms >= record.started_at_ms
 
     def _add_gone(self, record: EndpointRecord, now: float) -> None:
         self._gone[record.endpoint] = FormerEndpoint(
--- a/trefoilhitch/pooler/group_recorder.py
+++ b/trefoilhitch/pooler/group_recorder.py
@@ -1,6 +1,7 @@
 """Records the members of database groups in the store, and learns them."""
 
 import math
+from dataclasses import replace
 from functools import partial
 
 from trio import current_time
@@ -150,4 +151,8 @@
         return now >= max(changed_at + rank * RECORD_DELAY_S, retry_at)
 
     def _members(self, service: str) -> _Members:
-        return record_members(self._endpoints.log_holders(service))
+        restarted = self._endpoints.restarted
+        return record_members(
+            replace(each, started_at_ms=restarted.first_start(each))
+            for each in self._endpoints.log_holders(service)
+        )
--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -137,6 +137,12 @@
         self.request_counts: Counter[str] = Counter()
         self.group = group
         self._open_streams: set[SocketStream] = set()
+        self._start_count = 1
+
+    @property
+    def started_at_ms(self) -> int:
+        """Unix time of its start in ms, as its entry names it."""
+        return self._start_count
 
     @property
     def position(self) -> tuple[int, int]:
@@ -189,6 +195,7 @@
 
         """
         self.faults.down = False
+        self._start_count += 1
         self.terms.fenced = 0
         if not keeps_log:
             self.is_primary = False
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -235,7 +235,7 @@
             'cold_remaining_ms': 0,
             'db_role': 'primary' if server.is_primary else 'replica',
             'sequence': 1,
-            'born': 1,
+            'born': server.started_at_ms,
             **changes,
         }
 
