Remove an unused method of RestartedEndpoints

Marks stay while the process runs, so that an endpoint whose entry was missing for long is still compared with its first start. The mutation of the model clears them itself; it is still detected.

--- a/tests/test_fence_model.py
+++ b/tests/test_fence_model.py
@@ -52,7 +52,7 @@
     """Counts an endpoint that has started again as a holder of its log."""
 
     def compare(self, known: EndpointRecord, entry: EndpointRecord) -> None:
-        self.discard(entry.endpoint)
+        self._restarted.clear()
 
 
 def _no_objection(*_judged: FenceState | PromotionEvidence | str) -> str:
--- a/trefoilhitch/pooler/restarted_endpoints.py
+++ b/trefoilhitch/pooler/restarted_endpoints.py
@@ -69,15 +69,6 @@
                 mark, first_started_at_ms=first
             )
 
-    def discard(self, endpoint: str) -> None:
-        """Forget an endpoint that is gone.
-
-        Args:
-            endpoint: endpoint id.
-
-        """
-        self._restarted.pop(endpoint, None)
-
     def first_start(self, record: EndpointRecord) -> int:
         """Return the first known start of an endpoint.
 
