Pooled names are logged as they are

They were shortened while they held a client's text. As digests they have 33 characters, below the limit of a shortened text, so that no line changes.

--- a/trefoilhitch/pooler/statement_records.py
+++ b/trefoilhitch/pooler/statement_records.py
@@ -141,7 +141,7 @@
             endpoint=conn.conn.endpoint,
             connection=self.connection_name(conn),
             organisation=conn.conn.organisation,
-            pooled_name=shorten(prepared.pooled_name),
+            pooled_name=prepared.pooled_name,
             access=prepared.access,
             body=shorten(prepared.body),
             body_chars=len(prepared.body),
@@ -159,8 +159,8 @@
         prepared: the statement, None if the client has prepared none.
 
     Returns:
-        The client's name and the name on pooled connections, shortened.
+        The client's name, shortened, and the name on pooled connections.
 
     """
-    pooled_name = shorten(prepared.pooled_name) if prepared else ''
+    pooled_name = prepared.pooled_name if prepared else ''
     return {'name': shorten(name), 'pooled_name': pooled_name}
