Nodes keep the position of the commits that they acknowledged

Cause (suspected): no node remembers which commits it passed on as acknowledged, so none can compare them with a later primary or tell them to the holder of a failover's lease. Change: ClusterState.acknowledged keeps the furthest acknowledged commit of each service, recorded in PrimaryProver.apply_commit, which statements and transactions call as they pass an acknowledgement on.

--- /dev/null
+++ b/tests/test_acknowledged_positions.py
@@ -0,0 +1,117 @@
+"""Which commits count as acknowledged at a node."""
+
+from typing import cast
+
+import pytest
+from trio import current_time
+
+from tests.support import make_cluster, run_virtual
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.acknowledged_positions import AcknowledgedPositions
+from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.lease_observer import LeaseObserver
+from trefoilhitch.pooler.primary_confirmer import (
+    PrimaryConfirmer,
+    ReplicaStatuses,
+)
+from trefoilhitch.pooler.primary_proof import PrimaryProof, PrimaryProver
+from trefoilhitch.pooler.primary_tracker import Primary
+from trefoilhitch.pooler.response import Response
+from trefoilhitch.pooler.statement_request import StatementResult
+
+SERVICE = 'ledger'
+OLD = Primary(SERVICE, 'i-1', 1)
+
+
+def at(term: int, position: int) -> LogPosition:
+    """Return a log position."""
+    return LogPosition(term=term, position=position)
+
+
+def make_prover(cluster: ClusterState, sync_replicas: int) -> PrimaryProver:
+    """Return a prover that only applies replies."""
+    confirmer = PrimaryConfirmer(
+        cluster=cluster,
+        request_status=cast('object', None),  # type: ignore[arg-type]
+        sync_replicas=lambda _: sync_replicas,
+        log=cast('object', None),  # type: ignore[arg-type]
+    )
+    return PrimaryProver(
+        cluster=cluster,
+        confirmer=confirmer,
+        leases=cast(LeaseObserver, None),
+        metrics=Metrics(),
+    )
+
+
+def make_proof(primary: Primary) -> PrimaryProof:
+    """Return what is known of the primary that a commit was sent to."""
+    return PrimaryProof(
+        primary,
+        permitted=False,
+        replicas=ReplicaStatuses((), 0),
+        sent_at=current_time(),
+    )
+
+
+@pytest.mark.parametrize(
+    ('recorded', 'furthest'),
+    [
+        ([], None),
+        ([at(1, 5)], at(1, 5)),
+        ([at(1, 5), at(1, 7)], at(1, 7)),
+        # Acknowledgements of concurrent commits arrive in any order.
+        ([at(1, 7), at(1, 5)], at(1, 7)),
+        # A later term counts more than a higher number.
+        ([at(1, 7), at(2, 5)], at(2, 5)),
+        ([at(2, 5), at(1, 7)], at(2, 5)),
+    ],
+)
+def test_furthest_position_is_kept(
+    recorded: list[LogPosition], furthest: LogPosition | None
+) -> None:
+    positions = AcknowledgedPositions()
+    for position in recorded:
+        positions.record(SERVICE, position)
+    assert positions.furthest(SERVICE) == furthest
+
+
+def test_services_are_kept_apart() -> None:
+    positions = AcknowledgedPositions()
+    positions.record(SERVICE, at(1, 5))
+    assert positions.furthest('stock') is None
+
+
+# Without synchronous replicas a commit proves no primary, but counts as well.
+@pytest.mark.parametrize('sync_replicas', [0, 1])
+def test_commit_counts_when_its_acknowledgement_is_passed_on(
+    sync_replicas: int,
+) -> None:
+    async def play() -> None:
+        cluster = make_cluster()
+        prover = make_prover(cluster, sync_replicas)
+        reply = StatementResult(Response(position=at(1, 5)))
+        prover.apply_commit(make_proof(OLD), reply)
+        assert cluster.acknowledged.furthest(SERVICE) == at(1, 5)
+
+    run_virtual(play)
+
+
+def test_commit_without_a_position_does_not_count() -> None:
+    async def play() -> None:
+        cluster = make_cluster()
+        reply = StatementResult(Response())
+        make_prover(cluster, 1).apply_commit(make_proof(OLD), reply)
+        assert cluster.acknowledged.furthest(SERVICE) is None
+
+    run_virtual(play)
+
+
+def test_end_of_a_log_is_no_acknowledged_commit() -> None:
+    async def play() -> None:
+        cluster = make_cluster()
+        cluster.record_proof(OLD, at(1, 9), current_time(), 'status')
+        assert cluster.acknowledged.furthest(SERVICE) is None
+
+    run_virtual(play)
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -9,6 +9,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.pooler.acknowledged_positions import AcknowledgedPositions
 from trefoilhitch.pooler.balancing.endpoint_loads import EndpointLoads
 from trefoilhitch.pooler.balancing.lag_ranking import rank_with_trials
 from trefoilhitch.pooler.balancing.log_positions import LogPositions
@@ -103,6 +104,7 @@
             clock,
         )
         self.commits = CommitTracker()
+        self._acknowledged = AcknowledgedPositions()
         self.selector = selector
         self.loads = EndpointLoads()
         self.breakers = breakers or CircuitBreakers()
@@ -115,6 +117,11 @@
         self._unanswered: dict[str, float] = {}
         self._no_primary_since: dict[str, float] = {}
 
+    @property
+    def acknowledged(self) -> AcknowledgedPositions:
+        """Commits whose acknowledgements this node passed on."""
+        return self._acknowledged
+
     def primary(self, service: str) -> str | None:
         """Return the endpoint to use as the primary of a service.
 
@@ -176,20 +183,6 @@
             return False
         return self.clock() - since < PLANNED_CHANGE_S
 
-    def primary_data_centre(self, service: str) -> str:
-        """Return the data centre of a service's primary.
-
-        Args:
-            service: service name.
-
-        Returns:
-            The data centre, empty if it is unknown.
-
-        """
-        primary = self.primary(service)
-        record = self.find(primary) if primary else None
-        return record.data_centre if record else ''
-
     def proved_term(self, service: str) -> int:
         """Return the latest proved term of a service.
 
@@ -411,6 +404,22 @@
         await self._changed.wait()
 
 
+def primary_data_centre(cluster: ClusterState, service: str) -> str:
+    """Return the data centre of a service's primary.
+
+    Args:
+        cluster: state of this node.
+        service: service name.
+
+    Returns:
+        The data centre, empty if it is unknown.
+
+    """
+    primary = cluster.primary(service)
+    record = cluster.find(primary) if primary else None
+    return record.data_centre if record else ''
+
+
 def usable_untried(
     endpoints: EndpointRegistry, service: str, tried: Collection[str]
 ) -> list[EndpointRecord]:
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -16,7 +16,10 @@
 
 from trefoilhitch._generated.peer import MemberBeat
 from trefoilhitch.errors import StoreError, UnreadableLeaseError
-from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.cluster_state import (
+    ClusterState,
+    primary_data_centre,
+)
 from trefoilhitch.pooler.control.probe_pauses import ProbePauses
 from trefoilhitch.pooler.endpoint_control import (
     CONTROL_TIMEOUT_S,
@@ -192,7 +195,7 @@
 
     def _rank(self, service: str) -> int:
         """Return this node's rank, computed when the members change."""
-        data_centre = self._cluster.primary_data_centre(service)
+        data_centre = primary_data_centre(self._cluster, service)
         key = self._deps.members_version(), data_centre
         known = self._ranks.get(service)
         if known is not None and known[0] == key:
--- a/trefoilhitch/pooler/primary_proof.py
+++ b/trefoilhitch/pooler/primary_proof.py
@@ -139,7 +139,7 @@
         return reply.status is not None and self._apply_status(proof, reply)
 
     def apply_commit(self, proof: PrimaryProof, reply: StatementResult) -> None:
-        """Apply an acknowledged commit, which proves the primary.
+        """Apply a commit whose acknowledgement is passed on to its client.
 
         Args:
             proof: when and where the commit was sent.
@@ -157,6 +157,8 @@
             self._cluster.record_proof(
                 primary, position, proof.sent_at, 'commit'
             )
+        if position:
+            self._cluster.acknowledged.record(service, position)
 
     def _apply_permitted(
         self, proof: PrimaryProof, reply: StatementResult
--- a/trefoilhitch/pooler/proof_fetcher.py
+++ b/trefoilhitch/pooler/proof_fetcher.py
@@ -10,7 +10,10 @@
 from trio import Event, move_on_after
 
 from trefoilhitch._generated.peer import MemberBeat, ProofReply, ProofRequest
-from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.cluster_state import (
+    ClusterState,
+    primary_data_centre,
+)
 from trefoilhitch.pooler.control.peer_backoff import PeerBackoff
 from trefoilhitch.pooler.gateway_placement import rank_by_name
 from trefoilhitch.pooler.membership_view import MembershipView
@@ -164,5 +167,5 @@
         self, service: str, live: Sequence[MemberBeat]
     ) -> list[str]:
         return rank_monitors(
-            service, self._cluster.primary_data_centre(service), live
+            service, primary_data_centre(self._cluster, service), live
         )
