Nodes report an acknowledged commit that a later primary lacks

Cause: nodes did not compare the log of a new primary with the commits that they had acknowledged. Change: AcknowledgedPositions compares each observed log of a later term with the furthest acknowledged commit, and a commit with the shortest log observed, since an acknowledgement may arrive after the promotion was observed. Limit: a reply names the end of the primary's log, which may include a concurrent commit that no client was told of, so that a report can be false.

--- a/trefoilhitch/pooler/acknowledged_positions.py
+++ b/trefoilhitch/pooler/acknowledged_positions.py
@@ -1,9 +1,27 @@
 """Log positions of the commits whose acknowledgements a node passed on."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.pooler.observations import PrimaryObservation
 from trefoilhitch.position import ORIGIN, at_least
 
 
+@dataclass(frozen=True, slots=True)
+class MissingCommit:
+    """An acknowledged commit that the log of a later primary lacks.
+
+    Args:
+        acknowledged: log position of the commit.
+        observation: observation of the primary, in a later term.
+
+    """
+
+    acknowledged: LogPosition
+    observation: PrimaryObservation
+
+
 class AcknowledgedPositions:
     """Keeps the furthest acknowledged commit of each service.
 
@@ -14,6 +32,20 @@
     def __init__(self) -> None:
         """Start without commits."""
         self._furthest: dict[str, LogPosition] = {}
+        # The shortest log observed in the latest term of each service.
+        self._shortest_logs: dict[str, PrimaryObservation] = {}
+        # Latest term of each service for which a missing commit was reported.
+        self._reported_terms: dict[str, int] = {}
+        self._listeners: list[Callable[[MissingCommit], None]] = []
+
+    def add_listener(self, listener: Callable[[MissingCommit], None]) -> None:
+        """Add a listener for commits that a later primary lacks.
+
+        Args:
+            listener: called at most once for each service and term.
+
+        """
+        self._listeners.append(listener)
 
     def record(self, service: str, position: LogPosition) -> None:
         """Record that the acknowledgement of a commit is passed on.
@@ -23,6 +55,9 @@
             position: log position of the commit.
 
         """
+        shortest = self._shortest_logs.get(service)
+        if shortest is not None:
+            self._report_if_missing(position, shortest)
         if not at_least(self._furthest.get(service, ORIGIN), position):
             self._furthest[service] = position
 
@@ -37,3 +72,40 @@
 
         """
         return self._furthest.get(service)
+
+    def observe(self, observation: PrimaryObservation) -> None:
+        """Compare the log of a primary with the acknowledged commits.
+
+        Args:
+            observation: proof that an endpoint was the primary.
+
+        """
+        service = observation.service
+        known = self._shortest_logs.get(service, observation)
+        shortest = min(known, observation, key=_log_order)
+        self._shortest_logs[service] = shortest
+        furthest = self._furthest.get(service)
+        if furthest is not None:
+            self._report_if_missing(furthest, shortest)
+
+    def _report_if_missing(
+        self, position: LogPosition, observation: PrimaryObservation
+    ) -> None:
+        """Report a commit that the log of a later term does not reach.
+
+        Numbers go on over terms, so that a log that holds the commit has
+        reached its number.
+        """
+        service = observation.service
+        if observation.term <= self._reported_terms.get(service, position.term):
+            return
+        if observation.position.position >= position.position:
+            return
+        self._reported_terms[service] = observation.term
+        for listener in self._listeners:
+            listener(MissingCommit(position, observation))
+
+
+def _log_order(observation: PrimaryObservation) -> tuple[int, int]:
+    """Order the latest term first, and the shortest log in it."""
+    return -observation.term, observation.position.position
--- a/trefoilhitch/pooler/cluster_state.py
+++ b/trefoilhitch/pooler/cluster_state.py
@@ -217,6 +217,7 @@
         if primary.term >= self.proved_term(primary.service):
             is_first = self.observations.newest(primary.service) is None
             self.observations.add(observation)
+            self._acknowledged.observe(observation)
             self.endpoints.restarted.observe(observation, self.clock())
             self.record_answered(primary.service, sent_at)
             if is_first:
--- a/trefoilhitch/pooler/state_components.py
+++ b/trefoilhitch/pooler/state_components.py
@@ -21,6 +21,7 @@
 from trefoilhitch.pooler.gateway_directory import GatewayDirectory
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.membership_view import MembershipView
+from trefoilhitch.pooler.missing_commit_reporter import MissingCommitReporter
 from trefoilhitch.pooler.node_environment import (
     ExternalServices,
     NodeRuntime,
@@ -57,6 +58,8 @@
     declaration.add_listener(
         lambda catalogue: cluster.endpoints.declare_services(catalogue.services)
     )
+    reporter = MissingCommitReporter(runtime.log, runtime.metrics)
+    cluster.acknowledged.add_listener(reporter.report)
     directory = GatewayDirectory(
         membership=membership,
         declaration=declaration,
