The log tells when an endpoint started and how a member of a group ended

Cause: endpoint_gone named neither the service nor the reason, members that were replaced or lost for so long that they count no more were not logged, and endpoint_changed did not name the endpoint's start. Change: endpoint_gone has service, address and reason (left, lost, forgotten, replaced); endpoint_changed has started_at_ms, first and restarted. The registry's decisions are the same.

--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from trefoilhitch.pooler.ended_members import EndedMembers
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.evacuation.evacuated_data_centres import (
     EvacuatedDataCentres,
@@ -54,10 +55,11 @@
     ) -> None:
         """Create an empty registry."""
         self.restarted = RestartedEndpoints()
+        self.ended = EndedMembers()
         self._evacuated = evacuated or EvacuatedDataCentres()
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
-        self._former = FormerEndpoints()
+        self._former = FormerEndpoints(self.ended)
         # Endpoints that only the record of their group has named so far.
         self._remembered: set[str] = set()
         self._settles_at = math.inf
@@ -198,11 +200,12 @@
         self._members_by_service.clear()
         self._remembered.discard(record.endpoint)
         self._listed[record.endpoint] = ListedEndpoint(record)
-        self._listed = _without_predecessors(self._listed, record)
         self._former.discard(record.endpoint)
-        for lost in self._former.lost():
-            if _succeeds(record, lost):
-                self._former.discard(lost.endpoint)
+        for replaced in _predecessors(
+            record, self._listed.values(), self._former.lost()
+        ):
+            self._listed.pop(replaced.endpoint, None)
+            self._former.record_replaced(replaced)
         return record
 
     def mark_missing(self, endpoint: str, now: float) -> None:
@@ -221,6 +224,7 @@
         if _is_replaced(missing, self._listed):
             self._members_by_service.clear()
             self._listed.pop(endpoint)
+            self._former.record_replaced(missing.record)
 
     def drop_expired(self, now: float) -> list[str]:
         """Drop the endpoints whose entries have been missing for too long.
@@ -408,15 +412,15 @@
     return any(_replaces(each, missing) for each in listed.values())
 
 
-def _without_predecessors(
-    listed: Mapping[str, ListedEndpoint], record: EndpointRecord
-) -> dict[str, ListedEndpoint]:
+def _predecessors(
+    record: EndpointRecord,
+    listed: Iterable[ListedEndpoint],
+    lost: Iterable[EndpointRecord],
+) -> list[EndpointRecord]:
+    """Return the endpoints that a listed endpoint has replaced."""
     successor = ListedEndpoint(record)
-    return {
-        endpoint: other
-        for endpoint, other in listed.items()
-        if not _replaces(successor, other)
-    }
+    missing = [each.record for each in listed if _replaces(successor, each)]
+    return [*missing, *(each for each in lost if _succeeds(record, each))]
 
 
 def _replaces(successor: ListedEndpoint, missing: ListedEndpoint) -> bool:
--- a/trefoilhitch/pooler/former_endpoints.py
+++ b/trefoilhitch/pooler/former_endpoints.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from trefoilhitch.pooler.ended_members import EndedMembers, MemberEnd
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 
 # How long a lost endpoint counts as a holder of its group's log.
@@ -31,10 +32,16 @@
 
 
 class FormerEndpoints:
-    """Remembers endpoints that are lost or gone."""
+    """Remembers endpoints that are lost or gone.
 
-    def __init__(self) -> None:
+    Args:
+        ended: receives the endpoints when they are lost, replaced or gone.
+
+    """
+
+    def __init__(self, ended: EndedMembers) -> None:
         """Start without endpoints."""
+        self._ended = ended
         self._lost: dict[str, FormerEndpoint] = {}
         self._gone: dict[str, FormerEndpoint] = {}
 
@@ -47,14 +54,16 @@
 
         """
         if record.leaving:
+            self._ended.add(record, MemberEnd.LEFT)
             self._add_gone(record, now)
         else:
+            self._ended.add(record, MemberEnd.LOST)
             self._lost[record.endpoint] = FormerEndpoint(
                 record, now + LOST_RETENTION_S
             )
 
     def discard(self, endpoint: str) -> None:
-        """Forget that an endpoint was lost, since it is listed or replaced.
+        """Forget that an endpoint was lost.
 
         Args:
             endpoint: endpoint id.
@@ -62,6 +71,16 @@
         """
         self._lost.pop(endpoint, None)
 
+    def record_replaced(self, record: EndpointRecord) -> None:
+        """Record that another endpoint has started at an endpoint's address.
+
+        Args:
+            record: newest entry of the endpoint that was replaced.
+
+        """
+        self.discard(record.endpoint)
+        self._ended.add(record, MemberEnd.REPLACED)
+
     def expire(self, now: float) -> None:
         """Take endpoints that were lost long ago for gone.
 
@@ -70,7 +89,9 @@
 
         """
         for endpoint in _expired(self._lost, now):
-            self._add_gone(self._lost.pop(endpoint).record, now)
+            record = self._lost.pop(endpoint).record
+            self._ended.add(record, MemberEnd.FORGOTTEN)
+            self._add_gone(record, now)
         for forgotten in _expired(self._gone, now):
             self._gone.pop(forgotten)
 
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -160,10 +160,10 @@
         """Remove endpoints whose entries have been missing for too long."""
         deps = self._deps
         for endpoint in deps.cluster.endpoints.drop_expired(current_time()):
-            deps.log.event('endpoint_gone', endpoint=endpoint)
             deps.pool.close_idle(endpoint)
             deps.control.close(endpoint)
             deps.cluster.notify_change()
+        self._log_ended()
 
     def _replace_endpoints(self, listing: Changes[EndpointRecord]) -> None:
         is_restored = self.entry_log.era not in {NO_ERA, listing.era}
@@ -174,6 +174,7 @@
             self._apply_endpoint(record)
         endpoints = self._deps.cluster.endpoints
         endpoints.replace_all(listing.present, current_time())
+        self._log_ended()
         self._deps.cluster.notify_change()
 
     def _apply_endpoint_changes(self, changes: Changes[EndpointRecord]) -> None:
@@ -184,8 +185,21 @@
             self._apply_endpoint(record)
         for endpoint in changes.absent:
             self._deps.cluster.endpoints.mark_missing(endpoint, current_time())
+        self._log_ended()
         self._deps.cluster.notify_change()
 
+    def _log_ended(self) -> None:
+        """Log which members of groups have ended."""
+        endpoints = self._deps.cluster.endpoints
+        for ended in endpoints.ended.take():
+            self._deps.log.event(
+                'endpoint_gone',
+                endpoint=ended.record.endpoint,
+                service=ended.record.service,
+                address=ended.record.address,
+                reason=ended.end.value,
+            )
+
     def _spread_entries(self) -> None:
         self._deps.spread(not self._is_applying_peer_entries)
 
@@ -200,15 +214,18 @@
             deps.cluster.endpoints.record_leaving(record.endpoint, since)
         if known == record:
             return
+        restarted = (
+            known is not None and known.started_at_ms != record.started_at_ms
+        )
         deps.log.event(
             'endpoint_changed',
             endpoint=record.endpoint,
             service=record.service,
             role=record.role,
             leaving=record.leaving,
-        )
-        restarted = (
-            known is not None and known.started_at_ms != record.started_at_ms
+            started_at_ms=record.started_at_ms,
+            restarted=restarted,
+            first=not was_listed,
         )
         if restarted or record.leaving:
             deps.pool.close_idle(record.endpoint)
