Failovers log the members that they knew, and since when

Change: fenced, promotion_ordered and promotion_unanswered have `known`: for each member its entry's state, start and how long this node has known it. promotion_withheld has `joined`, the endpoints without a fence because they joined later. Decisions are the same.

--- a/trefoilhitch/pooler/endpoint_registry.py
+++ b/trefoilhitch/pooler/endpoint_registry.py
@@ -11,6 +11,7 @@
 )
 from trefoilhitch.pooler.former_endpoints import FormerEndpoints
 from trefoilhitch.pooler.leaving_endpoints import LeavingEndpoints
+from trefoilhitch.pooler.listing_times import ListingTimes
 from trefoilhitch.pooler.restarted_endpoints import RestartedEndpoints
 
 # Entries that expired during an outage of the directory return in about two
@@ -56,6 +57,7 @@
         """Create an empty registry."""
         self.restarted = RestartedEndpoints()
         self.ended = EndedMembers()
+        self.listings = ListingTimes()
         self._evacuated = evacuated or EvacuatedDataCentres()
         self._drain_s = drain_timeout_s * DRAIN_FRACTION
         self._listed: dict[str, ListedEndpoint] = {}
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from functools import partial
 
-from trio import open_nursery
+from trio import current_time, open_nursery
 
 from trefoilhitch.pooler.endpoint_control import request_all
 from trefoilhitch.pooler.failover_decision import (
@@ -22,6 +22,7 @@
 )
 from trefoilhitch.pooler.group_fence import GroupFence
 from trefoilhitch.pooler.held_lease import FailoverStoppedError, HeldLease
+from trefoilhitch.pooler.known_members import known_members
 from trefoilhitch.pooler.lease import ObservedLease
 from trefoilhitch.pooler.lease_view import promotion_time
 from trefoilhitch.pooler.ports import EndpointStatus
@@ -275,6 +276,9 @@
             members=self._holders(),
             endpoints={each.endpoint: each.position for each in state.fenced},
             statuses=dict(statuses),
+            known=known_members(
+                self._deps.cluster.endpoints, self._service, current_time()
+            ),
         )
         return fence
 
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -223,6 +223,7 @@
             lead=evidence.primary,
             missing=evidence.missing,
             without_log=self._fence.state.without_log,
+            joined=self._fence.joined(self._context.holders()),
             endpoints={
                 each.endpoint: each.position for each in evidence.fenced
             },
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -43,7 +43,19 @@
             endpoints: ids of all endpoints of the service.
 
         """
-        return self._members.issuperset(endpoints)
+        return not self.joined(endpoints)
+
+    def joined(self, endpoints: Collection[str]) -> list[str]:
+        """Return the endpoints that have joined since the fence was set.
+
+        Args:
+            endpoints: ids of all endpoints of the service.
+
+        Returns:
+            Their ids, sorted.
+
+        """
+        return sorted(set(endpoints) - self._members)
 
     async def apply(
         self,
@@ -79,7 +91,7 @@
             endpoints: ids of all endpoints of the service.
 
         """
-        joined = [name for name in endpoints if name not in self._members]
+        joined = self.joined(endpoints)
         self._members.update(joined)
         await request_all(joined, self._fence)
 
--- a/trefoilhitch/pooler/promotion_command.py
+++ b/trefoilhitch/pooler/promotion_command.py
@@ -7,6 +7,7 @@
 from trefoilhitch.errors import StoreUnavailableError
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.held_lease import HeldLease
+from trefoilhitch.pooler.known_members import known_members
 
 PROMOTION_TIMEOUT_S = 1.2
 
@@ -69,6 +70,9 @@
         service = self._plan.service
         token = self._lease.record.token
         deadline = current_time() + PROMOTION_TIMEOUT_S
+        known = known_members(
+            self._deps.cluster.endpoints, service, current_time()
+        )
         try:
             accepted = await self._deps.promoter.promote(
                 service, endpoint, token, deadline
@@ -80,6 +84,7 @@
                 endpoint=endpoint,
                 token=token,
                 detail=str(exc),
+                known=known,
             )
             return CommandOutcome.UNANSWERED
         self._deps.log.event(
@@ -89,5 +94,6 @@
             token=token,
             reason=self._plan.reason.value,
             accepted=accepted,
+            known=known,
         )
         return CommandOutcome.ACCEPTED if accepted else CommandOutcome.REFUSED
--- a/trefoilhitch/pooler/store_sync.py
+++ b/trefoilhitch/pooler/store_sync.py
@@ -192,6 +192,8 @@
         """Log which members of groups have ended."""
         endpoints = self._deps.cluster.endpoints
         for ended in endpoints.ended.take():
+            if endpoints.get(ended.record.endpoint) is None:
+                endpoints.listings.forget(ended.record.endpoint)
             self._deps.log.event(
                 'endpoint_gone',
                 endpoint=ended.record.endpoint,
@@ -208,6 +210,7 @@
         known = deps.cluster.find(entry.endpoint)
         was_listed = deps.cluster.endpoints.was_listed(entry.endpoint)
         record = deps.cluster.endpoints.put(entry)
+        deps.cluster.endpoints.listings.record(entry, current_time())
         if record.leaving:
             # One that this node never saw ready may have begun long ago.
             since = current_time() if was_listed else -math.inf
