Emulated commits are acknowledged once a replica catches up

What callers saw: nothing; this is about the emulated group. Cause: a commit that no replica received at once was never acknowledged, even if a replica received it later: one that had just joined, had started again or whose fence was lifted. Change: commits that wait for a replica are acknowledged when one copies the log that holds them.

--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -1,6 +1,7 @@
 """Emulated database group: endpoints, replication and promotion."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from itertools import count
 
 from trio import Event, Nursery, sleep
@@ -18,6 +19,22 @@
 PROMOTION_DURATION_S = 0.3
 
 
+@dataclass(slots=True)
+class _PendingCommit:
+    """A commit that waits until enough replicas hold it.
+
+    Args:
+        entry: the commit.
+        holders: ids of the replicas that hold it.
+        replicated: set once they are enough.
+
+    """
+
+    entry: LogEntry
+    holders: set[str] = field(default_factory=set)
+    replicated: Event = field(default_factory=Event)
+
+
 class WireGroup:
     """A database group with one primary and its replicas.
 
@@ -49,6 +66,7 @@
         self.acknowledged_entries: list[LogEntry] = []
         self.lost_entries: list[LogEntry] = []
         self._sync_replicas = SYNC_REPLICAS
+        self._pending: list[_PendingCommit] = []
         self._on_role_change = on_role_change
         self._nursery: Nursery | None = None
         self._connection_numbers = count(1)
@@ -105,20 +123,18 @@
         )
         primary.log.append(entry)
         primary.applied_count = len(primary.log)
-        replicated = Event()
-        holders: list[str] = []
+        pending = _PendingCommit(entry)
+        self._pending.append(pending)
         for replica in self.endpoints.values():
             if replica is not primary and self._nursery is not None:
                 self._nursery.start_soon(
-                    self._replicate,
-                    primary,
-                    replica,
-                    entry,
-                    holders,
-                    replicated,
+                    self._replicate, primary, replica, pending
                 )
-        if self._sync_replicas:
-            await replicated.wait()
+        try:
+            if self._sync_replicas:
+                await pending.replicated.wait()
+        finally:
+            self._pending.remove(pending)
         self.acknowledged_entries.append(entry)
 
     async def promote(self, endpoint: str) -> bool:
@@ -152,6 +168,8 @@
     def catch_up(self, replica: WireEndpoint) -> None:
         """Copy the primary's log to a replica, unless either is cut off.
 
+        Commits that waited for a replica are acknowledged.
+
         Args:
             replica: endpoint that receives the log.
 
@@ -168,6 +186,9 @@
         replica.log = list(primary.log)
         replica.terms.known = max(replica.terms.known, primary.terms.known)
         replica.applied_count = min(replica.applied_count, len(replica.log))
+        for pending in self._pending:
+            if any(entry is pending.entry for entry in replica.log):
+                self._record_holder(pending, replica)
         self._schedule_apply(replica)
 
     def next_connection(self) -> int:
@@ -200,22 +221,26 @@
         self,
         primary: WireEndpoint,
         replica: WireEndpoint,
-        entry: LogEntry,
-        holders: list[str],
-        replicated: Event,
+        pending: _PendingCommit,
     ) -> None:
         await sleep(0)
+        entry = pending.entry
         is_cut = primary.faults.cut_from_group or replica.faults.cut_from_group
         if is_cut or replica.faults.down or replica.terms.fenced:
             return
         if entry.term != replica.terms.known or not primary.is_primary:
             return
         replica.receive_entry(primary, entry)
-        holders.append(replica.endpoint)
-        if len(holders) >= self._sync_replicas:
-            replicated.set()
+        self._record_holder(pending, replica)
         self._schedule_apply(replica)
 
+    def _record_holder(
+        self, pending: _PendingCommit, replica: WireEndpoint
+    ) -> None:
+        pending.holders.add(replica.endpoint)
+        if len(pending.holders) >= self._sync_replicas:
+            pending.replicated.set()
+
     def _schedule_apply(self, replica: WireEndpoint) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(
