--- a/trefoilhitch_lab/cut_connector.py
+++ b/trefoilhitch_lab/cut_connector.py
@@ -1,9 +1,11 @@
 """Endpoint connections of one node that can be cut."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 from trefoilhitch.pooler.outcome import ResponseLoss
 from trefoilhitch.pooler.ports import (
+    CONTROL_ORGANISATION,
     Command,
     EndpointConnection,
     EndpointConnectionError,
@@ -13,30 +15,55 @@
 from trefoilhitch.pooler.response import Response
 
 
+@dataclass(frozen=True, slots=True)
+class Cuts:
+    """What one node does not reach.
+
+    Args:
+        endpoints: ids of the endpoints that it does not reach.
+        control: ids of the endpoints that answer none of its control
+            statements.
+
+    """
+
+    endpoints: set[str] = field(default_factory=set)
+    control: set[str] = field(default_factory=set)
+
+    def apply_to(self, endpoint: str, organisation: str) -> bool:
+        """Return whether a connection is cut.
+
+        Args:
+            endpoint: id of the endpoint.
+            organisation: organisation that it runs for.
+
+        """
+        if organisation == CONTROL_ORGANISATION and endpoint in self.control:
+            return True
+        return endpoint in self.endpoints
+
+
 class CutConnection:
     """A connection that fails while its endpoint is cut off.
 
     Args:
         conn: the connection.
-        cut_endpoints: ids of the endpoints that the node does not reach.
+        cuts: what the node does not reach.
 
     """
 
-    def __init__(
-        self, conn: EndpointConnection, cut_endpoints: set[str]
-    ) -> None:
+    def __init__(self, conn: EndpointConnection, cuts: Cuts) -> None:
         """Wrap a connection."""
         self.endpoint = conn.endpoint
         self.organisation = conn.organisation
         self.state = conn.state
         self._conn = conn
-        self._cut_endpoints = cut_endpoints
+        self._cuts = cuts
 
     async def run(
         self, commands: Sequence[Command], deadline: float
     ) -> list[Response]:
         """Run statements unless the endpoint is cut off."""
-        if self.endpoint in self._cut_endpoints:
+        if self._cuts.apply_to(self.endpoint, self.organisation):
             self._conn.close()
             raise EndpointConnectionError(
                 ResponseLoss.CONNECTION_LOST, 'the endpoint is cut off'
@@ -59,16 +86,14 @@
 
     Args:
         connector: connector of the node.
-        cut_endpoints: ids of the endpoints that the node does not reach.
+        cuts: what the node does not reach.
 
     """
 
-    def __init__(
-        self, connector: EndpointConnector, cut_endpoints: set[str]
-    ) -> None:
+    def __init__(self, connector: EndpointConnector, cuts: Cuts) -> None:
         """Wrap a connector."""
         self._connector = connector
-        self._cut_endpoints = cut_endpoints
+        self._cuts = cuts
         self.set_variable = connector.set_variable
         self.prepare = connector.prepare
         self.deallocate = connector.deallocate
@@ -89,11 +114,11 @@
         deadline: float,
     ) -> EndpointConnection:
         """Open a connection unless the endpoint is cut off."""
-        if endpoint in self._cut_endpoints:
+        if self._cuts.apply_to(endpoint, organisation):
             raise EndpointUnreachableError(
                 ResponseLoss.NOT_SENT, f'{endpoint}: cut off'
             )
         conn = await self._connector.connect(
             endpoint, organisation, connect_by=connect_by, deadline=deadline
         )
-        return CutConnection(conn, self._cut_endpoints)
+        return CutConnection(conn, self._cuts)
--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -33,7 +33,7 @@
 from trefoilhitch.pooler.ports import EndpointConnector
 from trefoilhitch.pooler.rate_limit import RateRule
 from trefoilhitch.pooler.settings import PoolerSettings
-from trefoilhitch_lab.cut_connector import CutConnector
+from trefoilhitch_lab.cut_connector import CutConnector, Cuts
 from trefoilhitch_lab.limits import PLATFORM_LIMITS
 from trefoilhitch_lab.loopback import loopback_address, next_port
 from trefoilhitch_lab.platform_store import (
@@ -74,7 +74,7 @@
         server: server of the client connections.
         store: the node's interface to the store, with its own faults.
         metrics: metrics of the node.
-        cut_endpoints: ids of the endpoints that the node does not reach.
+        cuts: what the node does not reach.
         scope: scope whose cancellation kills the node.
 
     """
@@ -84,7 +84,7 @@
     server: WireServer
     store: PlatformStore
     metrics: Metrics
-    cut_endpoints: set[str] = field(default_factory=set)
+    cuts: Cuts = field(default_factory=Cuts)
     scope: CancelScope = field(default_factory=CancelScope)
 
     @property
@@ -92,6 +92,11 @@
         """Address for client connections."""
         return self.cfg.client_address
 
+    @property
+    def cut_endpoints(self) -> set[str]:
+        """Ids of the endpoints that the node does not reach."""
+        return self.cuts.endpoints
+
 
 def make_declaration(
     revision: int, *, rate: float = DEFAULT_RATE, **changes: Any
@@ -289,16 +294,11 @@
     def _make_node(
         self, cfg: PoolerSettings, store: PlatformStore, runtime: NodeRuntime
     ) -> WireNode:
-        cut_endpoints: set[str] = set()
-        external = _make_cuttable(
-            make_external_services(cfg, runtime),
-            cut_endpoints,
-        )
+        cuts = Cuts()
+        external = _make_cuttable(make_external_services(cfg, runtime), cuts)
         node = PoolerNode(cfg, external, runtime)
         server = WireServer(node.sessions)
-        return WireNode(
-            cfg, node, server, store, runtime.metrics, cut_endpoints
-        )
+        return WireNode(cfg, node, server, store, runtime.metrics, cuts)
 
     async def _run_node(
         self, running: WireNode, task_status: TaskStatus[None]
@@ -378,13 +378,11 @@
         return await self._request_handler.respond(req)
 
 
-def _make_cuttable(
-    external: ExternalServices, cut_endpoints: set[str]
-) -> ExternalServices:
+def _make_cuttable(external: ExternalServices, cuts: Cuts) -> ExternalServices:
     return replace(
         external,
         make_connector=partial(
-            _connect_unless_cut, external.make_connector, cut_endpoints
+            _connect_unless_cut, external.make_connector, cuts
         ),
     )
 
@@ -393,10 +391,10 @@
     make_connector: Callable[
         [Callable[[str], EndpointRecord | None]], EndpointConnector
     ],
-    cut_endpoints: set[str],
+    cuts: Cuts,
     find_record: Callable[[str], EndpointRecord | None],
 ) -> EndpointConnector:
-    return CutConnector(make_connector(find_record), cut_endpoints)
+    return CutConnector(make_connector(find_record), cuts)
 
 
 @asynccontextmanager
