--- a/tests/test_wire_failover.py
+++ b/tests/test_wire_failover.py
@@ -24,6 +24,7 @@
 # Duration of a failover once its lease is available.
 TAKE_OVER_S = 1.5
 SERVICE = 'ledger'
+CLOSED = 'CLOSED'
 # Nodes of which some in each of the three regions do not watch the store.
 NODES_BEYOND_WATCHERS = 3 * (MAX_NODES_THAT_ALL_WATCH + 1)
 # Time from the first start until the members of the group are recorded.
@@ -50,12 +51,18 @@
 
 
 async def write(stack: WireStack, mark: str, node: str = 'node-1') -> str:
-    """Write once in a new session; return the code of the answer."""
+    """Write once in a new session; return the code of the answer.
+
+    It is CLOSED if the connection closed instead.
+    """
     async with wire_client(stack.nodes[node].address) as client:
         started = await client.start('orders', KEY)
+        if not started:
+            return CLOSED
         if not started.startswith('READY'):
             return started.split()[1]
-        return (await client.query(f'WRITE {mark} {mark}')).code
+        answer = await client.query(f'WRITE {mark} {mark}')
+        return CLOSED if answer.outcome == 'closed' else answer.code
 
 
 async def write_until_done(stack: WireStack, mark: str) -> float:
