--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -44,6 +44,8 @@
         silent: connections are accepted but get no response.
         cut_from_group: nothing is replicated to or from this endpoint, and
             it hears of no promotion.
+        receive_delay_s: time that a commit takes to reach this endpoint, in
+            seconds.
         apply_lag_s: delay between receiving and applying a commit, in
             seconds.
         drop_responses: number of coming client statements whose connection
@@ -61,6 +63,7 @@
     down: bool = False
     silent: bool = False
     cut_from_group: bool = False
+    receive_delay_s: float = 0
     apply_lag_s: float = 0.01
     drop_responses: int = 0
     busy: bool = False
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -223,12 +223,14 @@
         replica: WireEndpoint,
         pending: _PendingCommit,
     ) -> None:
-        await sleep(0)
+        await sleep(replica.faults.receive_delay_s)
         entry = pending.entry
         is_cut = primary.faults.cut_from_group or replica.faults.cut_from_group
-        if is_cut or replica.faults.down or replica.terms.fenced:
+        is_down = primary.faults.down or replica.faults.down
+        if is_cut or is_down or replica.terms.fenced:
             return
-        if entry.term != replica.terms.known or not primary.is_primary:
+        # Commits that a demoted primary had made still reach its replicas.
+        if not primary.terms.known == entry.term == replica.terms.known:
             return
         replica.receive_entry(primary, entry)
         self._record_holder(pending, replica)
