A commit is acknowledged only if no promotion that lacks it may follow

Cause: the holder of a service's lease decides from what endpoints reported (members, fences, log positions), and the nodes went on passing acknowledgements that were newer than these reports. An endpoint that receives commits before it is listed, and a command that is carried out when its failover has ended, are two ways in which the reports get old.

Change: while the lease is idle in a view that rules out a command, an acknowledgement is passed on at once, without a further message. A holder announces its failover to all nodes, which answer with what they have acknowledged: the endpoint that it promotes has to reach that. From then on a node asks the holder, which permits what a known replica holds, and, once a promotion was commanded, only what the promoted endpoint held. Else the acknowledgement waits until the lease is idle; if another endpoint leads then, the client is told that the outcome is unknown. While the store does not answer, a known replica confirms the commit. A monitor finishes a lease that was released with a candidate, or whose holder is gone.

Why it works: every acknowledgement precedes the announcement, and counts in the choice, or is permitted by the node that chooses.

--- a/tests/test_acknowledged_positions.py
+++ b/tests/test_acknowledged_positions.py
@@ -9,6 +9,10 @@
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.acknowledged_positions import AcknowledgedPositions
+from trefoilhitch.pooler.acknowledging.acknowledged_commit import (
+    AcknowledgedCommit,
+)
+from trefoilhitch.pooler.acknowledging.commit_gate import CommitGate
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.primary_confirmer import (
@@ -42,6 +46,7 @@
         confirmer=confirmer,
         leases=cast(LeaseObserver, None),
         metrics=Metrics(),
+        gate=cast(CommitGate, None),
     )
 
 
@@ -83,26 +88,31 @@
     assert positions.furthest('stock') is None
 
 
-# Without synchronous replicas a commit proves no primary, but counts as well.
-@pytest.mark.parametrize('sync_replicas', [0, 1])
-def test_commit_counts_when_its_acknowledgement_is_passed_on(
-    sync_replicas: int,
+@pytest.mark.parametrize(
+    ('known_before', 'reached'),
+    [
+        (at(1, 4), at(1, 5)),
+        # Commits of others may lie between: only the next one is certain.
+        (at(1, 2), at(1, 3)),
+        (at(1, 9), at(1, 10)),
+        (None, at(2, 0)),
+        (at(1, 4), at(2, 0)),
+    ],
+)
+def test_commit_surely_reaches_the_position_after_a_known_one(
+    known_before: LogPosition | None, reached: LogPosition
 ) -> None:
-    async def play() -> None:
-        cluster = make_cluster()
-        prover = make_prover(cluster, sync_replicas)
-        reply = StatementResult(Response(position=at(1, 5)))
-        prover.apply_commit(make_proof(OLD), reply)
-        assert cluster.acknowledged.furthest(SERVICE) == at(1, 5)
-
-    run_virtual(play)
+    term = 1 if known_before and reached.term == 1 else 2
+    commit = AcknowledgedCommit(SERVICE, 'a', at(term, 99), known_before, 0)
+    assert commit.reached == reached
 
 
 def test_commit_without_a_position_does_not_count() -> None:
     async def play() -> None:
         cluster = make_cluster()
         reply = StatementResult(Response())
-        make_prover(cluster, 1).apply_commit(make_proof(OLD), reply)
+        prover = make_prover(cluster, 1)
+        assert await prover.admit_commit(make_proof(OLD), reply, 1)
         assert cluster.acknowledged.furthest(SERVICE) is None
 
     run_virtual(play)
--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -531,6 +531,59 @@
     ]
 
 
+class FailoverNotice(Message, frozen=True, kw_only=True):
+    """
+    Tells a node that the sender has acquired the lease of a service. From now on, the receiver passes no acknowledgement of a commit of this service on unless the sender permits it.
+    """
+
+    service: str
+    attempt: Annotated[
+        str, Meta(description='Id of the failover, from the lease.')
+    ]
+    address: Annotated[
+        Address,
+        Meta(description='Peer address at which permissions are requested.'),
+    ]
+
+
+class FailoverNoticeReply(Message, frozen=True, kw_only=True):
+    """
+    The furthest position of the service's log that a commit has surely reached whose acknowledgement the receiver has passed on so far.
+    """
+
+    term: Number = 0
+    position: (
+        Annotated[Number, Meta(description='Null if it has passed none on.')]
+        | None
+    ) = None
+
+
+class CommitPermitRequest(Message, frozen=True, kw_only=True):
+    """
+    Asks the node that runs a failover whether the acknowledgement of a commit may be passed on.
+    """
+
+    attempt: Annotated[str, Meta(description='Id of the failover.')]
+    term: Number
+    position: Annotated[
+        Number,
+        Meta(
+            description="End of the primary's log when it acknowledged the commit."
+        ),
+    ]
+
+
+class CommitPermitReply(Message, frozen=True, kw_only=True):
+    """
+    Whether the acknowledgement may be passed on.
+    """
+
+    running: Annotated[
+        bool, Meta(description='Whether the receiver runs the failover.')
+    ]
+    permitted: bool = False
+
+
 class ProofRequest(Message, frozen=True, kw_only=True):
     """
     Requests a recent proof of the primary of a service.
@@ -636,6 +689,15 @@
     idle: Annotated[
         bool, Meta(description='Whether no failover may be under way.')
     ]
+    address: Annotated[
+        str,
+        Meta(
+            description='Peer address of the holder, empty if it is unknown or there is none.'
+        ),
+    ] = ''
+    attempt: Annotated[
+        str, Meta(description="Id of the holder's failover.")
+    ] = ''
     primary: str = ''
     term: Number = 0
 
--- /dev/null
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -0,0 +1,164 @@
+"""Passes an acknowledgement on only if the commit survives any failover.
+
+While no failover may be under way, a later one finds the commit at the
+endpoints that it fences. While one runs, its holder tells which commits
+survive. Without either, an acknowledgement waits until the failover has ended.
+"""
+
+from enum import Enum
+
+from trio import current_time, sleep
+
+from trefoilhitch.decision_log import DecisionLog
+from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.acknowledging.acknowledged_commit import (
+    AcknowledgedCommit,
+)
+from trefoilhitch.pooler.acknowledging.failover_notices import FailoverNotices
+from trefoilhitch.pooler.acknowledging.permit_client import PermitClient
+from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.lease import LeaseRecord
+from trefoilhitch.pooler.lease_observer import LeaseObserver
+from trefoilhitch.pooler.lease_view import is_idle
+from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
+
+# Pause between two attempts to pass an acknowledgement on.
+RETRY_PAUSE_S = 0.05
+# Age from which the view of the leases is renewed for one that waits.
+HELD_VIEW_AGE_S = 0.2
+
+
+class Verdict(Enum):
+    """Whether an acknowledgement may be passed on."""
+
+    IDLE = 'idle'
+    PERMITTED = 'permitted'
+    CONFIRMED = 'confirmed'
+    UNDECIDED = 'undecided'
+    SUPERSEDED = 'superseded'
+
+
+_ADMITTING = frozenset((Verdict.IDLE, Verdict.PERMITTED, Verdict.CONFIRMED))
+
+
+class CommitGate:
+    """Decides whether acknowledgements of commits are passed on.
+
+    Args:
+        cluster: remembers the positions that were acknowledged.
+        leases: tells whether a failover may be under way.
+        notices: the failovers that were announced to this node.
+        permits: asks the nodes that run failovers.
+        confirmer: asks replicas while the store does not answer.
+        log: records acknowledgements that are withheld.
+        metrics: counts the verdicts.
+
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster: ClusterState,
+        leases: LeaseObserver,
+        notices: FailoverNotices,
+        permits: PermitClient,
+        confirmer: PrimaryConfirmer,
+        log: DecisionLog,
+        metrics: Metrics,
+    ) -> None:
+        """Store the dependencies."""
+        self._cluster = cluster
+        self._leases = leases
+        self._notices = notices
+        self._permits = permits
+        self._confirmer = confirmer
+        self._log = log
+        self._metrics = metrics
+
+    def expect_commit(self) -> None:
+        """Renew the view of the leases, if necessary, for a coming commit."""
+        self._leases.refresh()
+
+    async def admit(self, commit: AcknowledgedCommit) -> bool:
+        """Wait until the acknowledgement of a commit may be passed on.
+
+        Args:
+            commit: the commit.
+
+        Returns:
+            False if it could not be passed on by the deadline, or if the
+            endpoint was replaced: it is not known whether the commit survives.
+
+        """
+        if not self._confirmer.commit_proves_primary(commit.service):
+            # No replica had to receive it, so that it need not survive.
+            self._record(commit)
+            return True
+        verdict = await self._judge(commit)
+        while verdict == Verdict.UNDECIDED and self._may_wait(commit):
+            self._leases.refresh(HELD_VIEW_AGE_S)
+            await sleep(RETRY_PAUSE_S)
+            verdict = await self._judge(commit)
+        self._metrics.count('acknowledgements', verdict.value)
+        if verdict in _ADMITTING:
+            self._record(commit)
+            return True
+        self._log.event(
+            'acknowledgement_withheld',
+            service=commit.service,
+            endpoint=commit.endpoint,
+            position=commit.position,
+            reason=verdict.value,
+        )
+        return False
+
+    def _record(self, commit: AcknowledgedCommit) -> None:
+        self._cluster.acknowledged.record(commit.service, commit.reached)
+
+    def _may_wait(self, commit: AcknowledgedCommit) -> bool:
+        return current_time() + RETRY_PAUSE_S < commit.deadline
+
+    async def _judge(self, commit: AcknowledgedCommit) -> Verdict:
+        service = commit.service
+        is_permitted = await self._leases.permits(service, commit.endpoint)
+        view = self._leases.view
+        notice = self._notices.newer_than(service, view.observed_at)
+        if notice is not None:
+            return await self._ask(commit, notice.address, notice.attempt)
+        if is_permitted:
+            return Verdict.IDLE
+        lease = view.listing.get(service)
+        if view.is_expired(self._cluster.clock()) or not lease.belongs_to_era:
+            return await self._confirm(commit)
+        return await self._judge_lease(commit, lease)
+
+    async def _judge_lease(
+        self, commit: AcknowledgedCommit, lease: LeaseRecord
+    ) -> Verdict:
+        if is_idle(lease):
+            return Verdict.SUPERSEDED
+        if lease.address and lease.attempt:
+            return await self._ask(commit, lease.address, lease.attempt)
+        return Verdict.UNDECIDED
+
+    async def _ask(
+        self, commit: AcknowledgedCommit, address: str, attempt: str
+    ) -> Verdict:
+        reply = await self._permits.request(address, attempt, commit.position)
+        if reply is None:
+            return Verdict.UNDECIDED
+        if not reply.running:
+            self._notices.discard(commit.service, attempt)
+            return Verdict.UNDECIDED
+        return Verdict.PERMITTED if reply.permitted else Verdict.UNDECIDED
+
+    async def _confirm(self, commit: AcknowledgedCommit) -> Verdict:
+        is_held = await self._confirmer.holds_commit(
+            commit.service, commit.endpoint, commit.position
+        )
+        # A failover may have been announced meanwhile.
+        notice = self._notices.newer_than(
+            commit.service, self._leases.view.observed_at
+        )
+        is_confirmed = is_held and notice is None
+        return Verdict.CONFIRMED if is_confirmed else Verdict.UNDECIDED
--- /dev/null
+++ b/trefoilhitch/pooler/acknowledging/failover_commits.py
@@ -0,0 +1,78 @@
+"""The commits that the endpoint promoted by a failover has to hold."""
+
+from collections.abc import Callable, Collection
+
+from trio import Event
+
+from trefoilhitch._generated.messages import LogPosition
+from trefoilhitch.pooler.acknowledging.commit_permits import CommitPermits
+from trefoilhitch.pooler.acknowledging.failover_announcement import (
+    FailoverAnnouncement,
+)
+from trefoilhitch.pooler.endpoint_control import (
+    EndpointControl,
+    request_all,
+)
+from trefoilhitch.pooler.observations import later_position
+
+
+class FailoverCommits:
+    """Collects what nodes have acknowledged before and during a failover.
+
+    Args:
+        announcement: tells the nodes of the failover.
+        control: requests the statuses of endpoints.
+        members: returns the ids of all endpoints of the service.
+        pending: endpoint whose promotion an earlier holder may have commanded,
+            empty if there is none.
+
+    """
+
+    def __init__(
+        self,
+        announcement: FailoverAnnouncement,
+        control: EndpointControl,
+        members: Callable[[], Collection[str]],
+        *,
+        pending: str,
+    ) -> None:
+        """Start before the nodes are told."""
+        self.announcement = announcement
+        self.granted = CommitPermits(pending=pending)
+        self._control = control
+        self._members = members
+        self._update: Event | None = None
+
+    @property
+    def floor(self) -> LogPosition | None:
+        """Position that the promoted endpoint has to hold, None for any."""
+        return later_position(self.announcement.floor, self.granted.floor)
+
+    async def permits(self, position: LogPosition) -> bool:
+        """Return whether the acknowledgement of a commit may be passed on.
+
+        Args:
+            position: end of the primary's log when it acknowledged the commit.
+
+        """
+        if self.granted.grant(position):
+            return True
+        await self._update_positions()
+        # A promotion may have been commanded meanwhile.
+        return self.granted.grant(position)
+
+    async def _update_positions(self) -> None:
+        """Request the positions of the replicas, once for all that wait."""
+        if self._update is not None:
+            await self._update.wait()
+            return
+        self._update = Event()
+        try:
+            await self._request_positions()
+        finally:
+            self._update.set()
+            self._update = None
+
+    async def _request_positions(self) -> None:
+        statuses = await request_all(self._members(), self._control.status)
+        self.granted.record(statuses)
--- /dev/null
+++ b/trefoilhitch/pooler/acknowledging/failover_notices.py
@@ -0,0 +1,68 @@
+"""The failovers that other nodes, or this one, have announced."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedNotice:
+    """An announced failover of a service.
+
+    Args:
+        attempt: unique id of the failover.
+        address: peer address of the node that runs it.
+        received_at: when this node learnt of it, in seconds on a clock that
+            includes suspended time.
+
+    """
+
+    attempt: str
+    address: str
+    received_at: float
+
+
+class FailoverNotices:
+    """Keeps the newest notice of each service."""
+
+    def __init__(self) -> None:
+        """Start without notices."""
+        self._notices: dict[str, ReceivedNotice] = {}
+
+    def record(self, service: str, notice: ReceivedNotice) -> None:
+        """Record that a failover has begun.
+
+        Args:
+            service: service whose primary may be replaced.
+            notice: the failover.
+
+        """
+        self._notices[service] = notice
+
+    def discard(self, service: str, attempt: str) -> None:
+        """Forget a failover that has ended.
+
+        Args:
+            service: service name.
+            attempt: unique id of the failover.
+
+        """
+        notice = self._notices.get(service)
+        if notice is not None and notice.attempt == attempt:
+            self._notices.pop(service)
+
+    def newer_than(
+        self, service: str, observed_at: float
+    ) -> ReceivedNotice | None:
+        """Return the failover that a view of the leases may not show yet.
+
+        Args:
+            service: service name.
+            observed_at: when the view was requested, on the same clock.
+
+        Returns:
+            The newest notice, None if the view was requested after it arrived.
+
+        """
+        notice = self._notices.get(service)
+        if notice is None or notice.received_at < observed_at:
+            return None
+        return notice
--- a/trefoilhitch/pooler/failover_decision.py
+++ b/trefoilhitch/pooler/failover_decision.py
@@ -56,6 +56,7 @@
     EVACUATED = 'evacuated'
     GONE = 'gone'
     NO_PRIMARY = 'none_leads'
+    UNFINISHED = 'unfinished'
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +82,7 @@
     *,
     lost: bool,
     evacuated: bool = False,
+    unfinished: bool = False,
     now: float,
     timeouts: FailoverTimeouts = REPLACE_TIMEOUTS,
 ) -> FailoverReason | None:
@@ -92,6 +94,7 @@
         lost: whether its entry has been missing for too long.
         evacuated: whether its data centre is evacuated, and another endpoint
             may take its place.
+        unfinished: whether an earlier failover has to be finished.
         now: monotonic time.
         timeouts: how long its silence or its stall has to last.
 
@@ -100,8 +103,10 @@
 
     """
     is_silent = _has_elapsed(evidence.unanswered_since, timeouts.silence_s, now)
+    if primary is None and is_silent:
+        return FailoverReason.NO_PRIMARY
     if primary is None:
-        return FailoverReason.NO_PRIMARY if is_silent else None
+        return FailoverReason.UNFINISHED if unfinished else None
     is_stalled = _has_elapsed(
         evidence.unacknowledged_since, timeouts.stall_s, now
     )
@@ -111,6 +116,7 @@
         (lost, FailoverReason.GONE),
         (is_stalled, FailoverReason.STALLED),
         (evacuated, FailoverReason.EVACUATED),
+        (unfinished, FailoverReason.UNFINISHED),
     )
     return next((reason for applies, reason in reasons if applies), None)
 
@@ -245,6 +251,7 @@
     primary: str | None,
     unusable: Collection[str],
     pending: str,
+    floor: LogPosition | None = None,
 ) -> FencedEndpoint | None:
     """Choose the endpoint to promote, if no acknowledged commit can be lost.
 
@@ -256,6 +263,7 @@
         unusable: endpoints that should not be promoted, such as leaving ones.
         pending: endpoint whose promotion may have been commanded before,
             empty if there is none; it is preferred to equally good ones.
+        floor: position that clients know to be committed, None for any.
 
     Returns:
         The endpoint, None if the fenced ones may lack a commit.
@@ -263,12 +271,13 @@
     """
     names = [each.endpoint for each in fenced]
     chosen = choose_replica_candidate(fenced, members, sync_replicas, unusable)
-    if chosen is None and holds_every_commit(
+    lacks_commits = chosen is None or not reaches(chosen.position, floor)
+    if lacks_commits and holds_every_commit(
         names, primary, members, sync_replicas
     ):
         chosen = choose_candidate(fenced, unusable, primary)
         chosen = chosen or choose_candidate(fenced, (), None)
-    if chosen is None:
+    if chosen is None or not reaches(chosen.position, floor):
         return None
     for each in fenced:
         if each.endpoint == pending and each.position == chosen.position:
@@ -276,6 +285,17 @@
     return chosen
 
 
+def reaches(position: LogPosition, floor: LogPosition | None) -> bool:
+    """Return whether a log holds what clients know to be committed.
+
+    Args:
+        position: end of the log.
+        floor: position that clients know to be committed, None for any.
+
+    """
+    return floor is None or at_least(position, floor)
+
+
 def newest_primary(claims: Iterable[Primary]) -> Primary | None:
     """Return the primary of the latest term.
 
--- a/trefoilhitch/pooler/failover_plan.py
+++ b/trefoilhitch/pooler/failover_plan.py
@@ -5,6 +5,7 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.acknowledging.failover_announcement import Announcer
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_control import EndpointControl
 from trefoilhitch.pooler.failover_decision import FailoverReason
@@ -27,6 +28,7 @@
         control: sends control statements to endpoints.
         leases: reads and writes leases.
         attempts: the failovers that run in this process.
+        announcer: tells other nodes of failovers.
         groups: tells the members of groups.
         store_era: era of the store that keeps them.
         promoter: commands promotions.
@@ -43,6 +45,7 @@
     control: EndpointControl
     leases: LeaseClient
     attempts: RunningAttempts
+    announcer: Announcer
     groups: GroupRecorder
     store_era: StoreEra
     promoter: Promoter
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -6,6 +6,7 @@
 
 from trio import current_time, open_nursery
 
+from trefoilhitch.pooler.acknowledging.failover_commits import FailoverCommits
 from trefoilhitch.pooler.endpoint_control import request_all
 from trefoilhitch.pooler.failover_decision import (
     FailoverReason,
@@ -34,6 +35,14 @@
 DECISION_TIME_S = 0.6
 # Time before the promotion at which a primary that answers is demoted.
 FENCE_TIME_S = 0.25
+# Reasons that no longer apply if the primary answers.
+KEEPING_REASONS = frozenset(
+    (
+        FailoverReason.SILENT,
+        FailoverReason.NO_PRIMARY,
+        FailoverReason.UNFINISHED,
+    )
+)
 
 
 class FailoverRunner:
@@ -66,6 +75,7 @@
         self._kept_primary = False
         # Whether an earlier holder left an unanswered command.
         self._inherited_command = False
+        self._commits = self._make_commits('')
 
     async def run(self, seen: ObservedLease) -> None:
         """Replace the primary.
@@ -80,7 +90,8 @@
                 read.
 
         """
-        with self._deps.attempts.running(self._plan.attempt):
+        self._commits = self._make_commits(seen.record.candidate)
+        with self._deps.attempts.running(self._plan.attempt, self._commits):
             await self._lease.acquire(seen, self._plan.attempt)
             now = self._deps.cluster.clock()
             self._promote_at = promotion_time(seen, now)
@@ -111,6 +122,15 @@
             return False
         return self._command.was_sent or self._inherited_command
 
+    def _make_commits(self, pending: str) -> FailoverCommits:
+        announcer = self._deps.announcer
+        return FailoverCommits(
+            announcer.begin(self._service, self._plan.attempt),
+            self._deps.control,
+            self._holders,
+            pending=pending,
+        )
+
     async def _run_steps(self) -> None:
         self._ensure_no_newer_primary()
         if not await self._deps.groups.learn(self._service):
@@ -121,14 +141,23 @@
         sent_at = clock()
         statuses = await self._request_statuses(ids)
         primary = self._current_primary(statuses)
+        self._commits.granted.exclude(primary or '')
+        self._commits.granted.record(statuses)
         if self._keep_reported_primary(statuses, primary, sent_at):
             return
+        if self._is_only_held():
+            raise FailoverStoppedError('the primary did not answer')
         # A primary that still answers serves until shortly before its
         # successor does.
         await sleep_until(clock, self._promote_at - FENCE_TIME_S)
         self._ensure_needed()
         await self._replace(ids, primary, statuses)
 
+    def _is_only_held(self) -> bool:
+        """Return whether nothing but a held lease called for the failover."""
+        is_unfinished = self._plan.reason == FailoverReason.UNFINISHED
+        return is_unfinished and not self._lease.record.candidate
+
     async def _replace(
         self,
         ids: list[str],
@@ -146,6 +175,7 @@
                 self._promote_at,
                 self._holders,
                 self._ensure_no_newer_primary,
+                self._commits,
             ),
         )
         promoted = await self._promotion.run()
@@ -174,6 +204,7 @@
         statuses: dict[str, EndpointStatus] = {}
         async with open_nursery() as nursery:
             nursery.start_soon(self._collect_statuses, ids, statuses)
+            nursery.start_soon(self._commits.announcement.send)
             is_shared = await self._plan.is_suspicion_shared()
         if not is_shared:
             raise FailoverStoppedError('other nodes do not share the suspicion')
@@ -231,8 +262,7 @@
         if self._lease.record.candidate not in {'', primary}:
             # The promotion of another endpoint may still take effect.
             return False
-        replaceable = {FailoverReason.SILENT, FailoverReason.NO_PRIMARY}
-        if self._plan.reason not in replaceable:
+        if self._plan.reason not in KEEPING_REASONS:
             return False
         proved = Primary(self._service, primary, status.term)
         self._kept_primary = True
@@ -259,7 +289,9 @@
         )
         fence = GroupFence(self._deps.control, state)
         self._fence = fence
-        await fence.apply(ids, statuses)
+        async with open_nursery() as nursery:
+            nursery.start_soon(self._commits.announcement.send)
+            await fence.apply(ids, statuses)
         # Of those that joined since the statuses were requested, none may
         # receive commits of a primary that goes on.
         await fence.extend(self._holders())
@@ -279,6 +311,8 @@
             known=known_members(
                 self._deps.cluster.endpoints, self._service, current_time()
             ),
+            acknowledged=self._commits.floor,
+            unanswered=self._commits.announcement.unanswered,
         )
         return fence
 
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -6,7 +6,9 @@
 
 from trio import current_time, open_nursery, sleep
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.errors import TrefoilhitchError
+from trefoilhitch.pooler.acknowledging.failover_commits import FailoverCommits
 from trefoilhitch.pooler.failover_decision import (
     FencedEndpoint,
     choose_promotion,
@@ -61,12 +63,14 @@
             others lack.
         ensure_no_newer_primary: raises an error if another one is known; not
             called once a command may take effect.
+        commits: the commits that clients know of.
 
     """
 
     promote_at: float
     holders: Callable[[], list[str]]
     ensure_no_newer_primary: Callable[[], None]
+    commits: FailoverCommits
 
 
 class _WithheldError(TrefoilhitchError):
@@ -174,6 +178,7 @@
             pending=self._deps.cluster.evacuated.unless_evacuated(
                 self._lease.record.candidate
             ),
+            floor=self._floor,
         )
         if chosen is None:
             raise _WithheldError(self._lacking_fences())
@@ -185,11 +190,24 @@
         objection = self._objection(chosen.endpoint)
         if objection:
             raise _WithheldError(objection)
+        # From here on, no commit is permitted that the endpoint lacks.
+        self._context.commits.granted.record_command(
+            chosen.endpoint, chosen.position
+        )
         return chosen.endpoint
 
+    @property
+    def _floor(self) -> LogPosition | None:
+        """Position that the promoted endpoint has to hold, None for any."""
+        if not self._deps.sync_replicas(self._service):
+            return None
+        return self._context.commits.floor
+
     def _lacking_fences(self) -> str:
         if self._fence.state.without_log:
             return 'endpoints started again without their logs'
+        if self._evidence(self._fence.state.fenced).is_complete:
+            return 'an acknowledged commit is missing'
         return 'too few endpoints could be fenced'
 
     def _objection(self, endpoint: str) -> str | None:
@@ -197,7 +215,9 @@
         if not self._fence.covers(self._context.holders()):
             return 'an endpoint has joined'
         state = self._fence.state
-        return find_objection(state, self._evidence(state.checked), endpoint)
+        return find_objection(
+            state, self._evidence(state.checked), endpoint, self._floor
+        )
 
     async def _check_fence(self, endpoint: str) -> None:
         """Check the fences until the promotion is due and proved safe."""
@@ -224,6 +244,8 @@
             missing=evidence.missing,
             without_log=self._fence.state.without_log,
             joined=self._fence.joined(self._context.holders()),
+            acknowledged=self._context.commits.floor,
+            unanswered=self._context.commits.announcement.unanswered,
             endpoints={
                 each.endpoint: each.position for each in evidence.fenced
             },
--- a/trefoilhitch/pooler/lease_observer.py
+++ b/trefoilhitch/pooler/lease_observer.py
@@ -68,6 +68,16 @@
             self._changed.set()
             self._changed = Event()
 
+    def refresh(self, max_age_s: float = REFRESH_AGE_S) -> None:
+        """Have the view renewed if it is too old, without waiting for it.
+
+        Args:
+            max_age_s: age from which it is renewed, in seconds.
+
+        """
+        if self._clock() >= self.view.observed_at + max_age_s:
+            self._request_view(max_age_s)
+
     async def permits(self, service: str, endpoint: str) -> bool:
         """Return whether an endpoint may be used as the primary unasked.
 
@@ -81,8 +91,7 @@
             False if it may have been replaced.
 
         """
-        if self.view.needs_refresh(self._clock()):
-            self._request_view(REFRESH_AGE_S)
+        self.refresh()
         if self.view.is_expired(self._clock()) and not self._is_failing:
             with move_on_after(MAX_WAIT_S):
                 await self._changed.wait()
@@ -99,7 +108,7 @@
 
         """
         if self._clock() >= self.view.observed_at + max_age_s:
-            self._request_view(max_age_s)
+            self.refresh(max_age_s)
             with move_on_after(MAX_VIEW_WAIT_S):
                 await self._changed.wait()
         return self.view
--- a/trefoilhitch/pooler/lease_view.py
+++ b/trefoilhitch/pooler/lease_view.py
@@ -61,15 +61,6 @@
         lease = self.listing.get(service)
         return is_idle(lease) and lease.primary in {'', endpoint}
 
-    def needs_refresh(self, now: float) -> bool:
-        """Return whether the view should be read again.
-
-        Args:
-            now: current time.
-
-        """
-        return now >= self.observed_at + REFRESH_AGE_S
-
     def is_expired(self, now: float) -> bool:
         """Return whether the view is too old to permit anything.
 
--- a/trefoilhitch/pooler/lease_view_reader.py
+++ b/trefoilhitch/pooler/lease_view_reader.py
@@ -141,6 +141,8 @@
             idle=is_idle(lease),
             primary=lease.primary,
             term=lease.term,
+            address=lease.address,
+            attempt=lease.attempt,
         )
         for service, lease in view.listing.leases.items()
     ]
@@ -149,4 +151,10 @@
 
 def _read_report(report: LeaseReport) -> LeaseRecord:
     holder = '' if report.idle else UNKNOWN_HOLDER
-    return LeaseRecord(holder=holder, primary=report.primary, term=report.term)
+    return LeaseRecord(
+        holder=holder,
+        address=report.address,
+        attempt=report.attempt,
+        primary=report.primary,
+        term=report.term,
+    )
--- a/trefoilhitch/pooler/monitor.py
+++ b/trefoilhitch/pooler/monitor.py
@@ -51,6 +51,7 @@
 from trefoilhitch.pooler.primary_tracker import Primary
 from trefoilhitch.pooler.seen_leases import SeenLeases
 from trefoilhitch.pooler.store_check import StoreCheck
+from trefoilhitch.pooler.unfinished_leases import UnfinishedLeases
 
 CHECK_INTERVAL_S = 0.15
 # Number of nodes that monitor one service, including standbys.
@@ -124,6 +125,7 @@
         self._reason_since: dict[str, float] = {}
         self._next_lease_read_at: dict[str, float] = {}
         self._attempts = count(1)
+        self._unfinished = UnfinishedLeases(deps.leases)
         self._ranks: dict[str, tuple[tuple[int, str], int]] = {}
 
     async def run(self) -> None:
@@ -324,15 +326,24 @@
         except StoreError as exc:
             deps.log.event('lease_unread', service=service, detail=str(exc))
 
-    async def _is_suspicion_shared(self, service: str) -> bool:
+    async def _is_suspicion_shared(
+        self, service: str, began_for: FailoverReason
+    ) -> bool:
         """Ask other nodes about a primary that is silent."""
         reason = self._failover_reason(service, PREPARE_TIMEOUTS)
+        if began_for == FailoverReason.UNFINISHED:
+            return True
         primary = self._cluster.primary(service)
         if reason != FailoverReason.SILENT or primary is None:
             return reason is not None
         return await self._deps.confirm_silence(service, primary)
 
-    def _is_failover_needed(self, service: str) -> bool:
+    def _is_failover_needed(
+        self, service: str, began_for: FailoverReason
+    ) -> bool:
+        if began_for == FailoverReason.UNFINISHED:
+            # The lease is held by this failover now.
+            return True
         return self._failover_reason(service, REPLACE_TIMEOUTS) is not None
 
     def _failover_reason(
@@ -345,6 +356,9 @@
             record,
             lost=self._cluster.endpoints.is_lost(primary or ''),
             evacuated=may_hand_over(self._cluster, service, primary),
+            unfinished=self._unfinished.has_to_finish(
+                service, self._cluster.clock()
+            ),
             now=self._cluster.clock(),
             timeouts=timeouts,
         )
@@ -374,8 +388,10 @@
                 self._cluster.primary(service) or '',
                 self._cluster.proved_term(service),
             ),
-            is_suspicion_shared=partial(self._is_suspicion_shared, service),
-            is_needed=partial(self._is_failover_needed, service),
+            is_suspicion_shared=partial(
+                self._is_suspicion_shared, service, reason
+            ),
+            is_needed=partial(self._is_failover_needed, service, reason),
         )
         pause_s = RETRY_PAUSE_S
         try:
--- a/trefoilhitch/pooler/node.py
+++ b/trefoilhitch/pooler/node.py
@@ -250,6 +250,7 @@
             control=parts.control,
             leases=LeaseClient(self._external.leases),
             attempts=parts.attempts,
+            announcer=parts.announcer,
             groups=GroupRecorder(
                 store=self._external.groups,
                 endpoints=parts.state.cluster.endpoints,
--- a/trefoilhitch/pooler/node_parts.py
+++ b/trefoilhitch/pooler/node_parts.py
@@ -1,5 +1,9 @@
 """Creates the parts of a node and connects them."""
 
+from trefoilhitch.pooler.acknowledging.commit_gate import CommitGate
+from trefoilhitch.pooler.acknowledging.failover_announcement import Announcer
+from trefoilhitch.pooler.acknowledging.failover_notices import FailoverNotices
+from trefoilhitch.pooler.acknowledging.permit_client import PermitClient
 from trefoilhitch.pooler.control.components import (
     make_peer_backoff,
     make_statuses,
@@ -79,6 +83,14 @@
             metrics=runtime.metrics,
         )
         self._attempts = RunningAttempts()
+        self._notices = FailoverNotices()
+        self._announcer = Announcer(
+            membership=self.state.membership,
+            client=self.state.client,
+            notices=self._notices,
+            acknowledged=self.state.cluster.acknowledged,
+            clock=runtime.clock,
+        )
         self.leases = _make_lease_observer(cfg, self.state, external)
         self._evacuations = make_evacuations(cfg, self.state)
         self.store_sync = self._make_store_sync()
@@ -134,6 +146,11 @@
         """The failovers that run in this process."""
         return self._attempts
 
+    @property
+    def announcer(self) -> Announcer:
+        """Tells other nodes of failovers."""
+        return self._announcer
+
     @property
     def tokens(self) -> TokenRequester:
         """Requests rate tokens from other nodes."""
@@ -193,6 +210,7 @@
             gateway=self.gateway,
             leases=self.leases,
             attempts=self._attempts,
+            announcer=self._announcer,
             proofs=self._proofs,
             declarations=self._declarations,
             statuses=self._statuses,
@@ -206,9 +224,23 @@
             confirmer=self.confirmer,
             leases=self.leases,
             metrics=self._runtime.metrics,
+            gate=self._make_gate(cfg),
             confirms_first=cfg.options.gateways.shared_status,
         )
 
+    def _make_gate(self, cfg: PoolerSettings) -> CommitGate:
+        return CommitGate(
+            cluster=self.state.cluster,
+            leases=self.leases,
+            notices=self._notices,
+            permits=PermitClient(
+                self.state.client, cfg.peer_address, self._attempts
+            ),
+            confirmer=self.confirmer,
+            log=self._runtime.log,
+            metrics=self._runtime.metrics,
+        )
+
     def _make_confirmer(self) -> PrimaryConfirmer:
         return PrimaryConfirmer(
             cluster=self.state.cluster,
--- a/trefoilhitch/pooler/outcome.py
+++ b/trefoilhitch/pooler/outcome.py
@@ -83,6 +83,16 @@
     )
 
 
+def unproved_commit_response() -> Response:
+    """Return the response to a commit that its endpoint has acknowledged.
+
+    The endpoint may have been replaced by one that does not hold the commit.
+    """
+    return refusal_response(
+        Refusal.OUTCOME_UNKNOWN, 'the primary may have been replaced'
+    )
+
+
 def lost_transaction_response(
     verb: Verb, *, wrote: bool, loss: ResponseLoss
 ) -> Response:
--- a/trefoilhitch/pooler/peer_request_handler.py
+++ b/trefoilhitch/pooler/peer_request_handler.py
@@ -8,6 +8,7 @@
 from trefoilhitch.http_message import HttpRequest, HttpResponse
 from trefoilhitch.pooler.peer_dependencies import PEER_PREFIX, PeerDependencies
 from trefoilhitch.pooler.peer_endpoint_handler import PeerEndpointHandler
+from trefoilhitch.pooler.peer_failover_handler import PeerFailoverHandler
 from trefoilhitch.pooler.peer_services import PeerServices
 from trefoilhitch.pooler.peer_state_handler import PeerStateHandler
 
@@ -26,6 +27,7 @@
         calls = {
             **PeerStateHandler(deps, services).handlers(),
             **PeerEndpointHandler(deps, services).handlers(),
+            **PeerFailoverHandler(deps, services).handlers(),
         }
         self._handlers = {
             f'{PEER_PREFIX}/{name}': handle_call
--- a/trefoilhitch/pooler/peer_services.py
+++ b/trefoilhitch/pooler/peer_services.py
@@ -9,6 +9,7 @@
 from trefoilhitch.errors import BadRequestError
 from trefoilhitch.http_message import HttpRequest
 from trefoilhitch.json_decoding import UnreadableJsonError
+from trefoilhitch.pooler.acknowledging.failover_announcement import Announcer
 from trefoilhitch.pooler.control.status_source import StatusSource
 from trefoilhitch.pooler.declaration_sync import DeclarationSync
 from trefoilhitch.pooler.explaining.route_explainer import RouteExplainer
@@ -32,6 +33,7 @@
         gateway: runs statements on this node's connections.
         leases: keeps a view of the leases.
         attempts: the failovers that run in this process.
+        announcer: records the failovers of other nodes.
         proofs: fetches proofs of primaries.
         declarations: sends the declaration in force.
         statuses: obtains the statuses of endpoints.
@@ -43,6 +45,7 @@
     gateway: GatewayServer
     leases: LeaseObserver
     attempts: RunningAttempts
+    announcer: Announcer
     proofs: ProofFetcher
     declarations: DeclarationSync
     statuses: StatusSource
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -10,8 +10,6 @@
     Exchange,
     ExplainReply,
     ExplainRequest,
-    LeaseAttemptReply,
-    LeaseAttemptRequest,
     LeaseViewReply,
     LeaseViewRequest,
     MembersReply,
@@ -65,7 +63,6 @@
             'probe': self._probe,
             'tokens': self._tokens,
             'leases': self._lease_view,
-            'lease_attempt': self._lease_attempt,
             'proof': self._proof,
             'explain': self._explain,
         }
@@ -133,15 +130,6 @@
             self._services.leases, self._deps.cluster.clock
         )
 
-    async def _lease_attempt(self, req: HttpRequest) -> LeaseAttemptReply:
-        request = read_message(req, LeaseAttemptRequest)
-        # Only the holder knows whether its failover has ended.
-        is_holder = request.node == self._deps.membership.heartbeat.node
-        attempts = self._services.attempts
-        return LeaseAttemptReply(
-            running=not is_holder or attempts.is_running(request.attempt)
-        )
-
     async def _proof(self, req: HttpRequest) -> ProofReply:
         return await self._services.proofs.reply(
             read_message(req, ProofRequest)
--- a/trefoilhitch/pooler/primary_confirmation.py
+++ b/trefoilhitch/pooler/primary_confirmation.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.ports import EndpointStatus
 
 
@@ -43,6 +44,21 @@
     return status.term <= term
 
 
+def replica_holds(status: EndpointStatus, position: LogPosition) -> bool:
+    """Return whether a replica holds a commit and rules out a later primary.
+
+    Args:
+        status: status of the replica.
+        position: end of the primary's log when it acknowledged the commit.
+
+    """
+    if not replica_confirms(status, position.term):
+        return False
+    # The end of a log in another term does not tell what it holds.
+    is_same_term = status.position.term == position.term
+    return is_same_term and status.position.position >= position.position
+
+
 def is_confirmed(
     term: int, replicas: Iterable[EndpointStatus], sync_replicas: int
 ) -> bool:
--- a/trefoilhitch/pooler/primary_confirmer.py
+++ b/trefoilhitch/pooler/primary_confirmer.py
@@ -5,6 +5,7 @@
 
 from trio import current_time
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.cluster_state import AVOID_SILENT_S, ClusterState
 from trefoilhitch.pooler.ports import EndpointStatus
@@ -13,6 +14,7 @@
     may_confirm,
     needed_confirmations,
     replica_confirms,
+    replica_holds,
 )
 
 
@@ -108,6 +110,32 @@
                 break
         return ReplicaStatuses(tuple(statuses), sync_replicas)
 
+    async def holds_commit(
+        self, service: str, primary: str, position: LogPosition
+    ) -> bool:
+        """Return whether enough known replicas hold a commit.
+
+        Args:
+            service: service name.
+            primary: id of the endpoint that acknowledged it.
+            position: end of its log at that time.
+
+        Returns:
+            True if a promotion that lacks the commit cannot have been
+            commanded under fences that stood when the replicas were asked.
+
+        """
+        needed = needed_confirmations(self._sync_replicas(service))
+        for endpoint in self._replicas(service, primary):
+            status = await self._request_status(endpoint)
+            if status is None:
+                self._record_failure(service, endpoint)
+            elif replica_holds(status, position):
+                needed -= 1
+            if needed <= 0:
+                return True
+        return False
+
     def _replicas(self, service: str, primary: str) -> list[str]:
         members = self._cluster.endpoints.members(service)
         ranked = self._cluster.selector.rank(members, current_time())
--- a/trefoilhitch/pooler/primary_proof.py
+++ b/trefoilhitch/pooler/primary_proof.py
@@ -6,8 +6,13 @@
 
 from trio import current_time, open_nursery
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.errors import TrefoilhitchError
 from trefoilhitch.metrics import Metrics
+from trefoilhitch.pooler.acknowledging.acknowledged_commit import (
+    AcknowledgedCommit,
+)
+from trefoilhitch.pooler.acknowledging.commit_gate import CommitGate
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.primary_confirmer import (
@@ -33,6 +38,8 @@
         permitted: whether the lease ruled out that it had been replaced.
         replicas: statuses of its replicas, requested with the statement.
         sent_at: when the statement was sent.
+        known_position: a position that the log of the primary had before, None
+            if none is known.
 
     """
 
@@ -40,6 +47,7 @@
     permitted: bool
     replicas: ReplicaStatuses
     sent_at: float
+    known_position: LogPosition | None = None
 
 
 class PrimaryProver:
@@ -50,6 +58,7 @@
         confirmer: asks replicas whether a primary may have been replaced.
         leases: tells which primaries need not be asked.
         metrics: counts the proofs.
+        gate: decides whether acknowledgements of commits are passed on.
         confirms_first: whether replicas are asked before a statement is sent
             to a primary that they did not confirm recently.
 
@@ -62,9 +71,11 @@
         confirmer: PrimaryConfirmer,
         leases: LeaseObserver,
         metrics: Metrics,
+        gate: CommitGate,
         confirms_first: bool = False,
     ) -> None:
         """Store the dependencies."""
+        self._gate = gate
         self._confirms_first = confirms_first
         # Primaries that were not confirmed, and until when they are in doubt.
         self._unconfirmed: dict[str, tuple[str, float]] = {}
@@ -138,17 +149,44 @@
             return True
         return reply.status is not None and self._apply_status(proof, reply)
 
-    def apply_commit(self, proof: PrimaryProof, reply: StatementResult) -> None:
-        """Apply a commit whose acknowledgement is passed on to its client.
+    def expect_commit(self) -> None:
+        """Prepare for the acknowledgement of a commit that is sent now."""
+        self._gate.expect_commit()
+
+    async def admit_commit(
+        self, proof: PrimaryProof, reply: StatementResult, deadline: float
+    ) -> bool:
+        """Wait until the acknowledgement of a commit may be passed on.
 
         Args:
             proof: when and where the commit was sent.
             reply: what the endpoint returned.
+            deadline: monotonic time by which the client needs an answer.
+
+        Returns:
+            False if it is not known whether the commit survives.
 
         """
+        position = reply.response.position
+        if position is not None:
+            commit = AcknowledgedCommit(
+                proof.primary.service,
+                proof.primary.endpoint,
+                position,
+                proof.known_position,
+                deadline,
+            )
+            if not await self._gate.admit(commit):
+                return False
+        self._apply_commit(proof, position)
+        return True
+
+    def _apply_commit(
+        self, proof: PrimaryProof, position: LogPosition | None
+    ) -> None:
+        """Apply an acknowledged commit, which proves the primary."""
         service = proof.primary.service
         endpoint = proof.primary.endpoint
-        position = reply.response.position
         self._cluster.commits.record_acknowledged(
             service, endpoint, proof.sent_at
         )
--- a/trefoilhitch/pooler/promotion_evidence.py
+++ b/trefoilhitch/pooler/promotion_evidence.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.failover_decision import (
     FencedEndpoint,
     holds_every_commit,
+    reaches,
 )
 from trefoilhitch.pooler.fence_state import FenceState
 from trefoilhitch.position import at_least
@@ -53,6 +55,21 @@
             for group in (replicas, self.fenced)
         )
 
+    def position(self, endpoint: str) -> LogPosition | None:
+        """Return the end of the log of a fenced endpoint.
+
+        Args:
+            endpoint: id of the endpoint.
+
+        Returns:
+            The position, None if it is not fenced.
+
+        """
+        positions = (
+            each.position for each in self.fenced if each.endpoint == endpoint
+        )
+        return next(positions, None)
+
     def _holds_all(self, group: tuple[FencedEndpoint, ...]) -> bool:
         names = {each.endpoint for each in group}
         return holds_every_commit(
@@ -61,7 +78,10 @@
 
 
 def find_objection(
-    state: FenceState, evidence: PromotionEvidence, endpoint: str
+    state: FenceState,
+    evidence: PromotionEvidence,
+    endpoint: str,
+    floor: LogPosition | None = None,
 ) -> str | None:
     """Return why the promotion of an endpoint may lose a commit.
 
@@ -69,6 +89,7 @@
         state: what the fenced endpoints reported.
         evidence: what the last check has confirmed of it.
         endpoint: id of the endpoint.
+        floor: position that clients know to be committed, None for any.
 
     Returns:
         The reason, None if it holds every acknowledged commit.
@@ -78,6 +99,9 @@
         return 'a fence was lifted'
     if not evidence.permits(endpoint):
         return 'too few fences were confirmed'
+    position = evidence.position(endpoint)
+    if position is None or not reaches(position, floor):
+        return 'an acknowledged commit is missing'
     return None
 
 
--- a/trefoilhitch/pooler/session.py
+++ b/trefoilhitch/pooler/session.py
@@ -63,12 +63,15 @@
         conn: the connection.
         route: route of the database when the transaction began.
         wrote: whether a write was sent.
+        position: end of the endpoint's log when it last answered, None if it
+            is unknown.
 
     """
 
     conn: TransactionConnection
     route: Route
     wrote: bool = False
+    position: LogPosition | None = None
 
 
 @dataclass(slots=True)
--- a/trefoilhitch/pooler/statement_runner.py
+++ b/trefoilhitch/pooler/statement_runner.py
@@ -20,6 +20,7 @@
     ResponseLoss,
     lost_statement_response,
     proves_not_run,
+    unproved_commit_response,
 )
 from trefoilhitch.pooler.ports import EndpointConnectionError
 from trefoilhitch.pooler.primary_proof import PrimaryProof, PrimaryProver
@@ -150,7 +151,9 @@
     async def _find_target(self, run: StatementRun) -> Target | None:
         while True:
             target = self._choose_target(run)
-            if target is not None and self._may_attempt(target):
+            if target is not None and self._cluster.breakers.may_attempt(
+                target.endpoint, current_time()
+            ):
                 return target
             limit = self._wait_limit(run, target)
             if current_time() >= limit:
@@ -174,10 +177,6 @@
             return 'the data centre of the primary is evacuated'
         return 'no endpoint leads the service'
 
-    def _may_attempt(self, target: Target) -> bool:
-        breakers = self._cluster.breakers
-        return breakers.may_attempt(target.endpoint, current_time())
-
     def _choose_target(self, run: StatementRun) -> Target | None:
         if run.reads:
             return self._read_targets.choose(run)
@@ -344,9 +343,17 @@
             self._metrics.count('reads_outdated')
             return None
         if run.writes:
-            position = reply.response.position
-            run.session.record_commit(run.route.service, position)
-            self._prover.apply_commit(proof, reply)
+            return await self._acknowledge(run, reply, proof)
+        return reply.response
+
+    async def _acknowledge(
+        self, run: StatementRun, reply: StatementResult, proof: PrimaryProof
+    ) -> Response:
+        """Return the response to a commit once it surely survives."""
+        if not await self._prover.admit_commit(proof, reply, run.deadline):
+            return unproved_commit_response()
+        position = reply.response.position
+        run.session.record_commit(run.route.service, position)
         return reply.response
 
     def _is_still_fresh(
--- a/trefoilhitch/pooler/statement_sender.py
+++ b/trefoilhitch/pooler/statement_sender.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.balancing.load_observer import LoadObserver
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.endpoint_selection import Target
@@ -70,12 +71,25 @@
             keeps_connection=keeps_connection,
             needs_status=target.requires_primary_proof and not permitted,
         )
+        known_position = self._known_position(primary)
+        if run.writes:
+            self._prover.expect_commit()
         with self._loads.attempting(target.endpoint):
             started, replicas = await self._start(job, primary)
         self._loads.record_position(
             target.endpoint, started.reply.response, target.minimum_position
         )
-        return started, PrimaryProof(primary, permitted, replicas, sent_at)
+        proof = PrimaryProof(
+            primary, permitted, replicas, sent_at, known_position
+        )
+        return started, proof
+
+    def _known_position(self, primary: Primary) -> LogPosition | None:
+        """Return the newest known end of a primary's log."""
+        newest = self._cluster.observations.newest(primary.service)
+        if newest is None or newest.endpoint != primary.endpoint:
+            return None
+        return newest.position
 
     def _primary(self, run: StatementRun, target: Target) -> Primary:
         service = run.route.service
--- a/trefoilhitch/pooler/transaction_runner.py
+++ b/trefoilhitch/pooler/transaction_runner.py
@@ -6,7 +6,11 @@
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.outcome import ResponseLoss, lost_transaction_response
+from trefoilhitch.pooler.outcome import (
+    ResponseLoss,
+    lost_transaction_response,
+    unproved_commit_response,
+)
 from trefoilhitch.pooler.ports import EndpointConnectionError
 from trefoilhitch.pooler.primary_confirmer import ReplicaStatuses
 from trefoilhitch.pooler.primary_proof import PrimaryProof, PrimaryProver
@@ -99,12 +103,17 @@
         endpoint = transaction.conn.endpoint
         term = self._cluster.proved_term(service)
         session.trace = StatementTrace(endpoint, 1, term)
+        deadline = current_time() + transaction.route.timeout_s
         proof = PrimaryProof(
             Primary(service, endpoint, term),
             permitted=False,
             replicas=ReplicaStatuses((), 0),
             sent_at=self._cluster.clock(),
+            known_position=transaction.position,
         )
+        commits = statement.verb == Verb.COMMIT and transaction.wrote
+        if commits:
+            self._prover.expect_commit()
         if self._cluster.evacuated.excludes_transactions(endpoint):
             return self._on_connection_lost(
                 session,
@@ -114,7 +123,7 @@
                 proof.sent_at,
             )
         try:
-            reply = await self._send(session, transaction, statement)
+            reply = await self._send(session, transaction, statement, deadline)
         except EndpointConnectionError as exc:
             session.trace = session.trace.on_connection(exc.connection)
             return self._on_connection_lost(
@@ -122,10 +131,11 @@
             )
         session.trace = session.trace.on_connection(reply.connection)
         self._cluster.positions.record(endpoint, reply.response)
+        transaction.position = reply.response.position
         if reply.response.state == SessionState.IDLE:
             session.transaction = None
-            if statement.verb == Verb.COMMIT and transaction.wrote:
-                self._record_commit(session, reply, proof)
+            if commits and reply.response.ok:
+                return await self._acknowledge(session, reply, proof, deadline)
         return reply.response
 
     def abandon(self, session: SessionData) -> None:
@@ -144,11 +154,11 @@
         session: SessionData,
         transaction: OpenTransaction,
         statement: Statement,
+        deadline: float,
     ) -> StatementResult:
         request = StatementRequest(
             statement, session.prepared.get(statement.name)
         )
-        deadline = current_time() + transaction.route.timeout_s
         return await transaction.conn.run(session.variables, request, deadline)
 
     def _discard(
@@ -186,16 +196,19 @@
             statement.verb, wrote=transaction.wrote, loss=loss
         )
 
-    def _record_commit(
+    async def _acknowledge(
         self,
         session: SessionData,
         reply: StatementResult,
         proof: PrimaryProof,
-    ) -> None:
+        deadline: float,
+    ) -> Response:
+        """Return the response to a commit once it surely survives."""
+        if not await self._prover.admit_commit(proof, reply, deadline):
+            return unproved_commit_response()
         position = reply.response.position
-        if reply.response.ok and position is not None:
-            session.record_commit(proof.primary.service, position)
-            self._prover.apply_commit(proof, reply)
+        session.record_commit(proof.primary.service, position)
+        return reply.response
 
     def _run_after_failure(
         self, session: SessionData, statement: Statement
