Failovers log which fence was lifted, and by a restart or a late order

Cause: a fence that stood no more stopped a failover with "a fence was lifted", or was set again while a command was under way without any log line. Whether a late order (H2) or a restart (H3) had lifted it could not be told. Change: event fence_lifted with the endpoint, its position when it was fenced, its status since and the cause: `order` if it answered on the connection that it had, `restart` if its entry or its log is another, otherwise `unknown`. promotion_withheld has `lifted`. EndpointControl tells since when a connection is open. Decisions are the same.

--- a/trefoilhitch/pooler/endpoint_control.py
+++ b/trefoilhitch/pooler/endpoint_control.py
@@ -1,6 +1,7 @@
 """Status requests, fencing and demotion of endpoints."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 from trio import current_time, open_nursery
 
@@ -20,6 +21,12 @@
 _FAILURES = (EndpointConnectionError, EndpointRefusedError)
 
 
+@dataclass(frozen=True, slots=True)
+class _OpenConnection:
+    conn: EndpointConnection
+    opened_at: float
+
+
 class EndpointControl:
     """Sends control statements to endpoints over one connection each.
 
@@ -41,7 +48,7 @@
         self._connector = connector
         self._log = log
         self._metrics = metrics
-        self._connections: dict[str, EndpointConnection] = {}
+        self._connections: dict[str, _OpenConnection] = {}
 
     async def status(self, endpoint: str) -> EndpointStatus | None:
         """Request an endpoint's status.
@@ -97,6 +104,20 @@
         """
         return await self._send('unfence', endpoint, self._connector.unfence())
 
+    def connected_since(self, endpoint: str) -> float | None:
+        """Return since when the connection to an endpoint is open.
+
+        Args:
+            endpoint: id of the endpoint.
+
+        Returns:
+            Monotonic time for the connection on which it answered last; None
+            if that was closed.
+
+        """
+        opened = self._connections.get(endpoint)
+        return opened.opened_at if opened else None
+
     def close(self, endpoint: str) -> None:
         """Close the connection to an endpoint.
 
@@ -104,9 +125,9 @@
             endpoint: id of the endpoint.
 
         """
-        conn = self._connections.pop(endpoint, None)
-        if conn is not None:
-            conn.close()
+        opened = self._connections.pop(endpoint, None)
+        if opened is not None:
+            opened.conn.close()
 
     async def _send(
         self, kind: str, endpoint: str, command: Command
@@ -128,9 +149,10 @@
         self, endpoint: str, command: Command
     ) -> EndpointStatus | None:
         deadline = current_time() + CONTROL_TIMEOUT_S
-        conn = await self._connect(endpoint, deadline)
-        responses = await conn.run([command], deadline)
-        self._store_connection(endpoint, conn)
+        opened = await self._connect(endpoint, deadline)
+        responses = await opened.conn.run([command], deadline)
+        self.close(endpoint)
+        self._connections[endpoint] = opened
         status = self._connector.read_status(responses[0])
         if status is None:
             self._log.event(
@@ -141,26 +163,19 @@
             )
         return status
 
-    async def _connect(
-        self, endpoint: str, deadline: float
-    ) -> EndpointConnection:
-        conn = self._connections.pop(endpoint, None)
-        if conn is not None and conn.is_usable():
-            return conn
-        if conn is not None:
-            conn.close()
-        return await self._connector.connect(
+    async def _connect(self, endpoint: str, deadline: float) -> _OpenConnection:
+        opened = self._connections.pop(endpoint, None)
+        if opened is not None and opened.conn.is_usable():
+            return opened
+        if opened is not None:
+            opened.conn.close()
+        conn = await self._connector.connect(
             endpoint,
             CONTROL_ORGANISATION,
             connect_by=deadline,
             deadline=deadline,
         )
-
-    def _store_connection(
-        self, endpoint: str, conn: EndpointConnection
-    ) -> None:
-        self.close(endpoint)
-        self._connections[endpoint] = conn
+        return _OpenConnection(conn, current_time())
 
 
 async def request_all(
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -14,6 +14,7 @@
 )
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.fence_state import FenceState
+from trefoilhitch.pooler.fence_watch import FenceWatch
 from trefoilhitch.pooler.fenced_promotion import (
     FencedPromotion,
     PromotedPrimary,
@@ -257,7 +258,7 @@
                 self._deps.cluster.needed_position, self._service
             ),
         )
-        fence = GroupFence(self._deps.control, state)
+        fence = GroupFence(self._deps.control, state, self._make_watch(term))
         self._fence = fence
         await fence.apply(ids, statuses)
         # Of those that joined since the statuses were requested, none may
@@ -282,6 +283,16 @@
         )
         return fence
 
+    def _make_watch(self, term: int) -> FenceWatch:
+        listings = self._deps.cluster.endpoints.listings
+        return FenceWatch(
+            service=self._service,
+            term=term,
+            started_at_ms=listings.started_at_ms,
+            connected_since=self._deps.control.connected_since,
+            log=self._deps.log,
+        )
+
     def _next_term(self, statuses: Mapping[str, EndpointStatus]) -> int:
         fenced = {name: status.fenced_term for name, status in statuses.items()}
         return next_term(fenced, self._known_term(statuses))
--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -224,6 +224,7 @@
             missing=evidence.missing,
             without_log=self._fence.state.without_log,
             joined=self._fence.joined(self._context.holders()),
+            lifted=self._fence.watch.lifted,
             endpoints={
                 each.endpoint: each.position for each in evidence.fenced
             },
--- a/trefoilhitch/pooler/group_fence.py
+++ b/trefoilhitch/pooler/group_fence.py
@@ -6,6 +6,7 @@
 
 from trefoilhitch.pooler.endpoint_control import EndpointControl, request_all
 from trefoilhitch.pooler.fence_state import FenceState
+from trefoilhitch.pooler.fence_watch import FenceWatch
 from trefoilhitch.pooler.ports import EndpointStatus
 
 # How long commits in flight may take to reach replicas after a primary that
@@ -26,12 +27,16 @@
     Args:
         control: sends the statements.
         state: keeps what the endpoints report.
+        watch: logs lifted fences.
 
     """
 
-    def __init__(self, control: EndpointControl, state: FenceState) -> None:
+    def __init__(
+        self, control: EndpointControl, state: FenceState, watch: FenceWatch
+    ) -> None:
         """Start without fenced endpoints."""
         self.state = state
+        self.watch = watch
         self._control = control
         self._sent_to: set[str] = set()
         self._members: set[str] = set()
@@ -161,6 +166,7 @@
         self._sent_to.add(endpoint)
         status = await self._control.fence(endpoint, self.state.term)
         self.state.record(endpoint, status)
+        self._observe(endpoint, status)
         return status
 
     async def _check_one(self, endpoint: str) -> EndpointStatus | None:
@@ -168,6 +174,7 @@
         # A single response may be lost.
         status = status or await self._control.status(endpoint)
         self.state.record_check(endpoint, status)
+        self._observe(endpoint, status)
         return status
 
     async def _uphold_one(
@@ -175,7 +182,13 @@
     ) -> None:
         status = await self._control.status(endpoint)
         self.state.record(endpoint, status)
+        self._observe(endpoint, status)
         leads = endpoint == candidate and self.state.is_primary(endpoint)
         if self.state.needs_fence(endpoint) and not leads:
             await self._fence(endpoint)
         asked.discard(endpoint)
+
+    def _observe(self, endpoint: str, status: EndpointStatus | None) -> None:
+        if status is not None:
+            needs_fence = self.state.needs_fence(endpoint)
+            self.watch.observe(endpoint, status, needs_fence=needs_fence)
--- a/trefoilhitch/pooler/listing_times.py
+++ b/trefoilhitch/pooler/listing_times.py
@@ -43,6 +43,19 @@
         listing = self._listings.get(endpoint)
         return listing.since if listing else None
 
+    def started_at_ms(self, endpoint: str) -> int | None:
+        """Return the last start of an endpoint that the directory listed.
+
+        Args:
+            endpoint: endpoint id.
+
+        Returns:
+            Unix time in ms, None if it never listed the endpoint.
+
+        """
+        listing = self._listings.get(endpoint)
+        return listing.started_at_ms if listing else None
+
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is known no more.
 
