--- a/trefoilhitch/pooler/fence_watch.py
+++ b/trefoilhitch/pooler/fence_watch.py
@@ -16,7 +16,8 @@
 
     # The endpoint started again.
     RESTART = 'restart'
-    # A late order, for the endpoint has not started again.
+    # An order, for the endpoint has not started again: a late RESUME, or a
+    # promotion whose term it has not reported yet.
     ORDER = 'order'
     # The connection to the endpoint was closed, and nothing shows a restart.
     UNKNOWN = 'unknown'
