--- a/trefoilhitch/pooler/fenced_promotion.py
+++ b/trefoilhitch/pooler/fenced_promotion.py
@@ -246,6 +246,7 @@
             joined=self._fence.joined(self._context.holders()),
             acknowledged=self._context.commits.floor,
             unanswered=self._context.commits.announcement.unanswered,
+            lifted=self._fence.watch.lifted,
             endpoints={
                 each.endpoint: each.position for each in evidence.fenced
             },
