Tests of RESUME, PAUSE and STEPDOWN that are carried out late

What callers saw: writes that had been answered with success were gone.

The leaving primary was not demoted, and acknowledges commits through that replica until it is fenced again, up to 0.1 s later.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -3,18 +3,24 @@
 from functools import partial
 
 import pytest
-from trio import current_time, open_nursery, sleep
+from trio import Nursery, current_time, open_nursery, sleep
 
 from tests.acknowledged_writes import AcknowledgedWrites
-from tests.client_writers import start_writers, wait_until_served
+from tests.client_writers import (
+    start_writers,
+    wait_until_served,
+    watch_service,
+)
 from tests.support import run_virtual
 from tests.test_restarted_nodes import register
+from tests.test_unproved_fences import wait_for_command
 from tests.test_wire_failover import (
     GAP_BOUND_S,
     RECORDED_S,
     lease_holder,
     primary_of,
 )
+from trefoilhitch_lab.wire_group import PROMOTION_DURATION_S
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
 
 PRIMARY = 'ledger-0'
@@ -28,6 +34,13 @@
 LONG_RESTARTS_S = (0.6, 1.0, 1.5, 2.5)
 # Time by which a late command has promoted its endpoint.
 PROMOTED_S = 1.0
+BURST_WRITES = 20
+# Enough slots for new writes beside those that wait for a replica.
+SLOTS = 60
+# Delay of orders that no test waits for.
+NEVER_S = 100.0
+# Time in which the nodes retry a service that was not served.
+SETTLED_S = 4.0
 
 
 async def kill_holders(stack: WireStack, count: int) -> None:
@@ -93,3 +106,108 @@
 ) -> None:
     """Guards against lost orders: the next holder finds the primary back."""
     run_virtual(partial(promote_late, 1, late_s, down_s))
+
+
+async def wait_for_order(stack: WireStack, endpoint: str, verb: str) -> None:
+    """Wait until an endpoint has received a control statement."""
+    received = stack.group.endpoints[endpoint].request_counts
+    while not received[verb]:
+        await sleep(POLL_S)
+
+
+async def give_up_replacement(stack: WireStack) -> None:
+    """Let a failover end without a command, and send RESUME.
+
+    The leaving primary is not demoted, and one replica is not fenced.
+    """
+    endpoints = stack.group.endpoints
+    endpoints[PRIMARY].faults.late_orders = {'STEPDOWN': NEVER_S}
+    endpoints[REPLICAS[0]].faults.late_orders = {'PAUSE': NEVER_S}
+    endpoints[REPLICAS[1]].faults.late_orders = {'RESUME': NEVER_S}
+    entry = stack.endpoint_entry(PRIMARY, state='draining', capacity=SLOTS)
+    stack.store_state.put('servers', PRIMARY, entry)
+    await wait_for_order(stack, REPLICAS[1], 'RESUME')
+    assert stack.promotions.received == []
+    for name in REPLICAS:
+        endpoints[name].faults.late_orders = {}
+
+
+async def write_burst(
+    stack: WireStack, nursery: Nursery, writes: AcknowledgedWrites
+) -> None:
+    """Write through each node at once, for the duration of a promotion."""
+    for number in range(BURST_WRITES):
+        for node in stack.nodes:
+            mark = f'burst-{node}-{number}'
+            nursery.start_soon(writes.write, stack, mark, node)
+        await sleep(PROMOTION_DURATION_S / BURST_WRITES)
+
+
+async def resume_late(offset_s: float) -> None:
+    """Carry out a RESUME after the next failover's command."""
+    writes = AcknowledgedWrites()
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        await sleep(RECORDED_S)
+        start_writers(stack, nursery, writes)
+        await sleep(WRITING_S)
+        for each in stack.group.endpoints.values():
+            each.faults.max_connections = 2 * SLOTS
+        await give_up_replacement(stack)
+        await wait_for_command(stack)
+        candidate = stack.promotions.received[0].endpoint
+        await sleep(offset_s)
+        other = next(name for name in REPLICAS if name != candidate)
+        resumed = stack.group.endpoints[other]
+        resumed.terms.fenced = 0
+        stack.group.catch_up(resumed)
+        await write_burst(stack, nursery, writes)
+        await wait_until_served(stack, writes, GAP_BOUND_S)
+        await sleep(PROMOTED_S)
+        await wait_until_served(stack, writes, GAP_BOUND_S)
+        nursery.cancel_scope.cancel()
+    assert primary_of(stack).endpoint != PRIMARY
+    assert writes.missing(stack.group) == []
+
+
+@pytest.mark.parametrize('offset_s', [0, 0.05, 0.1, 0.15, 0.2, 0.25])
+def test_late_resume_drops_no_acknowledged_write(offset_s: float) -> None:
+    """Guards against lost orders: a fence ends while a promotion runs."""
+    run_virtual(partial(resume_late, offset_s))
+
+
+async def fence_late(late: tuple[str, ...], late_s: float) -> None:
+    """Carry out orders of a failover that was given up long before."""
+    writes = AcknowledgedWrites()
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        await sleep(RECORDED_S)
+        start_writers(stack, nursery, writes)
+        await sleep(WRITING_S)
+        endpoints = stack.group.endpoints
+        for name, each in endpoints.items():
+            delay_s = late_s if name in late else NEVER_S
+            each.faults.late_orders = {'PAUSE': delay_s, 'STEPDOWN': delay_s}
+        endpoints[PRIMARY].faults.cut_from_group = True
+        await wait_for_order(stack, REPLICAS[0], 'RESUME')
+        assert stack.promotions.received == []
+        endpoints[PRIMARY].faults.cut_from_group = False
+        for name, each in endpoints.items():
+            each.faults.late_orders = {}
+            stack.group.catch_up(each)
+        await wait_until_served(stack, writes, GAP_BOUND_S)
+        await watch_service(writes, late_s + SETTLED_S, GAP_BOUND_S)
+        await wait_until_served(stack, writes, GAP_BOUND_S)
+        nursery.cancel_scope.cancel()
+    assert writes.missing(stack.group) == []
+
+
+@pytest.mark.parametrize('late_s', [2, 5, 12])
+@pytest.mark.parametrize(
+    'late',
+    [(PRIMARY,), REPLICAS[:1], REPLICAS, (PRIMARY, *REPLICAS)],
+    ids=['demoted', 'one-fenced', 'both-fenced', 'all'],
+)
+def test_late_fence_stops_no_service_for_long(
+    late: tuple[str, ...], late_s: float
+) -> None:
+    """Guards against a group that a fence keeps from serving for ever."""
+    run_virtual(partial(fence_late, late, late_s))
