--- a/tests/test_commit_permits.py
+++ b/tests/test_commit_permits.py
@@ -18,7 +18,8 @@
     positions: dict[str, LogPosition], pending: str = ''
 ) -> CommitPermits:
     """Return permits that know where endpoints are."""
-    permits = CommitPermits(pending=pending)
+    permits = CommitPermits()
+    permits.add_pending(pending)
     permits.exclude(PRIMARY)
     permits.record(
         {
--- a/trefoilhitch/pooler/acknowledging/commit_permits.py
+++ b/trefoilhitch/pooler/acknowledging/commit_permits.py
@@ -23,14 +23,9 @@
     these are the commits that the endpoint held when its promotion was
     commanded. A command that an earlier holder left may take effect at any
     time, so it counts from the start.
-
-    Args:
-        pending: endpoint whose promotion an earlier holder may have commanded,
-            empty if there is none.
-
     """
 
-    def __init__(self, *, pending: str = '') -> None:
+    def __init__(self) -> None:
         """Start before the first command."""
         # Position that the promoted endpoint has to hold, None for any.
         self.floor: LogPosition | None = None
@@ -39,10 +34,18 @@
         # Ends of the logs of the endpoints that may be promoted by commands;
         # None if it is unknown.
         self._commanded: dict[str, LogPosition | None] = {}
-        if pending:
-            self._commanded[pending] = None
         self._primary = ''
 
+    def add_pending(self, endpoint: str) -> None:
+        """Add an endpoint whose promotion an earlier holder may have commanded.
+
+        Args:
+            endpoint: id of the endpoint, empty if there is none.
+
+        """
+        if endpoint:
+            self._commanded[endpoint] = None
+
     def exclude(self, endpoint: str) -> None:
         """Exclude the primary that is replaced: its own log proves nothing.
 
--- a/trefoilhitch/pooler/acknowledging/failover_commits.py
+++ b/trefoilhitch/pooler/acknowledging/failover_commits.py
@@ -1,6 +1,7 @@
 """The commits that the endpoint promoted by a failover has to hold."""
 
 from collections.abc import Callable, Collection
+from typing import Self
 
 from trio import Event
 
@@ -13,6 +14,7 @@
     EndpointControl,
     request_all,
 )
+from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.observations import later_position
 
 
@@ -23,8 +25,6 @@
         announcement: tells the nodes of the failover.
         control: requests the statuses of endpoints.
         members: returns the ids of all endpoints of the service.
-        pending: endpoint whose promotion an earlier holder may have commanded,
-            empty if there is none.
 
     """
 
@@ -33,16 +33,32 @@
         announcement: FailoverAnnouncement,
         control: EndpointControl,
         members: Callable[[], Collection[str]],
-        *,
-        pending: str,
     ) -> None:
         """Start before the nodes are told."""
         self.announcement = announcement
-        self.granted = CommitPermits(pending=pending)
+        self.granted = CommitPermits()
         self._control = control
         self._members = members
         self._update: Event | None = None
 
+    @classmethod
+    def from_plan(
+        cls,
+        deps: FailoverDependencies,
+        plan: FailoverPlan,
+        members: Callable[[], Collection[str]],
+    ) -> Self:
+        """Prepare for a failover.
+
+        Args:
+            deps: dependencies of the failover.
+            plan: what is replaced.
+            members: returns the ids of all endpoints of the service.
+
+        """
+        announcement = deps.announcer.begin(plan.service, plan.attempt)
+        return cls(announcement, deps.control, members)
+
     @property
     def floor(self) -> LogPosition | None:
         """Position that the promoted endpoint has to hold, None for any."""
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -76,7 +76,7 @@
         self._kept_primary = False
         # Whether an earlier holder left an unanswered command.
         self._inherited_command = False
-        self._commits = self._make_commits('')
+        self._commits = FailoverCommits.from_plan(deps, plan, self._holders)
 
     async def run(self, seen: ObservedLease) -> None:
         """Replace the primary.
@@ -91,7 +91,7 @@
                 read.
 
         """
-        self._commits = self._make_commits(seen.record.candidate)
+        self._commits.granted.add_pending(seen.record.candidate)
         with self._deps.attempts.running(self._plan.attempt, self._commits):
             await self._lease.acquire(seen, self._plan.attempt)
             now = self._deps.cluster.clock()
@@ -123,15 +123,6 @@
             return False
         return self._command.was_sent or self._inherited_command
 
-    def _make_commits(self, pending: str) -> FailoverCommits:
-        announcer = self._deps.announcer
-        return FailoverCommits(
-            announcer.begin(self._service, self._plan.attempt),
-            self._deps.control,
-            self._holders,
-            pending=pending,
-        )
-
     async def _run_steps(self) -> None:
         self._ensure_no_newer_primary()
         if not await self._deps.groups.learn(self._service):
