A failover waits for entries if a node did not answer its announcement

Cause: a node that does not answer the announcement may have passed acknowledgements on by an idle view until the promotion time, and the holder does not know of them. An endpoint that received them may not be listed yet.

Change: if a node that is not known to have failed has not answered, the command waits 0.5 s longer. An endpoint that is listed by then counts as one that has joined, and the next decision includes it.

What remains: an entry that arrives even later.

--- a/trefoilhitch/pooler/acknowledging/failover_announcement.py
+++ b/trefoilhitch/pooler/acknowledging/failover_announcement.py
@@ -107,6 +107,15 @@
         known = {beat.node for beat in self._announcer.membership.all_beats()}
         return sorted(known - self._answered)
 
+    @property
+    def lacks_answers(self) -> bool:
+        """Whether a node that may still acknowledge commits did not answer."""
+        beats = self._announcer.membership.all_beats()
+        return any(
+            beat.state != 'failed' and beat.node not in self._answered
+            for beat in beats
+        )
+
     async def send(self) -> None:
         """Tell the nodes that have not answered yet."""
         waiting = set(self.unanswered)
--- a/trefoilhitch/pooler/acknowledging/failover_commits.py
+++ b/trefoilhitch/pooler/acknowledging/failover_commits.py
@@ -17,6 +17,10 @@
 from trefoilhitch.pooler.failover_plan import FailoverDependencies, FailoverPlan
 from trefoilhitch.pooler.observations import later_position
 
+# Time from the first commit that an endpoint receives until it is listed, as
+# long as the store answers.
+LISTING_TIME_S = 0.5
+
 
 class FailoverCommits:
     """Collects what nodes have acknowledged before and during a failover.
@@ -64,6 +68,21 @@
         """Position that the promoted endpoint has to hold, None for any."""
         return later_position(self.announcement.floor, self.granted.floor)
 
+    def delay_promotion(self, promote_at: float) -> float:
+        """Return when a promotion may be commanded.
+
+        A node that did not answer may acknowledge commits until `promote_at`,
+        which only an endpoint has received that is not listed yet.
+
+        Args:
+            promote_at: time from which no view of the leases permits
+                acknowledgements.
+
+        """
+        if self.announcement.lacks_answers:
+            return promote_at + LISTING_TIME_S
+        return promote_at
+
     async def permits(self, position: LogPosition) -> bool:
         """Return whether the acknowledgement of a commit may be passed on.
 
--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -164,7 +164,7 @@
             fence=fence,
             command=self._command,
             context=PromotionContext(
-                self._promote_at,
+                self._commits.delay_promotion(self._promote_at),
                 self._holders,
                 self._ensure_no_newer_primary,
                 self._commits,
