--- a/trefoilhitch/pooler/acknowledged_positions.py
+++ b/trefoilhitch/pooler/acknowledged_positions.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         """Start without commits."""
         self._furthest: dict[str, LogPosition] = {}
+        # The same for the terms before that of the furthest commit.
+        self._earlier: dict[str, LogPosition] = {}
         # The shortest log observed in the latest term of each service.
         self._shortest_logs: dict[str, PrimaryObservation] = {}
         # Latest term of each service for which a missing commit was reported.
@@ -58,8 +60,12 @@
         shortest = self._shortest_logs.get(service)
         if shortest is not None:
             self._report_if_missing(position, shortest)
-        if not at_least(self._furthest.get(service, ORIGIN), position):
-            self._furthest[service] = position
+        furthest = self._furthest.get(service, ORIGIN)
+        if at_least(furthest, position):
+            return
+        if furthest.term not in {ORIGIN.term, position.term}:
+            self._earlier[service] = furthest
+        self._furthest[service] = position
 
     def furthest(self, service: str) -> LogPosition | None:
         """Return the position of the furthest acknowledged commit.
@@ -84,9 +90,10 @@
         known = self._shortest_logs.get(service, observation)
         shortest = min(known, observation, key=_log_order)
         self._shortest_logs[service] = shortest
-        furthest = self._furthest.get(service)
-        if furthest is not None:
-            self._report_if_missing(furthest, shortest)
+        for commits in (self._earlier, self._furthest):
+            acknowledged = commits.get(service)
+            if acknowledged is not None:
+                self._report_if_missing(acknowledged, shortest)
 
     def _report_if_missing(
         self, position: LogPosition, observation: PrimaryObservation
