Tests follow the steps of a failover instead of its duration

Evidence: in a whole run test_lost_lease_permits_the_use_of_a_replaced_primary and three cases of test_statement_priority.py failed.

Cause: the first restored the store 4 s after a split, 0.45 s after the promotion. All nodes are cut off from each other there, so that the promotion now waits 0.5 s longer for entries and came after the restoration. The others use a stand-in of the cluster state that lacks the observations.

Change: the store is restored 1 s after the promotion, whenever that is; by then the nodes know it through the lease. The promotion and the acknowledgements are required as before. The stand-in has observations.

--- a/tests/test_statement_priority.py
+++ b/tests/test_statement_priority.py
@@ -94,7 +94,11 @@
         breakers=CountingBreakers(),
         apply_load=lambda *_: None,
     )
-    cluster = SimpleNamespace(clock=current_time, proved_term=lambda _: 1)
+    cluster = SimpleNamespace(
+        clock=current_time,
+        proved_term=lambda _: 1,
+        observations=SimpleNamespace(newest=lambda _: None),
+    )
     sender = StatementSender(
         cluster=cast(ClusterState, cluster),
         executor=at_entry,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from trio import move_on_after, open_nursery, sleep
+from trio import fail_after, move_on_after, open_nursery, sleep
 
 from tests.support import with_virtual_clock
 from tests.test_replaced_primary import SPLIT_S, WriteHistory, split
@@ -36,6 +36,8 @@
 MANY_NODES = 15
 SPREAD_S = 3.0
 LEAVING = 'ledger-1'
+# Time in which nodes that are cut off from each other learn of a new primary.
+LEARNED_S = 1.0
 # Time in which a node compares its state with another one.
 EXCHANGE_S = 0.5
 
@@ -134,7 +136,10 @@
         cut_off = stack.nodes['node-0']
         async with open_nursery() as nursery:
             nursery.start_soon(history.write, stack, 'node-1')
-            await sleep(SPLIT_S / 2)
+            with fail_after(SPLIT_S):
+                while stack.group.term == 1:
+                    await sleep(0.1)
+            await sleep(LEARNED_S)
             stack.restore_store(copy)
             cut_off.store.faults.outage = False
             nursery.start_soon(history.read, stack, 'orders', 0)
