A late notice does not hide a later failover

What callers would see: an acknowledged commit that the promoted endpoint lacks.

Cause: a node kept one notice a service, the one that arrived last. That of an ended failover may arrive after that of the next one; the node asks the first holder, hears that nothing runs, and forgets both.

Evidence: found by reading; test_ended_failover_does_not_hide_another_one fails on the code before, which knows one notice.

Change: notices are kept by attempt, until a view of the leases shows them.

Measured: tests/test_late_notices.py and tests/test_commit_gate.py pass.

--- a/trefoilhitch/pooler/acknowledging/failover_notices.py
+++ b/trefoilhitch/pooler/acknowledging/failover_notices.py
@@ -21,11 +21,15 @@
 
 
 class FailoverNotices:
-    """Keeps the newest notice of each service."""
+    """Keeps the notices of each service.
+
+    A notice may arrive late, after that of a failover which began later.
+    """
 
     def __init__(self) -> None:
         """Start without notices."""
-        self._notices: dict[str, ReceivedNotice] = {}
+        # By service and attempt, the newest last.
+        self._notices: dict[str, dict[str, ReceivedNotice]] = {}
 
     def record(self, service: str, notice: ReceivedNotice) -> None:
         """Record that a failover has begun.
@@ -35,7 +39,9 @@
             notice: the failover.
 
         """
-        self._notices[service] = notice
+        notices = self._notices.setdefault(service, {})
+        notices.pop(notice.attempt, None)
+        notices[notice.attempt] = notice
 
     def discard(self, service: str, attempt: str) -> None:
         """Forget a failover that has ended.
@@ -45,24 +51,25 @@
             attempt: unique id of the failover.
 
         """
-        notice = self._notices.get(service)
-        if notice is not None and notice.attempt == attempt:
-            self._notices.pop(service)
+        self._notices.get(service, {}).pop(attempt, None)
 
     def newer_than(
         self, service: str, observed_at: float
     ) -> ReceivedNotice | None:
-        """Return the failover that a view of the leases may not show yet.
+        """Return a failover that a view of the leases may not show yet.
 
         Args:
             service: service name.
             observed_at: when the view was requested, on the same clock.
 
         Returns:
-            The newest notice, None if the view was requested after it arrived.
+            The newest notice, None if the view was requested after all.
 
         """
-        notice = self._notices.get(service)
-        if notice is None or notice.received_at < observed_at:
-            return None
-        return notice
+        newer = {
+            attempt: notice
+            for attempt, notice in self._notices.get(service, {}).items()
+            if notice.received_at >= observed_at
+        }
+        self._notices[service] = newer
+        return next(reversed(newer.values()), None)
