An accepted promotion counts as pending until its endpoint leads

What callers saw, in a test: 2 of 2 plays lose acknowledged writes if no node sees the new primary for more than 3 s and statements may take 8 s.

Cause: a failover whose command was accepted, but whose endpoint did not report its role in time, released the lease without a candidate. The lease counted as idle then, and still named the old primary, so that nodes passed acknowledgements of the old primary on.

Change: the candidate stays in the lease until an endpoint was seen to lead. The lease is not idle, and a later failover finishes it.

--- a/trefoilhitch/pooler/failover_runner.py
+++ b/trefoilhitch/pooler/failover_runner.py
@@ -73,7 +73,8 @@
         self._fence: GroupFence | None = None
         self._command = PromotionCommand(deps, plan, self._lease)
         self._promotion: FencedPromotion | None = None
-        self._kept_primary = False
+        # Whether an endpoint was seen to lead.
+        self._is_confirmed = False
         # Whether an earlier holder left an unanswered command.
         self._inherited_command = False
         self._commits = FailoverCommits.from_plan(deps, plan, self._holders)
@@ -118,10 +119,12 @@
 
     @property
     def _is_pending(self) -> bool:
-        """Whether an unanswered promotion command may still take effect."""
-        if self._command.was_answered or self._kept_primary:
+        """Whether a promotion command may still take effect unseen."""
+        if self._is_confirmed:
             return False
-        return self._command.was_sent or self._inherited_command
+        if self._command.was_sent:
+            return True
+        return self._inherited_command and not self._command.was_answered
 
     async def _run_steps(self) -> None:
         self._ensure_no_newer_primary()
@@ -171,6 +174,7 @@
             ),
         )
         promoted = await self._promotion.run()
+        self._is_confirmed = True
         self._record_primary(promoted)
         await self._lift_fences(above=promoted.status.term)
 
@@ -257,7 +261,7 @@
         if self._plan.reason not in KEEPING_REASONS:
             return False
         proved = Primary(self._service, primary, status.term)
-        self._kept_primary = True
+        self._is_confirmed = True
         self._lease.record_promotion(proved)
         self._deps.cluster.record_proof(
             proved, status.position, sent_at, 'succession'
