Nodes report acknowledged positions to each other

What callers saw, in tests: 9 of 9 plays lose acknowledged writes if the only replica that held them leaves, and the node that passed them on is killed, restarted or cut off before the primary crashes.

Cause: what clients know to be committed was kept by the node that told them, and a failover asks the nodes that it reaches.

Change: exchanges between nodes carry the furthest acknowledged positions of the 16 services whose commits are newest, and nodes pass on what they learn.

Why it works: a position survives as long as one node that was told of it.

--- a/trefoilhitch/_generated/peer.py
+++ b/trefoilhitch/_generated/peer.py
@@ -370,6 +370,16 @@
     ) = None
 
 
+class AcknowledgedReport(Message, frozen=True, kw_only=True):
+    """
+    A log position of a service that clients know to be committed.
+    """
+
+    service: str
+    term: Number
+    position: Number
+
+
 class EndpointLoad(Message, frozen=True, kw_only=True):
     """
     Load of an endpoint as a node observed it on its own statements.
@@ -456,6 +466,7 @@
     ] = 0
     proofs: list[LeadProof] = field(default_factory=list)
     commits: list[CommitReport] = field(default_factory=list)
+    acknowledged: list[AcknowledgedReport] = field(default_factory=list)
     loads: list[EndpointLoad] = field(default_factory=list)
     evacuations: EvacuationReport | None = None
 
--- a/trefoilhitch/pooler/acknowledged_positions.py
+++ b/trefoilhitch/pooler/acknowledged_positions.py
@@ -1,7 +1,8 @@
-"""Log positions of the commits whose acknowledgements a node passed on."""
+"""Log positions of the commits whose acknowledgements nodes passed on."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.observations import PrimaryObservation
@@ -26,7 +27,8 @@
     """Keeps the furthest acknowledged commit of each service.
 
     Only commits count whose clients were told of the success. The end of a
-    primary's log may lie further, and need not survive a failover.
+    primary's log may lie further, and need not survive a failover. Nodes report
+    their commits to each other, so that none is forgotten with a node.
     """
 
     def __init__(self) -> None:
@@ -34,6 +36,8 @@
         self._furthest: dict[str, LogPosition] = {}
         # The same for the terms before that of the furthest commit.
         self._earlier: dict[str, LogPosition] = {}
+        # The furthest commits that any node acknowledged, the newest last.
+        self._known: dict[str, LogPosition] = {}
         # The shortest log observed in the latest term of each service.
         self._shortest_logs: dict[str, PrimaryObservation] = {}
         # Latest term of each service for which a missing commit was reported.
@@ -60,6 +64,7 @@
         shortest = self._shortest_logs.get(service)
         if shortest is not None:
             self._report_if_missing(position, shortest)
+        self.merge(service, position)
         furthest = self._furthest.get(service, ORIGIN)
         if at_least(furthest, position):
             return
@@ -67,17 +72,42 @@
             self._earlier[service] = furthest
         self._furthest[service] = position
 
+    def merge(self, service: str, position: LogPosition) -> None:
+        """Record what some node has acknowledged.
+
+        Args:
+            service: service name.
+            position: log position of a commit.
+
+        """
+        if not at_least(self._known.get(service, ORIGIN), position):
+            self._known.pop(service, None)
+            self._known[service] = position
+
     def furthest(self, service: str) -> LogPosition | None:
-        """Return the position of the furthest acknowledged commit.
+        """Return the position of the furthest commit that is known.
 
         Args:
             service: service name.
 
         Returns:
-            The position, None if no acknowledgement was passed on.
+            The position, None if no acknowledgement is known.
+
+        """
+        return self._known.get(service)
+
+    def newest(self, count: int) -> dict[str, LogPosition]:
+        """Return the furthest commits of the services that changed last.
+
+        Args:
+            count: number of services.
+
+        Returns:
+            The positions by service, the newest first.
 
         """
-        return self._furthest.get(service)
+        services = islice(reversed(self._known), count)
+        return {service: self._known[service] for service in services}
 
     def observe(self, observation: PrimaryObservation) -> None:
         """Compare the log of a primary with the acknowledged commits.
--- a/trefoilhitch/pooler/peer_decoding.py
+++ b/trefoilhitch/pooler/peer_decoding.py
@@ -14,6 +14,7 @@
 from msgspec.json import encode
 
 from trefoilhitch._generated.peer import (
+    AcknowledgedReport,
     CommitReport,
     EndpointEntryReport,
     EntriesReply,
@@ -55,6 +56,7 @@
             'beats': _ItemList(MemberBeat, needs_first=True),
             'proofs': _ItemList(LeadProof),
             'commits': _ItemList(CommitReport),
+            'acknowledged': _ItemList(AcknowledgedReport),
         },
         MembersReply: {'beats': _ItemList(MemberBeat)},
         ProbeRequest: {'beats': _ItemList(MemberBeat)},
--- a/trefoilhitch/pooler/peer_dependencies.py
+++ b/trefoilhitch/pooler/peer_dependencies.py
@@ -17,6 +17,7 @@
 from trefoilhitch.pooler.held_rates import HeldRates
 from trefoilhitch.pooler.membership_view import MembershipView
 from trefoilhitch.pooler.peer_messages import (
+    acknowledged_reports,
     commit_reports,
     load_reports,
     primary_proofs,
@@ -124,6 +125,7 @@
         store_era=deps.store_era.current,
         proofs=primary_proofs(deps.cluster) if include_proofs else [],
         commits=commit_reports(deps.cluster),
+        acknowledged=acknowledged_reports(deps.cluster),
         evacuations=deps.evacuations.report() if deps.evacuations else None,
         loads=loads,
     )
--- a/trefoilhitch/pooler/peer_messages.py
+++ b/trefoilhitch/pooler/peer_messages.py
@@ -1,7 +1,12 @@
 """Builds the state that nodes send to peers, and applies received state."""
 
 from trefoilhitch._generated.messages import LogPosition
-from trefoilhitch._generated.peer import CommitReport, EndpointLoad, LeadProof
+from trefoilhitch._generated.peer import (
+    AcknowledgedReport,
+    CommitReport,
+    EndpointLoad,
+    LeadProof,
+)
 from trefoilhitch.pooler.balancing.endpoint_loads import MAX_REPORTS
 from trefoilhitch.pooler.balancing.position_observer import add_position
 from trefoilhitch.pooler.cluster_state import ClusterState
@@ -147,6 +152,42 @@
             )
 
 
+def acknowledged_reports(cluster: ClusterState) -> list[AcknowledgedReport]:
+    """Return what clients know to be committed, for another node.
+
+    A node that is lost takes no acknowledged commit along then.
+
+    Args:
+        cluster: state of this node.
+
+    Returns:
+        Reports of at most 16 services, those with the newest commits.
+
+    """
+    newest = cluster.acknowledged.newest(MAX_SERVICES_PER_MESSAGE)
+    return [
+        AcknowledgedReport(
+            service=service, term=position.term, position=position.position
+        )
+        for service, position in newest.items()
+    ]
+
+
+def apply_acknowledged_reports(
+    cluster: ClusterState, reports: list[AcknowledgedReport]
+) -> None:
+    """Apply the reports of another node on acknowledged commits.
+
+    Args:
+        cluster: state of this node.
+        reports: reports that the other node sent.
+
+    """
+    for report in reports:
+        position = LogPosition(term=report.term, position=report.position)
+        cluster.acknowledged.merge(report.service, position)
+
+
 def load_reports(cluster: ClusterState, now: float) -> list[EndpointLoad]:
     """Return what this node observed of endpoints, for another node.
 
--- a/trefoilhitch/pooler/peer_state_handler.py
+++ b/trefoilhitch/pooler/peer_state_handler.py
@@ -28,6 +28,7 @@
     make_exchange,
 )
 from trefoilhitch.pooler.peer_messages import (
+    apply_acknowledged_reports,
     apply_commit_reports,
     apply_load_reports,
     apply_proofs,
@@ -73,6 +74,7 @@
         membership.merge(exchange.beats)
         apply_proofs(self._deps.cluster, exchange.proofs, None)
         apply_commit_reports(self._deps.cluster, exchange.commits)
+        apply_acknowledged_reports(self._deps.cluster, exchange.acknowledged)
         if not exchange.beats:
             return make_exchange(self._deps, include_proofs=False, address='')
         sender = exchange.beats[0]
--- a/trefoilhitch/pooler/peer_sync.py
+++ b/trefoilhitch/pooler/peer_sync.py
@@ -22,6 +22,7 @@
     make_exchange,
 )
 from trefoilhitch.pooler.peer_messages import (
+    apply_acknowledged_reports,
     apply_commit_reports,
     apply_load_reports,
     apply_proofs,
@@ -111,6 +112,7 @@
         self._deps.membership.merge(reply.beats)
         apply_proofs(self._deps.cluster, reply.proofs, sent_at)
         apply_commit_reports(self._deps.cluster, reply.commits)
+        apply_acknowledged_reports(self._deps.cluster, reply.acknowledged)
         if self._deps.takes_loads(address):
             apply_load_reports(
                 self._deps.cluster, reply.loads, loads_sent_at, sent_at
