--- a/tests/client_writers.py
+++ b/tests/client_writers.py
@@ -25,7 +25,7 @@
 
     """
     for node in tuple(stack.nodes):
-        nursery.start_soon(_write_always, stack, writes, node)
+        nursery.start_soon(write_always, stack, writes, node)
 
 
 async def wait_until_served(
@@ -70,7 +70,7 @@
         assert current_time() - served_at < bound_s
 
 
-async def _write_always(
+async def write_always(
     stack: WireStack, writes: AcknowledgedWrites, node: str
 ) -> None:
     for number in count():
