--- /dev/null
+++ b/tests/test_late_listing.py
@@ -0,0 +1,62 @@
+"""A node without an answer acknowledges until its view of the leases expires."""
+
+from functools import partial
+
+import pytest
+from trio import open_nursery, sleep
+
+from tests.acknowledged_writes import AcknowledgedWrites
+from tests.group_changes import join
+from tests.support import run_virtual
+from tests.test_unlisted_endpoint import (
+    JOINING,
+    POLL_S,
+    cut_expired,
+    last_node,
+    write_always,
+)
+from tests.test_wire_failover import RECORDED_S, lease_holder
+from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
+
+# After the fences, which are set 0.75 s after the acquisition, and before the
+# view expires 0.9 s after it.
+JOINS_S = 0.76
+# Age of the node's view when the lease is acquired, at most.
+VIEW_AGE_S = 0.02
+SETTLED_S = 1.0
+
+
+async def keep_view_fresh(stack: WireStack, name: str) -> None:
+    """Have a node read the leases often until a failover holds one."""
+    while not lease_holder(stack):
+        stack.nodes[name].node._parts.leases.refresh(VIEW_AGE_S)  # noqa: SLF001
+        await sleep(POLL_S)
+
+
+async def play(listed_after_s: float) -> None:
+    """Let only the primary and a newcomer hold what the node acknowledges."""
+    writes = AcknowledgedWrites()
+    async with running_wire_stack() as stack, open_nursery() as nursery:
+        await sleep(RECORDED_S)
+        assert await writes.write(stack, 'before', 'node-1') == ''
+        reaching = last_node(stack)
+        nursery.start_soon(write_always, stack, writes, reaching)
+        nursery.start_soon(keep_view_fresh, stack, reaching)
+        await cut_expired(stack, reaching)
+        stack.peers_cut = True
+        stack.nodes[reaching].store.faults.outage = True
+        await sleep(JOINS_S)
+        await join(stack, nursery, JOINING, listed_after_s=listed_after_s)
+        while not stack.promotions.completed:
+            await sleep(POLL_S)
+        await sleep(SETTLED_S)
+        nursery.cancel_scope.cancel()
+    assert writes.missing(stack.group) == []
+
+
+@pytest.mark.parametrize('listed_after_s', [0.1, 0.4, 0.7, 1, 2])
+def test_late_listing_drops_no_acknowledged_write(
+    listed_after_s: float,
+) -> None:
+    """Guards against lost writes that a newcomer received after the fences."""
+    run_virtual(partial(play, listed_after_s))
