--- a/tests/test_late_listing.py
+++ b/tests/test_late_listing.py
@@ -24,6 +24,8 @@
 # Age of the node's view when the lease is acquired, at most.
 VIEW_AGE_S = 0.02
 SETTLED_S = 1.0
+# Time after which nodes that are cut off from each other count as failed.
+FAILED_S = 8.0
 
 
 async def keep_view_fresh(stack: WireStack, name: str) -> None:
@@ -33,12 +35,14 @@
         await sleep(POLL_S)
 
 
-async def play(listed_after_s: float) -> None:
+async def play(listed_after_s: float, cut_s: float = 0) -> None:
     """Let only the primary and a newcomer hold what the node acknowledges."""
     writes = AcknowledgedWrites()
     async with running_wire_stack() as stack, open_nursery() as nursery:
         await sleep(RECORDED_S)
         assert await writes.write(stack, 'before', 'node-1') == ''
+        stack.peers_cut = bool(cut_s)
+        await sleep(cut_s)
         reaching = last_node(stack)
         nursery.start_soon(write_always, stack, writes, reaching)
         nursery.start_soon(keep_view_fresh, stack, reaching)
@@ -60,3 +64,11 @@
 ) -> None:
     """Guards against lost writes that a newcomer received after the fences."""
     run_virtual(partial(play, listed_after_s))
+
+
+@pytest.mark.parametrize('listed_after_s', [0.1, 0.4, 0.7])
+def test_node_taken_for_failed_drops_no_acknowledged_write(
+    listed_after_s: float,
+) -> None:
+    """Guards against lost writes of a node that only other nodes miss."""
+    run_virtual(partial(play, listed_after_s, FAILED_S))
