--- a/trefoilhitch_lab/stack.py
+++ b/trefoilhitch_lab/stack.py
@@ -148,14 +148,29 @@
         )
         for service in self.deployment.services:
             for data_centre in self.deployment.regions:
-                await self._start_endpoint(service, data_centre)
+                await self._start_endpoint(
+                    f'{service}-{data_centre}', service, data_centre
+                )
         for tenant in self.deployment.tenants:
             self.keys[tenant.name] = self._create_key(tenant.name)
-        await Publisher(HttpObjectStore(self._store_address)).apply(
-            self.bundle(),
-            base=0,
-            operator='lab',
+        await self._publish_bundle()
+
+    async def replace_endpoint(self, replaced: str, successor: str) -> None:
+        """Declare an empty endpoint in place of one, which goes on running.
+
+        Args:
+            replaced: name of the endpoint that is declared no more.
+            successor: name of the endpoint that starts in its data centre.
+
+        """
+        removed = next(
+            each for each in self._declared_endpoints if each.name == replaced
+        )
+        self._declared_endpoints.remove(removed)
+        await self._start_endpoint(
+            successor, removed.service, removed.data_centre
         )
+        await self._publish_bundle()
 
     def bundle(self) -> Bundle:
         """Return the configuration to publish."""
@@ -331,8 +346,18 @@
         finally:
             running.stopped.set()
 
-    async def _start_endpoint(self, service: str, data_centre: str) -> None:
-        name = f'{service}-{data_centre}'
+    async def _publish_bundle(self) -> None:
+        publisher = Publisher(HttpObjectStore(self._store_address))
+        published = await publisher.current()
+        await publisher.apply(
+            self.bundle(),
+            base=published.head.revision,
+            operator='lab',
+        )
+
+    async def _start_endpoint(
+        self, name: str, service: str, data_centre: str
+    ) -> None:
         server = EndpointServer(
             name=name,
             slots=self.deployment.slots,
