An acknowledgement that waits is answered by the statement's deadline

What callers would see: an answer up to 1 s after the deadline, or none.

Cause: the wait for a failover's end was checked against the deadline between two attempts; one attempt may take 0.6 s at the holder and 0.45 s a replica.

Evidence: read by an independent reviewer; test_holder_that_never_answers_delays_no_answer_to_the_client does not end on the code before.

Change: the attempts are cancelled at the deadline, and the client is told that the outcome is unknown.

--- a/tests/test_commit_gate.py
+++ b/tests/test_commit_gate.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 import pytest
-from trio import current_time, open_nursery, sleep
+from trio import current_time, open_nursery, sleep, sleep_forever
 
 from tests.support import make_cluster, run_virtual
 from trefoilhitch._generated.messages import LogPosition
@@ -48,6 +48,7 @@
         self.asked: list[str] = []
         self.is_held = False
         self.denies = False
+        self.hangs = False
         self.leases = LeaseObserver(
             read_view=self._read,
             clock=current_time,
@@ -75,6 +76,8 @@
         """Answer as the node that runs the failover."""
         assert (address, position) == (HOLDER, POSITION)
         self.asked.append(attempt)
+        if self.hangs:
+            await sleep_forever()
         if self.denies:
             return CommitPermitReply(running=True)
         return self.replies.pop(0) if self.replies else None
@@ -161,6 +164,17 @@
     play(replace(HELD, candidate='b'), steps)
 
 
+def test_holder_that_never_answers_delays_no_answer_to_the_client() -> None:
+    """Guards against clients that get no answer by their deadline."""
+
+    async def steps(parts: Parts) -> None:
+        parts.hangs = True
+        assert not await parts.admit()
+        assert current_time() == WAIT_S
+
+    play(HELD, steps)
+
+
 def test_holder_that_has_not_commanded_yet_will_find_a_commit() -> None:
     """Guards against writes that wait for a holder that was lost."""
 
--- a/trefoilhitch/pooler/acknowledging/commit_gate.py
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -7,7 +7,7 @@
 
 from enum import Enum
 
-from trio import current_time, sleep
+from trio import move_on_at, sleep
 
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
@@ -93,12 +93,9 @@
             # No replica had to receive it, so that it need not survive.
             self._record(commit)
             return True
-        answered_at = self._cluster.clock()
-        verdict = await self._judge(commit, answered_at)
-        while verdict == Verdict.UNDECIDED and self._may_wait(commit):
-            self._leases.refresh(HELD_VIEW_AGE_S)
-            await sleep(RETRY_PAUSE_S)
-            verdict = await self._judge(commit, answered_at)
+        verdict = Verdict.UNDECIDED
+        with move_on_at(commit.deadline):
+            verdict = await self._wait_for_verdict(commit)
         self._metrics.count('acknowledgements', verdict.value)
         if verdict in _ADMITTING:
             self._record(commit)
@@ -112,12 +109,18 @@
         )
         return False
 
+    async def _wait_for_verdict(self, commit: AcknowledgedCommit) -> Verdict:
+        answered_at = self._cluster.clock()
+        verdict = await self._judge(commit, answered_at)
+        while verdict == Verdict.UNDECIDED:
+            self._leases.refresh(HELD_VIEW_AGE_S)
+            await sleep(RETRY_PAUSE_S)
+            verdict = await self._judge(commit, answered_at)
+        return verdict
+
     def _record(self, commit: AcknowledgedCommit) -> None:
         self._cluster.acknowledged.record(commit.service, commit.reached)
 
-    def _may_wait(self, commit: AcknowledgedCommit) -> bool:
-        return current_time() + RETRY_PAUSE_S < commit.deadline
-
     async def _judge(
         self, commit: AcknowledgedCommit, answered_at: float
     ) -> Verdict:
