The emulated group replicates only between endpoints that run

Faults of the stand-in that a search over failovers met:

- A replica caught up from a primary that was down, so that it received commits that no running endpoint could have sent.
- An endpoint that left while its promotion was under way led the group afterwards, and nobody else did.
The command is refused now.
- A session that waits for a replica kept its connection for ever if its endpoint crashed, or lost the commit to the log of another primary.
Once 30 had piled up, an endpoint that led again refused all with CONNLIMIT.
Crashed endpoints have no connections now, and a discarded commit closes its own.

--- a/trefoilhitch_lab/wire_endpoint.py
+++ b/trefoilhitch_lab/wire_endpoint.py
@@ -1,5 +1,6 @@
 """Emulated endpoint of the wire protocol: log, role and fault switches."""
 
+from bisect import bisect_right
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -147,6 +148,11 @@
         """Unix time of its start in ms, as its entry names it."""
         return self._start_count
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether it runs and exchanges commits with its group."""
+        return not (self.faults.down or self.faults.cut_from_group)
+
     @property
     def position(self) -> tuple[int, int]:
         """Position of the last received commit."""
@@ -189,6 +195,8 @@
         self.faults.down = True
         for stream in self._open_streams:
             stream.socket.close()
+        # Sessions that wait for a commit notice later that they were closed.
+        self._open_streams.clear()
 
     def restart(self, *, keeps_log: bool) -> None:
         """Accept connections again after a crash, without a fence.
@@ -218,11 +226,8 @@
 
         """
         if self.position < entry.position:
-            self.log = [
-                sent_entry
-                for sent_entry in primary.log
-                if sent_entry.position <= entry.position
-            ]
+            end = bisect_right(primary.log, entry.position, key=_position)
+            self.log = primary.log[:end]
             self.applied_count = min(self.applied_count, len(self.log))
 
     async def _accept(self, listener: SocketListener) -> None:
@@ -316,3 +321,7 @@
             self.request_counts['CONNLIMIT'] += 1
             return 'CONNLIMIT', organisation
         return '', organisation
+
+
+def _position(entry: LogEntry) -> tuple[int, int]:
+    return entry.position
--- a/trefoilhitch_lab/wire_group.py
+++ b/trefoilhitch_lab/wire_group.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from trio import Event, Nursery, sleep
+from trio import BrokenResourceError, Event, Nursery, sleep
 
 from trefoilhitch_lab.prepared_names import HeldPeak
 from trefoilhitch_lab.wire_endpoint import WireEndpoint
@@ -24,15 +24,20 @@
     """A commit that waits until enough replicas hold it.
 
     Args:
+        primary: endpoint that made the commit.
         entry: the commit.
         holders: ids of the replicas that hold it.
-        replicated: set once they are enough.
+        is_discarded: whether the endpoint has replaced it by another
+            primary's log.
+        ended: set once they are enough, or it is discarded.
 
     """
 
+    primary: WireEndpoint
     entry: LogEntry
     holders: set[str] = field(default_factory=set)
-    replicated: Event = field(default_factory=Event)
+    is_discarded: bool = False
+    ended: Event = field(default_factory=Event)
 
 
 class WireGroup:
@@ -114,6 +119,10 @@
             writes: the written texts by row name.
             request_ids: ids of the statements that wrote them.
 
+        Raises:
+            BrokenResourceError: the endpoint has discarded the commit; its
+                connection closes without an answer.
+
         """
         entry = LogEntry(
             primary.terms.known,
@@ -123,7 +132,7 @@
         )
         primary.log.append(entry)
         primary.applied_count = len(primary.log)
-        pending = _PendingCommit(entry)
+        pending = _PendingCommit(primary, entry)
         self._pending.append(pending)
         for replica in self.endpoints.values():
             if replica is not primary and self._nursery is not None:
@@ -132,9 +141,11 @@
                 )
         try:
             if self._sync_replicas:
-                await pending.replicated.wait()
+                await pending.ended.wait()
         finally:
             self._pending.remove(pending)
+        if pending.is_discarded:
+            raise BrokenResourceError('the commit was discarded')
         self.acknowledged_entries.append(entry)
 
     async def promote(self, endpoint: str) -> bool:
@@ -144,7 +155,8 @@
             endpoint: id of the endpoint.
 
         Returns:
-            False if the endpoint is unknown or down.
+            False if the endpoint is unknown or down, or has left the group by
+            the time the promotion takes effect.
 
         """
         candidate = self.endpoints.get(endpoint)
@@ -153,6 +165,8 @@
         if candidate.is_primary:
             return True
         await sleep(PROMOTION_DURATION_S)
+        if self.endpoints.get(endpoint) is not candidate:
+            return False
         self.lost_entries.extend(
             entry
             for entry in self.acknowledged_entries
@@ -166,7 +180,7 @@
         return True
 
     def catch_up(self, replica: WireEndpoint) -> None:
-        """Copy the primary's log to a replica, unless either is cut off.
+        """Copy the primary's log to a replica, if both run and are connected.
 
         Commits that waited for a replica are acknowledged.
 
@@ -175,17 +189,14 @@
 
         """
         primary = self.primary
-        is_cut = replica.faults.cut_from_group or replica.terms.fenced
-        if (
-            primary is None
-            or replica is primary
-            or is_cut
-            or primary.faults.cut_from_group
-        ):
+        if primary is None or replica is primary or replica.terms.fenced:
+            return
+        if not (primary.is_connected and replica.is_connected):
             return
         replica.log = list(primary.log)
         replica.terms.known = max(replica.terms.known, primary.terms.known)
         replica.applied_count = min(replica.applied_count, len(replica.log))
+        self._end_discarded(replica)
         for pending in self._pending:
             if any(entry is pending.entry for entry in replica.log):
                 self._record_holder(pending, replica)
@@ -225,23 +236,37 @@
     ) -> None:
         await sleep(replica.faults.receive_delay_s)
         entry = pending.entry
-        is_cut = primary.faults.cut_from_group or replica.faults.cut_from_group
-        is_down = primary.faults.down or replica.faults.down
-        if is_cut or is_down or replica.terms.fenced:
+        if not (primary.is_connected and replica.is_connected):
+            return
+        if replica.terms.fenced:
             return
         # Commits that a demoted primary had made still reach its replicas.
         if not primary.terms.known == entry.term == replica.terms.known:
             return
         replica.receive_entry(primary, entry)
+        self._end_discarded(replica)
         self._record_holder(pending, replica)
         self._schedule_apply(replica)
 
+    def _end_discarded(self, replaced: WireEndpoint) -> None:
+        """End the commits that a replaced primary's log lacks.
+
+        A session that waits for such a commit would hold one of the
+        endpoint's connections for ever.
+        """
+        for pending in self._pending:
+            if pending.primary is replaced and not any(
+                entry is pending.entry for entry in replaced.log
+            ):
+                pending.is_discarded = True
+                pending.ended.set()
+
     def _record_holder(
         self, pending: _PendingCommit, replica: WireEndpoint
     ) -> None:
         pending.holders.add(replica.endpoint)
         if len(pending.holders) >= self._sync_replicas:
-            pending.replicated.set()
+            pending.ended.set()
 
     def _schedule_apply(self, replica: WireEndpoint) -> None:
         if self._nursery is not None:
