--- a/trefoilhitch_lab/wire_stack.py
+++ b/trefoilhitch_lab/wire_stack.py
@@ -176,6 +176,12 @@
         self.capacities: Mapping[str, int] = MappingProxyType({})
         # While set, no node answers another one.
         self.peers_cut = False
+        # Names of the nodes that answer no other node.
+        self.silent_peers: set[str] = set()
+        # Ids of the endpoints that write no entries.
+        self.unlisted: set[str] = set()
+        # State in an endpoint's entry by id, 'ready' if it is not contained.
+        self.entry_states: dict[str, str] = {}
         self._nursery = nursery
         self._random = Random(seed)
         self._log = log
@@ -200,10 +206,10 @@
         await self.wait_until_ready()
 
     def register_endpoints(self) -> None:
-        """Write the entry of each endpoint to the store."""
-        for endpoint in self.group.endpoints.values():
-            spec = self.endpoint_entry(endpoint.endpoint)
-            self.store_state.put('servers', endpoint.endpoint, spec)
+        """Write the entries of all endpoints that write entries."""
+        for name in self.group.endpoints:
+            if name not in self.unlisted:
+                self.store_state.put('servers', name, self.endpoint_entry(name))
 
     def restore_store(self, copy: StoreCopy) -> None:
         """Restore the store; operators and endpoints write again.
@@ -236,7 +242,7 @@
             'zone': server.data_centre,
             'config_version': 'v1',
             'capacity': 5,
-            'state': 'ready',
+            'state': self.entry_states.get(endpoint, 'ready'),
             'cold_remaining_ms': 0,
             'db_role': 'primary' if server.is_primary else 'replica',
             'sequence': 1,
@@ -306,7 +312,9 @@
         with running.scope:
             async with open_nursery() as nursery:
                 peers = SharedHandlerFactory(
-                    _CuttablePeerHandler(self, running.node.peer_handler)
+                    _CuttablePeerHandler(
+                        self, running.cfg.node, running.node.peer_handler
+                    )
                 )
                 server = HttpServer(
                     factory=peers,
@@ -360,20 +368,22 @@
 
     Args:
         stack: stack of the node.
+        name: name of the node.
         request_handler: handler of the node.
 
     """
 
     def __init__(
-        self, stack: WireStack, request_handler: RequestHandler
+        self, stack: WireStack, name: str, request_handler: RequestHandler
     ) -> None:
         """Wrap a handler."""
         self._stack = stack
+        self._name = name
         self._request_handler = request_handler
 
     async def respond(self, req: HttpRequest) -> HttpResponse:
-        """Answer a request, or never while the nodes are cut off."""
-        if self._stack.peers_cut:
+        """Answer a request, or never while the node is cut off."""
+        if self._stack.peers_cut or self._name in self._stack.silent_peers:
             await sleep_forever()
         return await self._request_handler.respond(req)
 
