A failover whose holder does not answer is not taken for ended while the store is silent

What callers would see: an acknowledged commit that the promoted endpoint lacks.

Cause: a node that knows of a held lease, and hears neither from the store nor from the holder, took a replica's answer for proof. A replica that was unfenced for a moment, by a late RESUME, confirms a commit that the promoted endpoint lacks.

Change: without an answer of a holder that the last view names, an acknowledgement waits for the store. Only a holder that denies the attempt ends it.

--- a/tests/test_commit_gate.py
+++ b/tests/test_commit_gate.py
@@ -33,6 +33,8 @@
 ATTEMPT = 'attempt'
 HELD = LeaseRecord(1, 1, 'node', HOLDER, ATTEMPT)
 WAIT_S = 1
+# Longer than a view of the leases is used.
+EXPIRED_S = 2
 POSITION = LogPosition(term=1, position=25)
 
 
@@ -164,6 +166,21 @@
     play(replace(HELD, candidate='b'), steps)
 
 
+def test_silent_holder_and_silent_store_hold_a_commit_back() -> None:
+    """Guards against a failover that goes on out of reach."""
+
+    async def steps(parts: Parts) -> None:
+        parts.is_held = True
+        parts.denies = True
+        assert not await parts.admit()
+        parts.denies = False
+        parts.lease = None
+        await sleep(EXPIRED_S)
+        assert not await parts.admit()
+
+    play(HELD, steps)
+
+
 def test_holder_that_never_answers_delays_no_answer_to_the_client() -> None:
     """Guards against clients that get no answer by their deadline."""
 
--- a/tests/test_resume_without_store.py
+++ b/tests/test_resume_without_store.py
@@ -40,7 +40,8 @@
         stack.peers_cut = isolated
         await wait_for_lease(stack)
         await sleep(SEEN_S)
-        stack.nodes[reaching].store.faults.outage = True
+        node = stack.nodes[reaching]
+        node.store.faults.outage = True
         await wait_for_command(stack)
         candidate = stack.promotions.received[0].endpoint
         other = next(name for name in REPLICAS if name != candidate)
@@ -52,7 +53,7 @@
             await sleep(POLL_S)
         await sleep(SETTLED_S)
         nursery.cancel_scope.cancel()
-    assert writes.missing(stack.group) == []
+    assert not writes.missing(stack.group)
 
 
 @pytest.mark.parametrize('isolated', [False, True])
--- a/tests/test_unlisted_endpoint_transactions.py
+++ b/tests/test_unlisted_endpoint_transactions.py
@@ -55,7 +55,5 @@
         unlisted, 'AcknowledgedWrites', AcknowledgedTransactions
     )
     run_virtual(
-        partial(
-            unlisted.play, unlisted.SPLITS[split], delay_s, listed_after_s
-        )
+        partial(unlisted.play, unlisted.SPLITS[split], delay_s, listed_after_s)
     )
--- a/trefoilhitch/pooler/acknowledging/commit_gate.py
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -34,10 +34,16 @@
     PERMITTED = 'permitted'
     CONFIRMED = 'confirmed'
     UNDECIDED = 'undecided'
+    # The node that runs a failover gave no answer.
+    UNANSWERED = 'unanswered'
+    # The failover that was asked for runs no more.
+    ENDED = 'ended'
     SUPERSEDED = 'superseded'
 
 
 _ADMITTING = frozenset((Verdict.IDLE, Verdict.PERMITTED, Verdict.CONFIRMED))
+_FINAL = _ADMITTING | {Verdict.SUPERSEDED}
+_ANSWERS_OF_RUNNING = frozenset((Verdict.PERMITTED, Verdict.UNDECIDED))
 
 
 class CommitGate:
@@ -112,7 +118,7 @@
     async def _wait_for_verdict(self, commit: AcknowledgedCommit) -> Verdict:
         answered_at = self._cluster.clock()
         verdict = await self._judge(commit, answered_at)
-        while verdict == Verdict.UNDECIDED:
+        while verdict not in _FINAL:
             self._leases.refresh(HELD_VIEW_AGE_S)
             await sleep(RETRY_PAUSE_S)
             verdict = await self._judge(commit, answered_at)
@@ -130,8 +136,7 @@
         view = self._leases.view
         notice = self._notices.newer_than(commit.service, view.observed_at)
         if notice is not None:
-            verdict = await self._ask(commit, notice.address, notice.attempt)
-            return verdict or Verdict.UNDECIDED
+            return await self._ask(commit, notice.address, notice.attempt)
         if is_permitted:
             return Verdict.IDLE
         return await self._judge_lease(commit, view, answered_at)
@@ -145,8 +150,10 @@
             return Verdict.SUPERSEDED
         if lease.belongs_to_era and lease.address and lease.attempt:
             verdict = await self._ask(commit, lease.address, lease.attempt)
-            if verdict is not None:
+            if verdict in _ANSWERS_OF_RUNNING:
                 return verdict
+            # A failover that is not known to have ended may go on.
+            is_expired = is_expired and verdict == Verdict.ENDED
         # Without a candidate, a command follows the endpoint's answer.
         precedes_commands = (
             not lease.candidate and view.observed_at > answered_at
@@ -157,19 +164,14 @@
 
     async def _ask(
         self, commit: AcknowledgedCommit, address: str, attempt: str
-    ) -> Verdict | None:
-        """Ask the node that runs a failover.
-
-        Returns:
-            None if it does not run there any more, or without an answer.
-
-        """
+    ) -> Verdict:
+        """Ask the node that runs a failover."""
         reply = await self._permits.request(address, attempt, commit.position)
         if reply is None:
-            return None
+            return Verdict.UNANSWERED
         if not reply.running:
             self._notices.discard(commit.service, attempt)
-            return None
+            return Verdict.ENDED
         if self._is_announced_meanwhile(commit.service, attempt):
             return Verdict.UNDECIDED
         return Verdict.PERMITTED if reply.permitted else Verdict.UNDECIDED
