A view from before a promotion supersedes no commit of the new primary

What callers saw: outcome unknown for commits right after a failover, through nodes whose view of the leases was up to 0.9 s old.

Cause: an idle lease that names another primary counted as proof that the one which acknowledged had been replaced. The view may be older than its promotion.

Change: only a lease of a later term than the commit supersedes it; otherwise the view is renewed. The test of a replaced primary names its term.

--- a/tests/test_commit_gate.py
+++ b/tests/test_commit_gate.py
@@ -214,16 +214,28 @@
 def test_commit_waits_until_the_lease_is_idle_again() -> None:
     async def steps(parts: Parts) -> None:
         async with open_nursery() as nursery:
-            nursery.start_soon(_release, parts, PRIMARY)
+            nursery.start_soon(_release, parts, PRIMARY, POSITION.term)
             assert await parts.admit()
 
     play(HELD, steps)
 
 
+def test_view_from_before_a_promotion_supersedes_no_commit() -> None:
+    """Guards against unknown outcomes right after each failover."""
+
+    async def steps(parts: Parts) -> None:
+        await parts.leases.permits(SERVICE, 'b')
+        async with open_nursery() as nursery:
+            nursery.start_soon(_release, parts, PRIMARY, POSITION.term)
+            assert await parts.admit()
+
+    play(LeaseRecord(token=1, primary='b', term=0), steps)
+
+
 def test_commit_of_a_replaced_primary_is_withheld() -> None:
     async def steps(parts: Parts) -> None:
         async with open_nursery() as nursery:
-            nursery.start_soon(_release, parts, 'b')
+            nursery.start_soon(_release, parts, 'b', POSITION.term + 1)
             assert not await parts.admit()
         assert current_time() < WAIT_S
 
@@ -255,6 +267,6 @@
     play(None, steps)
 
 
-async def _release(parts: Parts, primary: str) -> None:
+async def _release(parts: Parts, primary: str, term: int) -> None:
     await sleep(0.4)
-    parts.lease = LeaseRecord(token=1, primary=primary, term=1)
+    parts.lease = LeaseRecord(token=1, primary=primary, term=term)
--- a/trefoilhitch/pooler/acknowledging/commit_gate.py
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -54,7 +54,7 @@
         leases: tells whether a failover may be under way.
         notices: the failovers that were announced to this node.
         permits: asks the nodes that run failovers.
-        confirmer: asks replicas while the store does not answer.
+        confirmer: asks replicas if no node tells which commits survive.
         log: records acknowledgements that are withheld.
         metrics: counts the verdicts.
 
@@ -147,7 +147,9 @@
         lease = view.listing.get(commit.service)
         is_expired = view.is_expired(self._cluster.clock())
         if is_idle(lease) and not is_expired:
-            return Verdict.SUPERSEDED
+            # A view from before a promotion names the primary before that.
+            is_replaced = lease.term > commit.position.term
+            return Verdict.SUPERSEDED if is_replaced else Verdict.UNDECIDED
         if lease.belongs_to_era and lease.address and lease.attempt:
             verdict = await self._ask(commit, lease.address, lease.attempt)
             if verdict in _ANSWERS_OF_RUNNING:
