--- a/trefoilhitch/pooler/unfinished_leases.py
+++ b/trefoilhitch/pooler/unfinished_leases.py
@@ -10,7 +10,7 @@
 from trefoilhitch.pooler.lease import LEASE_DURATION_S
 from trefoilhitch.pooler.lease_view import LeaseView, is_idle
 
-# A holder that still runs writes its lease more often than that.
+# A lease that its holder does not renew has expired by then.
 HELD_TOO_LONG_S = LEASE_DURATION_S + 0.5
 
 
