At most eight announced failovers of a service are kept

What operators would see: memory that grows on a node without commits while a failover is tried again and again.

Cause: notices are dropped when a commit looks at them.

Change: the newest eight are kept. Failovers of one service follow each other.

Measured: tests/test_late_notices.py and tests/test_commit_gate.py pass.

--- a/tests/test_late_notices.py
+++ b/tests/test_late_notices.py
@@ -1,6 +1,7 @@
 """Failovers that were announced to a node."""
 
 from trefoilhitch.pooler.acknowledging.failover_notices import (
+    MAX_NOTICES_PER_SERVICE,
     FailoverNotices,
     ReceivedNotice,
 )
@@ -44,3 +45,17 @@
     notices.discard('stock', FIRST.attempt)
     assert notices.newer_than('stock', 0) is None
     assert notices.newer_than(SERVICE, 0) == FIRST
+
+
+def test_failovers_without_commits_are_not_kept_for_ever() -> None:
+    """Guards against memory that grows while a failover is tried again."""
+    notices = FailoverNotices()
+    for number in range(MAX_NOTICES_PER_SERVICE + 1):
+        notice = ReceivedNotice(str(number), FIRST.address, number)
+        notices.record(SERVICE, notice)
+    for number in range(MAX_NOTICES_PER_SERVICE, 0, -1):
+        newest = notices.newer_than(SERVICE, 0)
+        assert newest is not None
+        assert newest.attempt == str(number)
+        notices.discard(SERVICE, newest.attempt)
+    assert notices.newer_than(SERVICE, 0) is None
--- a/trefoilhitch/pooler/acknowledging/failover_notices.py
+++ b/trefoilhitch/pooler/acknowledging/failover_notices.py
@@ -20,6 +20,10 @@
     received_at: float
 
 
+# Failovers of one service follow each other, so that only the newest may run.
+MAX_NOTICES_PER_SERVICE = 8
+
+
 class FailoverNotices:
     """Keeps the notices of each service.
 
@@ -42,6 +46,8 @@
         notices = self._notices.setdefault(service, {})
         notices.pop(notice.attempt, None)
         notices[notice.attempt] = notice
+        if len(notices) > MAX_NOTICES_PER_SERVICE:
+            notices.pop(next(iter(notices)))
 
     def discard(self, service: str, attempt: str) -> None:
         """Forget a failover that has ended.
