One check whether a log contains a commit, as far as its end tells

The permits of a failover and the confirmation by replicas compared positions of one term in the same way, each in its own words. Both call position.contains now.

--- a/trefoilhitch/pooler/acknowledging/commit_permits.py
+++ b/trefoilhitch/pooler/acknowledging/commit_permits.py
@@ -6,6 +6,7 @@
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.observations import later_position
 from trefoilhitch.pooler.ports import EndpointStatus
+from trefoilhitch.position import contains
 
 
 class PermitSource(Protocol):
@@ -100,20 +101,9 @@
     def _survives(self, position: LogPosition) -> bool:
         if self._commanded:
             return all(
-                _contains(log_end, position)
+                log_end is not None and contains(log_end, position)
                 for log_end in self._commanded.values()
             )
         return any(
-            _contains(log_end, position) for log_end in self._log_ends.values()
+            contains(log_end, position) for log_end in self._log_ends.values()
         )
-
-
-def _contains(log_end: LogPosition | None, position: LogPosition) -> bool:
-    """Return whether a log contains a position, as far as its end tells.
-
-    The end of a log in a later term does not tell which commits of an earlier
-    term it contains.
-    """
-    if log_end is None or log_end.term != position.term:
-        return False
-    return log_end.position >= position.position
--- a/trefoilhitch/pooler/primary_confirmation.py
+++ b/trefoilhitch/pooler/primary_confirmation.py
@@ -13,6 +13,7 @@
 
 from trefoilhitch._generated.messages import LogPosition
 from trefoilhitch.pooler.ports import EndpointStatus
+from trefoilhitch.position import contains
 
 
 def needed_confirmations(sync_replicas: int) -> int:
@@ -52,11 +53,8 @@
         position: end of the primary's log when it acknowledged the commit.
 
     """
-    if not replica_confirms(status, position.term):
-        return False
-    # The end of a log in another term does not tell what it holds.
-    is_same_term = status.position.term == position.term
-    return is_same_term and status.position.position >= position.position
+    is_unreplaced = replica_confirms(status, position.term)
+    return is_unreplaced and contains(status.position, position)
 
 
 def is_confirmed(
--- a/trefoilhitch/position.py
+++ b/trefoilhitch/position.py
@@ -23,6 +23,22 @@
     return _sort_key(reached) >= _sort_key(needed)
 
 
+def contains(log_end: LogPosition, position: LogPosition) -> bool:
+    """Return whether a log contains a position, as far as its end tells.
+
+    Args:
+        log_end: end of the log.
+        position: position of a commit.
+
+    Returns:
+        False if the log ends in another term: its end does not tell which
+        commits of an earlier term it contains.
+
+    """
+    is_same_term = log_end.term == position.term
+    return is_same_term and log_end.position >= position.position
+
+
 def latest_position(positions: Iterable[LogPosition]) -> LogPosition:
     """Return the latest of several positions.
 
