The gate of acknowledgements reads the holder's reply itself

The verdicts of the gate had two values that were no verdicts, for a holder that gave no answer and for one that runs no failover, and a set to tell them apart from the others. The reply says both. The steps for a lease are functions of their own, and the bound of the notices stands with the other constants.

Behaviour is unchanged: tests of the gate, late notices, restored stores, late orders, a RESUME without the store and the service that goes on pass.

--- a/trefoilhitch/pooler/acknowledging/commit_gate.py
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -9,6 +9,7 @@
 
 from trio import move_on_at, sleep
 
+from trefoilhitch._generated.peer import CommitPermitReply
 from trefoilhitch.decision_log import DecisionLog
 from trefoilhitch.metrics import Metrics
 from trefoilhitch.pooler.acknowledging.acknowledged_commit import (
@@ -17,6 +18,7 @@
 from trefoilhitch.pooler.acknowledging.failover_notices import FailoverNotices
 from trefoilhitch.pooler.acknowledging.permit_client import PermitClient
 from trefoilhitch.pooler.cluster_state import ClusterState
+from trefoilhitch.pooler.lease import LeaseRecord
 from trefoilhitch.pooler.lease_observer import LeaseObserver
 from trefoilhitch.pooler.lease_view import LeaseView, is_idle
 from trefoilhitch.pooler.primary_confirmer import PrimaryConfirmer
@@ -34,16 +36,10 @@
     PERMITTED = 'permitted'
     CONFIRMED = 'confirmed'
     UNDECIDED = 'undecided'
-    # The node that runs a failover gave no answer.
-    UNANSWERED = 'unanswered'
-    # The failover that was asked for runs no more.
-    ENDED = 'ended'
     SUPERSEDED = 'superseded'
 
 
 _ADMITTING = frozenset((Verdict.IDLE, Verdict.PERMITTED, Verdict.CONFIRMED))
-_FINAL = _ADMITTING | {Verdict.SUPERSEDED}
-_ANSWERS_OF_RUNNING = frozenset((Verdict.PERMITTED, Verdict.UNDECIDED))
 
 
 class CommitGate:
@@ -118,7 +114,7 @@
     async def _wait_for_verdict(self, commit: AcknowledgedCommit) -> Verdict:
         answered_at = self._cluster.clock()
         verdict = await self._judge(commit, answered_at)
-        while verdict not in _FINAL:
+        while verdict == Verdict.UNDECIDED:
             self._leases.refresh(HELD_VIEW_AGE_S)
             await sleep(RETRY_PAUSE_S)
             verdict = await self._judge(commit, answered_at)
@@ -136,7 +132,8 @@
         view = self._leases.view
         notice = self._notices.newer_than(commit.service, view.observed_at)
         if notice is not None:
-            return await self._ask(commit, notice.address, notice.attempt)
+            reply = await self._ask(commit, notice.address, notice.attempt)
+            return self._read_reply(commit, notice.attempt, reply)
         if is_permitted:
             return Verdict.IDLE
         return await self._judge_lease(commit, view, answered_at)
@@ -145,38 +142,51 @@
         self, commit: AcknowledgedCommit, view: LeaseView, answered_at: float
     ) -> Verdict:
         lease = view.listing.get(commit.service)
-        is_expired = view.is_expired(self._cluster.clock())
-        if is_idle(lease) and not is_expired:
+        if is_idle(lease) and not self._is_expired(view):
             # A view from before a promotion names the primary before that.
             is_replaced = lease.term > commit.position.term
             return Verdict.SUPERSEDED if is_replaced else Verdict.UNDECIDED
-        if lease.belongs_to_era and lease.address and lease.attempt:
-            verdict = await self._ask(commit, lease.address, lease.attempt)
-            if verdict in _ANSWERS_OF_RUNNING:
-                return verdict
-            # A failover that is not known to have ended may go on.
-            is_expired = is_expired and verdict == Verdict.ENDED
-        # Without a candidate, a command follows the endpoint's answer.
-        precedes_commands = (
-            not lease.candidate and view.observed_at > answered_at
-        )
-        if is_expired or not lease.belongs_to_era or precedes_commands:
+        reply = await self._ask_holder(commit, lease)
+        if reply is not None and reply.running:
+            return self._read_reply(commit, lease.attempt, reply)
+        # A failover that is not known to have ended may go on.
+        tells_nothing = self._is_expired(view) or not lease.belongs_to_era
+        is_ended = tells_nothing and reply is not None
+        if is_ended or _precedes_commands(view, lease, answered_at):
             return await self._confirm(commit)
         return Verdict.UNDECIDED
 
+    def _is_expired(self, view: LeaseView) -> bool:
+        return view.is_expired(self._cluster.clock())
+
+    async def _ask_holder(
+        self, commit: AcknowledgedCommit, lease: LeaseRecord
+    ) -> CommitPermitReply | None:
+        """Ask the holder of a lease, if the lease tells who that is."""
+        if lease.belongs_to_era and lease.address and lease.attempt:
+            return await self._ask(commit, lease.address, lease.attempt)
+        return CommitPermitReply(running=False)
+
     async def _ask(
         self, commit: AcknowledgedCommit, address: str, attempt: str
-    ) -> Verdict:
-        """Ask the node that runs a failover."""
+    ) -> CommitPermitReply | None:
+        """Ask the node that runs a failover; return None without an answer."""
         reply = await self._permits.request(address, attempt, commit.position)
-        if reply is None:
-            return Verdict.UNANSWERED
-        if not reply.running:
+        if reply is not None and not reply.running:
             self._notices.discard(commit.service, attempt)
-            return Verdict.ENDED
+        return reply
+
+    def _read_reply(
+        self,
+        commit: AcknowledgedCommit,
+        attempt: str,
+        reply: CommitPermitReply | None,
+    ) -> Verdict:
+        if reply is None or not reply.permitted:
+            return Verdict.UNDECIDED
         if self._is_announced_meanwhile(commit.service, attempt):
             return Verdict.UNDECIDED
-        return Verdict.PERMITTED if reply.permitted else Verdict.UNDECIDED
+        return Verdict.PERMITTED
 
     async def _confirm(self, commit: AcknowledgedCommit) -> Verdict:
         """Ask the replicas: a promotion that is chosen later has to hold it."""
@@ -192,3 +202,14 @@
         view = self._leases.view
         notice = self._notices.newer_than(service, view.observed_at)
         return notice is not None and notice.attempt != but_for
+
+
+def _precedes_commands(
+    view: LeaseView, lease: LeaseRecord, answered_at: float
+) -> bool:
+    """Return whether a command can only follow an endpoint's answer.
+
+    A command is sent after its candidate was written, and after the holder has
+    asked the endpoints again.
+    """
+    return not lease.candidate and view.observed_at > answered_at
--- a/trefoilhitch/pooler/acknowledging/failover_notices.py
+++ b/trefoilhitch/pooler/acknowledging/failover_notices.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 
+# Failovers of one service follow each other, so that only the newest may run.
+MAX_NOTICES_PER_SERVICE = 8
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedNotice:
@@ -20,10 +23,6 @@
     received_at: float
 
 
-# Failovers of one service follow each other, so that only the newest may run.
-MAX_NOTICES_PER_SERVICE = 8
-
-
 class FailoverNotices:
     """Keeps the notices of each service.
 
