A view of the leases that returns meanwhile counts before the replicas

What callers would see: an acknowledged commit that the promoted endpoint lacks.

Cause: while the view of the leases was expired, a replica's answer confirmed a commit, also if a newer view had arrived as the replica was asked, and showed a lease that is held.

Evidence: found by asking which decision is finished after a wait under an older belief; test_store_that_answers_again_counts_before_the_replicas fails on the code before.

Change: with a newer view, the acknowledgement is judged anew.

--- a/tests/test_commit_gate.py
+++ b/tests/test_commit_gate.py
@@ -107,13 +107,25 @@
         return self.is_held
 
 
+class PartsOfReturningStore(Parts):
+    """The store answers again, with a held lease, as the replicas are asked."""
+
+    async def _holds_commit(self, *_commit: object) -> bool:
+        self.leases.apply(
+            LeaseView(current_time(), LeaseListing({SERVICE: HELD}))
+        )
+        return True
+
+
 def play(
-    lease: LeaseRecord | None, steps: Callable[[Parts], Awaitable[None]]
+    lease: LeaseRecord | None,
+    steps: Callable[[Parts], Awaitable[None]],
+    make_parts: Callable[[LeaseRecord | None], Parts] = Parts,
 ) -> None:
     """Run steps while the view of the leases is renewed."""
 
     async def run() -> None:
-        parts = Parts(lease)
+        parts = make_parts(lease)
         async with open_nursery() as nursery:
             nursery.start_soon(parts.leases.run)
             await steps(parts)
@@ -255,6 +267,16 @@
     play(None, steps)
 
 
+def test_store_that_answers_again_counts_before_the_replicas() -> None:
+    """Guards against a failover that began while the replicas were asked."""
+
+    async def steps(parts: Parts) -> None:
+        parts.denies = True
+        assert not await parts.admit()
+
+    play(None, steps, PartsOfReturningStore)
+
+
 def test_ended_failover_is_not_asked_again_while_the_store_is_silent() -> None:
     async def steps(parts: Parts) -> None:
         parts.is_held = True
--- a/trefoilhitch/pooler/acknowledging/commit_gate.py
+++ b/trefoilhitch/pooler/acknowledging/commit_gate.py
@@ -153,7 +153,7 @@
         tells_nothing = self._is_expired(view) or not lease.belongs_to_era
         is_ended = tells_nothing and reply is not None
         if is_ended or _precedes_commands(view, lease, answered_at):
-            return await self._confirm(commit)
+            return await self._confirm(commit, view)
         return Verdict.UNDECIDED
 
     def _is_expired(self, view: LeaseView) -> bool:
@@ -188,13 +188,18 @@
             return Verdict.UNDECIDED
         return Verdict.PERMITTED
 
-    async def _confirm(self, commit: AcknowledgedCommit) -> Verdict:
+    async def _confirm(
+        self, commit: AcknowledgedCommit, view: LeaseView
+    ) -> Verdict:
         """Ask the replicas: a promotion that is chosen later has to hold it."""
         is_held = await self._confirmer.holds_commit(
             commit.service, commit.endpoint, commit.position
         )
         if self._is_announced_meanwhile(commit.service):
             return Verdict.UNDECIDED
+        # The leases may be seen again, and one of them held.
+        if self._is_expired(view) and not self._is_expired(self._leases.view):
+            return Verdict.UNDECIDED
         return Verdict.CONFIRMED if is_held else Verdict.UNDECIDED
 
     def _is_announced_meanwhile(self, service: str, but_for: str = '') -> bool:
