The known position of a primary is looked up for writes only

It bounds what an acknowledged commit has reached, so that reads need none. Nothing else changes; tests of priorities, missing commits and unlisted endpoints pass.

--- a/trefoilhitch/pooler/statement_sender.py
+++ b/trefoilhitch/pooler/statement_sender.py
@@ -71,8 +71,9 @@
             keeps_connection=keeps_connection,
             needs_status=target.requires_primary_proof and not permitted,
         )
-        known_position = self._known_position(primary)
+        known_position = None
         if run.writes:
+            known_position = self._known_position(primary)
             self._prover.expect_commit()
         with self._loads.attempting(target.endpoint):
             started, replicas = await self._start(job, primary)
