Tests share what they had twice

The synchronisation with a store that lists entries by turns, and the primary that is left one replica, stood twice. Two functions of the name write_always did different things: the one that does not wait for answers is begin_writes now. Assertions and cases are unchanged, and pass or are known red as before.

--- a/tests/test_ended_members.py
+++ b/tests/test_ended_members.py
@@ -1,23 +1,18 @@
 """What the log tells of members of groups that appear, restart and end."""
 
 from dataclasses import replace
-from random import Random
-from typing import Any, cast
+from typing import Any
 
 import pytest
-from trio import current_time, open_nursery, sleep
+from trio import open_nursery, sleep
 
 from tests.support import make_cluster, run_virtual
 from tests.test_leaving_endpoints import READY
-from tests.test_store_sync import Source, Unused
+from tests.test_store_sync import make_sync
 from trefoilhitch.decision_log import NullLog
-from trefoilhitch.pooler.cluster_state import ClusterState
-from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
 from trefoilhitch.pooler.endpoint_registry import MISSING_GRACE_S
 from trefoilhitch.pooler.former_endpoints import LOST_RETENTION_S
-from trefoilhitch.pooler.store_era import StoreEra
-from trefoilhitch.pooler.store_sync import StoreSync, StoreSyncDependencies
 
 LEAVING = replace(READY, leaving=True)
 SUCCESSOR = replace(
@@ -41,27 +36,6 @@
             self.gone.append(fields)
 
 
-def make_sync(
-    cluster: ClusterState, log: EndpointLog, *entries: EndpointRecord
-) -> StoreSync:
-    """Return a synchronisation; the store lists the entries by turns."""
-    return StoreSync(
-        StoreSyncDependencies(
-            endpoints=Source(*entries),
-            declarations=Source(),
-            cluster=cluster,
-            declaration=CurrentDeclaration(),
-            pool=cast('Any', Unused()),
-            control=cast('Any', Unused()),
-            log=log,
-            random=Random(1),
-            store_era=StoreEra(clock=current_time, log=log),
-            may_watch=lambda: True,
-            spread=lambda from_store: None,
-        )
-    )
-
-
 def end(*entries: EndpointRecord, after_s: float) -> list[dict[str, Any]]:
     """Let entries follow each other at a registry, each missing after it.
 
--- a/tests/test_late_listing.py
+++ b/tests/test_late_listing.py
@@ -11,9 +11,9 @@
 from tests.test_unlisted_endpoint import (
     JOINING,
     POLL_S,
+    begin_writes,
     cut_expired,
     last_node,
-    write_always,
 )
 from tests.test_wire_failover import RECORDED_S, lease_holder
 from trefoilhitch_lab.wire_stack import WireStack, running_wire_stack
@@ -45,7 +45,7 @@
         stack.peers_cut = bool(cut_s)
         await sleep(cut_s)
         reaching = last_node(stack)
-        nursery.start_soon(write_always, stack, writes, reaching)
+        nursery.start_soon(begin_writes, stack, writes, reaching)
         nursery.start_soon(keep_view_fresh, stack, reaching)
         await cut_expired(stack, reaching)
         stack.peers_cut = True
--- a/tests/test_replaced_declared_endpoint.py
+++ b/tests/test_replaced_declared_endpoint.py
@@ -71,6 +71,22 @@
     return [mark for mark in marks if f'{SERVICE}:{mark}' not in held]
 
 
+async def cut_off_replica(stack: Stack, *, is_replaced: bool) -> EndpointServer:
+    """Leave the primary one replica, which is declared or replaced.
+
+    Returns:
+        The primary.
+
+    """
+    await create_table(stack)
+    primary = primary_of(stack)
+    lagging, holder = replicas_of(stack)
+    if is_replaced:
+        await replace(stack, holder.name, 'orders-new')
+    stack.network.cut([primary.name], [lagging.name])
+    return primary
+
+
 @pytest.mark.parametrize('is_replaced', [False, True])
 def test_write_outlives_its_primary_after_an_endpoint_was_replaced(
     is_replaced: bool,
@@ -80,12 +96,7 @@
     @with_virtual_clock
     async def play() -> None:
         async with running_stack(SMALL) as stack:
-            await create_table(stack)
-            old = primary_of(stack)
-            lagging, holder = replicas_of(stack)
-            if is_replaced:
-                await replace(stack, holder.name, 'orders-new')
-            stack.network.cut([old.name], [lagging.name])
+            old = await cut_off_replica(stack, is_replaced=is_replaced)
             await write(stack, ACKNOWLEDGED)
             everyone = {*stack.endpoints, *stack.nodes, 'store'}
             stack.network.cut([old.name], everyone - {old.name})
@@ -105,12 +116,7 @@
     @with_virtual_clock
     async def play() -> None:
         async with running_stack(SMALL) as stack:
-            await create_table(stack)
-            old = primary_of(stack)
-            lagging, holder = replicas_of(stack)
-            if is_replaced:
-                await replace(stack, holder.name, 'orders-new')
-            stack.network.cut([old.name], [lagging.name])
+            old = await cut_off_replica(stack, is_replaced=is_replaced)
             marks = await write_while_led_by(stack, old)
             assert marks
             await sleep(FAILOVER_S)
--- a/tests/test_resume_without_store.py
+++ b/tests/test_resume_without_store.py
@@ -9,10 +9,10 @@
 from tests.support import run_virtual
 from tests.test_unlisted_endpoint import (
     POLL_S,
+    begin_writes,
     cut_control,
     last_node,
     wait_for_lease,
-    write_always,
 )
 from tests.test_unproved_fences import wait_for_command
 from tests.test_wire_failover import RECORDED_S
@@ -33,7 +33,7 @@
         await sleep(RECORDED_S)
         assert await writes.write(stack, 'before', 'node-1') == ''
         reaching = last_node(stack)
-        nursery.start_soon(write_always, stack, writes, reaching)
+        nursery.start_soon(begin_writes, stack, writes, reaching)
         stack.promotions.faults.late_commands = 1
         stack.promotions.faults.late_command_delay_s = LATE_S
         await cut_control(stack, reaching)
--- a/tests/test_store_sync.py
+++ b/tests/test_store_sync.py
@@ -8,7 +8,7 @@
 
 from tests.support import with_virtual_clock
 from tests.test_leaving_endpoints import READY
-from trefoilhitch.decision_log import NullLog
+from trefoilhitch.decision_log import DecisionLog, NullLog
 from trefoilhitch.pooler.cluster_state import ClusterState
 from trefoilhitch.pooler.current_declaration import CurrentDeclaration
 from trefoilhitch.pooler.endpoint_record import EndpointRecord
@@ -56,16 +56,11 @@
         return Changes(present, (), 1)
 
 
-async def has_left_after(*entries: EndpointRecord, wait_s: float) -> bool:
-    """Return whether the endpoint of some entries has left after a time."""
-    clock = current_time
-    cluster = ClusterState(
-        selector=EndpointSelector(data_centre='patan', regions={}),
-        log=NullLog(),
-        clock=clock,
-        drain_timeout_s=DRAIN_TIMEOUT_S,
-    )
-    sync = StoreSync(
+def make_sync(
+    cluster: ClusterState, log: DecisionLog, *entries: EndpointRecord
+) -> StoreSync:
+    """Return a synchronisation; the store lists the entries by turns."""
+    return StoreSync(
         StoreSyncDependencies(
             endpoints=Source(*entries),
             declarations=Source(),
@@ -73,13 +68,25 @@
             declaration=CurrentDeclaration(),
             pool=cast('Any', Unused()),
             control=cast('Any', Unused()),
-            log=NullLog(),
+            log=log,
             random=Random(1),
-            store_era=StoreEra(clock=clock, log=NullLog()),
+            store_era=StoreEra(clock=current_time, log=log),
             may_watch=lambda: True,
             spread=lambda from_store: None,
         )
     )
+
+
+async def has_left_after(*entries: EndpointRecord, wait_s: float) -> bool:
+    """Return whether the endpoint of some entries has left after a time."""
+    clock = current_time
+    cluster = ClusterState(
+        selector=EndpointSelector(data_centre='patan', regions={}),
+        log=NullLog(),
+        clock=clock,
+        drain_timeout_s=DRAIN_TIMEOUT_S,
+    )
+    sync = make_sync(cluster, NullLog(), *entries)
     async with open_nursery() as nursery:
         nursery.start_soon(sync.watch_endpoints)
         nursery.start_soon(sync.watch_declaration)
--- a/tests/test_unlisted_endpoint.py
+++ b/tests/test_unlisted_endpoint.py
@@ -164,7 +164,7 @@
         running.store.faults.outage = False
 
 
-async def write_always(
+async def begin_writes(
     stack: WireStack, writes: AcknowledgedWrites, node: str
 ) -> None:
     """Begin a write at short intervals, without waiting for the answers."""
@@ -213,7 +213,7 @@
         await sleep(RECORDED_S)
         assert await writes.write(stack, 'before', 'node-1') == ''
         reaching = split.choose(stack)
-        nursery.start_soon(write_always, stack, writes, reaching)
+        nursery.start_soon(begin_writes, stack, writes, reaching)
         with fail_after(GAP_BOUND_S):
             await split.begin(stack, reaching)
             await join_after_lease(stack, nursery, delay_s, listed_after_s)
